--- /dev/null
+++ b/cmd/cranberrywind/check.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cranberrywind/cranberrywind/internal/settings"
+	"github.com/cranberrywind/cranberrywind/internal/text"
+)
+
+func newCheck() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "check",
+		Short: "Check a text or a settings file and print all its faults",
+	}
+	cmd.AddCommand(
+		newCheckOf("text FILE", "Check a text before proposing it", func(name string, data []byte) error {
+			_, err := text.Parse(name, data)
+			return err
+		}),
+		newCheckOf("settings FILE", "Check an instance's settings", func(name string, data []byte) error {
+			_, err := settings.ParseInstance(name, data)
+			return err
+		}),
+	)
+	return cmd
+}
+
+func newCheckOf(use, short string, check func(name string, data []byte) error) *cobra.Command {
+	return &cobra.Command{
+		Use:   use,
+		Short: short,
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			data, err := os.ReadFile(args[0])
+			if err != nil {
+				return withCode(exitInvalid, err)
+			}
+			if err := check(args[0], data); err != nil {
+				return withCode(exitInvalid, err)
+			}
+			_, err = fmt.Fprintln(cmd.OutOrStdout(), "no faults")
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/cmd/cranberrywind/main.go
@@ -0,0 +1,81 @@
+// Command cranberrywind runs an instance of the router and drives it by its
+// text.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+)
+
+// Exit codes.
+const (
+	exitFailure     = 1 // the command failed
+	exitInvalid     = 2 // arguments, settings or text are invalid
+	exitLost        = 3 // the change lost, or was rejected
+	exitUnreachable = 4 // no instance answered
+)
+
+// version is set by the linker for releases.
+var version = "development"
+
+// exitError carries the exit code of a failure.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+
+func (e *exitError) Unwrap() error { return e.err }
+
+func withCode(code int, err error) error {
+	if err == nil {
+		return nil
+	}
+	return &exitError{code: code, err: err}
+}
+
+func main() {
+	ctx, stop := signalContext(context.Background())
+	err := newRoot().ExecuteContext(ctx)
+	stop()
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "error:", err)
+	var coded *exitError
+	if errors.As(err, &coded) {
+		os.Exit(coded.code)
+	}
+	os.Exit(exitFailure)
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "cranberrywind",
+		Short:         "Route each request to the one target that owns its key",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(
+		newServe(), newDev(), newStandin(), newCheck(), newConfig(),
+		newKeys(), newTargets(), newReport(), newVersion(),
+	)
+	return root
+}
+
+func newVersion() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), "cranberrywind", version)
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/cmd/cranberrywind/read.go
@@ -0,0 +1,176 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/url"
+	"slices"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cranberrywind/cranberrywind/internal/burn"
+	"github.com/cranberrywind/cranberrywind/internal/control"
+	"github.com/cranberrywind/cranberrywind/internal/operator"
+)
+
+// newRead returns a command that reads one document and prints it.
+func newRead[T any](use, short, path string, asText func(w io.Writer, v T) error) *cobra.Command {
+	var f operatorFlags
+	cmd := &cobra.Command{
+		Use:   use,
+		Short: short,
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			v, err := get[T](cmd.Context(), &f, path)
+			if err != nil {
+				return err
+			}
+			return f.print(cmd.OutOrStdout(), v, func(w io.Writer) error { return asText(w, v) })
+		},
+	}
+	f.add(cmd)
+	return cmd
+}
+
+func newShow() *cobra.Command {
+	return newRead("show", "Print the accepted text", "/v1/text", func(w io.Writer, v operator.TextReply) error {
+		_, err := fmt.Fprintf(w, "; version %d, change %s\n%s", v.Version, v.ChangeID, v.Source)
+		return err
+	})
+}
+
+func newHistory() *cobra.Command {
+	return newRead("history", "List the accepted texts", "/v1/text/history", func(w io.Writer, v []operator.TextReply) error {
+		for _, t := range v {
+			if _, err := fmt.Fprintf(w, "%6d  %s  %d bytes\n", t.Version, t.ChangeID, len(t.Source)); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+func newStatus() *cobra.Command {
+	return newRead("status", "Show versions, open changes, instances and groups", "/v1/status", writeStatus)
+}
+
+func writeStatus(w io.Writer, v operator.StatusReply) error {
+	_, err := fmt.Fprintf(w, "text version %d, table version %d\ntargets: %d live, %d draining, %d lost\n",
+		v.TextVersion, v.Version, v.Targets["live"], v.Targets["draining"], v.Targets["lost"])
+	for _, c := range v.Open {
+		if err == nil {
+			err = writeChange(w, c)
+		}
+	}
+	for _, e := range v.Entries {
+		if err == nil {
+			_, err = fmt.Fprintf(w, "entry %s: table version %d, lease over: %t\n", e.Instance, e.Acked, e.LeaseOver)
+		}
+	}
+	return err
+}
+
+func newChange() *cobra.Command {
+	var f operatorFlags
+	cmd := &cobra.Command{
+		Use:   "change ID",
+		Short: "Tell what became of a change",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			c, err := get[control.Change](cmd.Context(), &f, "/v1/changes/"+url.PathEscape(args[0]))
+			if err != nil {
+				return err
+			}
+			return f.print(cmd.OutOrStdout(), c, func(w io.Writer) error { return writeChange(w, c) })
+		},
+	}
+	f.add(cmd)
+	return cmd
+}
+
+func newTargets() *cobra.Command {
+	return newRead("targets", "List the targets as they announced themselves", "/v1/targets", func(w io.Writer, v []control.Target) error {
+		for _, t := range v {
+			_, err := fmt.Fprintf(w, "%-24s %-16s %-9s %-22s %-12s slots %d, connections %d, checks fences: %t\n",
+				t.Name, t.Service, t.Status, t.Address, t.AvailabilityZone, t.Slots, t.Connections, t.ChecksFence)
+			if err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+func newKeys() *cobra.Command {
+	var f operatorFlags
+	cmd := &cobra.Command{Use: "keys", Short: "Look at the ownership of keys"}
+	owner := &cobra.Command{
+		Use:   "owner SERVICE KEY",
+		Short: "Tell which target owns a key",
+		Args:  cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			query := url.Values{"service": {args[0]}, "key": {args[1]}}
+			v, err := get[operator.KeyReply](cmd.Context(), &f, "/v1/keys?"+query.Encode())
+			if err != nil {
+				return err
+			}
+			return f.print(cmd.OutOrStdout(), v, func(w io.Writer) error {
+				_, err := fmt.Fprintf(w, "%s %s: target %s (%s), epoch %d\n", v.Service, v.Key, v.Owner.Target, v.Phase, v.Epoch)
+				return err
+			})
+		},
+	}
+	f.add(owner)
+	cmd.AddCommand(owner)
+	return cmd
+}
+
+func newReport() *cobra.Command {
+	cmd := &cobra.Command{Use: "report", Short: "Reports on how callers are served"}
+	cmd.AddCommand(newBurn())
+	return cmd
+}
+
+var errNoReport = errors.New("no instance answered")
+
+func newBurn() *cobra.Command {
+	var f operatorFlags
+	var addresses []string
+	cmd := &cobra.Command{
+		Use:   "burn --instances ADDRESS,…",
+		Short: "Show how fast each service uses up its error budget",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			merged, err := mergeBurn(cmd, f, addresses)
+			if err != nil {
+				return err
+			}
+			return f.print(cmd.OutOrStdout(), merged, merged.WriteText)
+		},
+	}
+	f.add(cmd)
+	cmd.Flags().StringSliceVar(&addresses, "instances", nil, "operators' addresses of all instances (the one of --operator if empty)")
+	return cmd
+}
+
+func mergeBurn(cmd *cobra.Command, f operatorFlags, addresses []string) (burn.Report, error) {
+	if len(addresses) == 0 {
+		addresses = []string{f.address}
+	}
+	var reports []burn.Report
+	for _, a := range slices.Compact(addresses) {
+		one := f
+		one.address = a
+		r, err := get[burn.Report](cmd.Context(), &one, "/v1/burn")
+		if err != nil {
+			_, _ = fmt.Fprintf(cmd.ErrOrStderr(), "instance %s left out: %v\n", a, err)
+			continue
+		}
+		reports = append(reports, r)
+	}
+	if len(reports) == 0 {
+		return burn.Report{}, withCode(exitUnreachable, errNoReport)
+	}
+	return burn.Merge(reports), nil
+}
--- /dev/null
+++ b/cmd/cranberrywind/signals_unix.go
@@ -0,0 +1,25 @@
+//go:build unix
+
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// signalContext returns a context that ends with the first interrupt or
+// termination signal. A second signal ends the process at once.
+func signalContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		cancel()
+		<-signals
+		os.Exit(exitFailure)
+	}()
+	return ctx, cancel
+}
--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,19 @@
+// Package examples holds the texts of the example deployments.
+package examples
+
+import (
+	"embed"
+	"fmt"
+)
+
+//go:embed zarqa/text.ini new_england/text.ini
+var files embed.FS
+
+// Text returns the text of the deployment with the name.
+func Text(deployment string) (string, error) {
+	data, err := files.ReadFile(deployment + "/text.ini")
+	if err != nil {
+		return "", fmt.Errorf("no example deployment %q: %w", deployment, err)
+	}
+	return string(data), nil
+}
--- /dev/null
+++ b/internal/caller/attempt.go
@@ -0,0 +1,135 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/cranberrywind/cranberrywind/internal/entry"
+	"github.com/cranberrywind/cranberrywind/internal/router"
+	"github.com/cranberrywind/cranberrywind/internal/target"
+)
+
+// answer is a target's whole answer.
+type answer struct {
+	status  int
+	header  http.Header
+	body    []byte
+	trailer http.Header
+	target  string
+	epoch   uint64
+}
+
+// errShed reports that the target said that the request did not run.
+var errShed = errors.New("target turned the request down")
+
+// maxAttempts bounds how often one request goes to targets.
+const maxAttempts = 3
+
+// send sends the request along the ticket's route and returns the response,
+// whose body is open. It ends the ticket on errors.
+func (h *Handler) send(c *call, t *entry.Ticket) (*http.Response, error) {
+	resp, err := h.cfg.Client.Send(t.Context, c.request, t.Route, uint64(c.want.Point))
+	if err != nil {
+		h.endFailed(c, t, err)
+		return nil, err
+	}
+	if resp.Header.Get(target.HeaderOutcome) == target.OutcomeNotRun {
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxShedBody))
+		_ = resp.Body.Close()
+		t.End(router.ResultShed)
+		return nil, errShed
+	}
+	return resp, nil
+}
+
+const maxShedBody = 64 << 10 // bytes of a refusal that are read
+
+// endFailed gives a ticket back after an error. A broken connection is
+// reported first, so that a request that kills its target is found out before
+// its caller can send it again.
+func (h *Handler) endFailed(c *call, t *entry.Ticket, err error) {
+	switch {
+	case t.Context.Err() != nil:
+		t.End(router.ResultAbandoned)
+	case errors.Is(err, target.ErrNotRun):
+		t.End(router.ResultFailed)
+	default:
+		h.cfg.Entry.ReportBroken(t.Route.Target.Owner(), c.want.Fingerprint)
+		t.End(router.ResultBroken)
+	}
+}
+
+// receive reads a whole answer and ends the ticket.
+func (h *Handler) receive(c *call, t *entry.Ticket, resp *http.Response, limit int64) (*answer, error) {
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		err = errTooLarge
+		t.End(router.ResultAnswered)
+		return nil, errors.Join(target.ErrUncertain, err)
+	}
+	if err != nil {
+		err = errors.Join(target.ErrUncertain, err)
+		h.endFailed(c, t, err)
+		return nil, err
+	}
+	t.End(resultOf(resp.StatusCode))
+	h.cfg.Entry.ReportAnswered(c.want.Fingerprint)
+	return &answer{
+		status:  resp.StatusCode,
+		header:  answerHeader(resp.Header),
+		body:    body,
+		trailer: resp.Trailer,
+		target:  t.Route.Target.Name,
+		epoch:   t.Route.Epoch,
+	}, nil
+}
+
+var errTooLarge = errors.New("answer is larger than allowed")
+
+func resultOf(status int) router.Result {
+	if status >= http.StatusInternalServerError {
+		return router.ResultFailed
+	}
+	return router.ResultAnswered
+}
+
+// answerHeader returns the headers of an answer that go on to the caller.
+func answerHeader(in http.Header) http.Header {
+	out := forwarded(in)
+	out.Del("Content-Length")
+	return out
+}
+
+// write gives the caller a whole answer.
+func (h *Handler) write(w http.ResponseWriter, c *call, a *answer) {
+	copyHeader(w.Header(), a.header)
+	w.Header().Set(target.HeaderOutcome, string(Done))
+	if len(a.trailer) == 0 {
+		setLength(w, c, a)
+	}
+	w.WriteHeader(a.status)
+	_, _ = w.Write(a.body)
+	for name, values := range a.trailer {
+		if !strings.HasPrefix(name, target.HeaderPrefix) {
+			w.Header()[http.TrailerPrefix+name] = values
+		}
+	}
+	h.observe(c, Done, a.status < http.StatusInternalServerError)
+	h.cfg.Log.Debug("request answered", "request_id", c.id, "service", c.service.Name,
+		"target", a.target, "epoch", a.epoch, "outcome", Done, "status", a.status)
+}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = values
+	}
+}
+
+// mayRetry reports whether another attempt is worth asking for.
+func mayRetry(ctx context.Context, attempt int) bool {
+	return attempt+1 < maxAttempts && ctx.Err() == nil
+}
--- /dev/null
+++ b/internal/caller/request.go
@@ -0,0 +1,159 @@
+package caller
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"net/textproto"
+	"net/url"
+	"slices"
+	"strings"
+
+	"github.com/cranberrywind/cranberrywind/internal/entry"
+	"github.com/cranberrywind/cranberrywind/internal/target"
+	"github.com/cranberrywind/cranberrywind/internal/text"
+	"github.com/cranberrywind/cranberrywind/pkg/keyspace"
+)
+
+// HeaderIdempotencyKey carries a booking's key, as in the IETF draft "The
+// Idempotency-Key HTTP Header Field".
+const HeaderIdempotencyKey = "Idempotency-Key"
+
+const (
+	maxKeyBytes      = 512
+	maxIdempotency   = 128 // bytes
+	fingerprintBytes = 16
+)
+
+// hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Proxy-Authenticate", "Proxy-Authorization",
+}
+
+func sizeRule(limit int) string { return fmt.Sprintf("must have at most %d bytes", limit) }
+
+// checkRequest looks at everything but the body.
+func checkRequest(r *http.Request, service text.Service) *failure {
+	if !slices.Contains(service.Methods, r.Method) {
+		f := invalid(http.StatusMethodNotAllowed, "method", r.Method, "must be one of "+strings.Join(service.Methods, ", "))
+		f.allow = strings.Join(service.Methods, ", ")
+		return &f
+	}
+	if service.Kind != text.Booking {
+		return nil
+	}
+	return checkIdempotencyKey(r.Header.Values(HeaderIdempotencyKey))
+}
+
+func checkIdempotencyKey(values []string) *failure {
+	var f failure
+	switch {
+	case len(values) == 0:
+		f = invalid(http.StatusBadRequest, HeaderIdempotencyKey, "", "must be given for a booking")
+	case len(values) > 1:
+		f = invalid(http.StatusBadRequest, HeaderIdempotencyKey, strings.Join(values, ", "), "must be given once")
+	case !validIdempotencyKey(values[0]):
+		f = invalid(http.StatusBadRequest, HeaderIdempotencyKey, values[0], fmt.Sprintf("must have 1 to %d visible ASCII characters", maxIdempotency))
+	default:
+		return nil
+	}
+	return &f
+}
+
+func validIdempotencyKey(key string) bool {
+	if key == "" || len(key) > maxIdempotency {
+		return false
+	}
+	return !strings.ContainsFunc(key, func(c rune) bool { return c <= ' ' || c > '~' })
+}
+
+// fill completes the call once the body is read.
+func (c *call) fill(r *http.Request, body []byte) *failure {
+	key, fault := keyOf(r, c.service)
+	if fault != nil {
+		return fault
+	}
+	uri := r.URL.RequestURI()
+	c.request = target.Request{ID: c.id, Method: r.Method, URI: uri, Header: forwarded(r.Header), Body: body}
+	if c.service.Kind == text.Booking {
+		c.request.IdempotencyKey = r.Header.Get(HeaderIdempotencyKey)
+	}
+	c.want = entry.Wanted{
+		Service:     c.service.Name,
+		Fingerprint: fingerprint(r.Method, uri, body),
+		Deadline:    c.deadline,
+	}
+	if c.service.Keyed() {
+		c.want.Point = keyspace.PointOf(c.service.Name + "/" + key)
+	}
+	return nil
+}
+
+// keyOf takes the key from where the text says it is.
+func keyOf(r *http.Request, service text.Service) (string, *failure) {
+	var key string
+	switch service.Key.From {
+	case text.KeyNone:
+		return "", nil
+	case text.KeyPath:
+		key = pathPart(strings.TrimPrefix(r.URL.Path, service.Prefix), service.Key.Part)
+	case text.KeyQuery:
+		key = queryValue(r.URL, service.Key.Name)
+	case text.KeyHeader:
+		key = r.Header.Get(service.Key.Name)
+	}
+	if key == "" || len(key) > maxKeyBytes {
+		f := invalid(http.StatusBadRequest, "key", key, fmt.Sprintf("must be given as %s and have 1 to %d bytes", keyPlace(service.Key), maxKeyBytes))
+		return "", &f
+	}
+	return key, nil
+}
+
+func queryValue(u *url.URL, name string) string { return u.Query().Get(name) }
+
+func pathPart(rest string, part int) string {
+	parts := strings.Split(rest, "/")
+	if part > len(parts) {
+		return ""
+	}
+	return parts[part-1]
+}
+
+func keyPlace(k text.KeySource) string {
+	if k.From == text.KeyPath {
+		return fmt.Sprintf("part %d of the path after the prefix", k.Part)
+	}
+	return fmt.Sprintf("%s field %q", k.From, k.Name)
+}
+
+// fingerprint names a kind of request: the same method, URI and body.
+func fingerprint(method, uri string, body []byte) string {
+	h := sha256.New()
+	_, _ = fmt.Fprintf(h, "%s\n%s\n", method, uri)
+	h.Write(body)
+	return hex.EncodeToString(h.Sum(nil)[:fingerprintBytes])
+}
+
+// forwarded returns the headers that go on: without those of the connection
+// and without those that only this system may set.
+func forwarded(in http.Header) http.Header {
+	out := in.Clone()
+	for _, line := range in.Values("Connection") {
+		for name := range strings.SplitSeq(line, ",") {
+			out.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	out.Del(HeaderIdempotencyKey)
+	out.Del("X-" + HeaderIdempotencyKey)
+	for name := range out {
+		if strings.HasPrefix(name, target.HeaderPrefix) {
+			out.Del(name)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/control/commands.go
@@ -0,0 +1,316 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/cranberrywind/cranberrywind/internal/text"
+	"github.com/cranberrywind/cranberrywind/internal/wire"
+	"github.com/cranberrywind/cranberrywind/pkg/keyspace"
+)
+
+// Command is one entry of the control log; exactly one field is set.
+type Command struct {
+	Propose  *Propose  `msgpack:"propose,omitempty"`
+	Vote     *Vote     `msgpack:"vote,omitempty"`
+	Announce *Announce `msgpack:"announce,omitempty"`
+	Lose     *Lose     `msgpack:"lose,omitempty"`
+	Revoke   *Revoke   `msgpack:"revoke,omitempty"`
+	Assign   *Assign   `msgpack:"assign,omitempty"`
+	Activate *Activate `msgpack:"activate,omitempty"`
+	Split    *Split    `msgpack:"split,omitempty"`
+	Blame    *Blame    `msgpack:"blame,omitempty"`
+}
+
+// Announce records a target that started, changed or is draining.
+type Announce struct {
+	Target Target `msgpack:"target"`
+}
+
+// Lose records that a target was not heard for too long.
+type Lose struct {
+	Owner keyspace.Owner `msgpack:"owner"`
+}
+
+// RangeRef names a range with the epoch that the command was planned for. A
+// range that has changed since is left alone.
+type RangeRef struct {
+	Service string         `msgpack:"service"`
+	Start   keyspace.Point `msgpack:"start"`
+	Epoch   uint64         `msgpack:"epoch"`
+}
+
+// Revoke takes ranges from their owners, to move them.
+type Revoke struct {
+	Ranges []RangeRef `msgpack:"ranges"`
+}
+
+// Assign gives unowned or revoked ranges to new owners.
+type Assign struct {
+	Ranges []RangeRef       `msgpack:"ranges"`
+	Owners []keyspace.Owner `msgpack:"owners"` // one for each range
+}
+
+// Activate records that an owner has confirmed its grants.
+type Activate struct {
+	Owner  keyspace.Owner `msgpack:"owner"`
+	Ranges []RangeRef     `msgpack:"ranges"`
+}
+
+// Split cuts a range in two at a point.
+type Split struct {
+	Range RangeRef       `msgpack:"range"`
+	At    keyspace.Point `msgpack:"at"`
+}
+
+// Blame records the requests that were in flight at a target when it died, and
+// clears suspected ones that were answered since.
+type Blame struct {
+	Owner        keyspace.Owner `msgpack:"owner"`
+	Fingerprints []string       `msgpack:"fingerprints"`
+	Cleared      []string       `msgpack:"cleared"` // answered since by a target
+}
+
+// Result is what a command's proposer learns.
+type Result struct {
+	Change Change `msgpack:"change"`
+	Fault  string `msgpack:"fault"` // why a vote or proposal was refused
+}
+
+// Apply returns the state after the command at the log index.
+func (s State) Apply(index uint64, data []byte) (State, []byte) {
+	var c Command
+	if err := wire.Decode(data, &c); err != nil {
+		return s, wire.Encode(Result{Fault: err.Error()})
+	}
+	s, result := s.apply(index, c)
+	return s, wire.Encode(result)
+}
+
+func (s State) apply(index uint64, c Command) (State, Result) {
+	switch {
+	case c.Propose != nil:
+		return s.propose(*c.Propose)
+	case c.Vote != nil:
+		return s.vote(index, *c.Vote)
+	case c.Announce != nil:
+		return s.announce(index, c.Announce.Target), Result{}
+	case c.Lose != nil:
+		return s.lose(index, c.Lose.Owner), Result{}
+	case c.Revoke != nil:
+		return s.revoke(index, c.Revoke.Ranges), Result{}
+	case c.Assign != nil:
+		return s.assign(index, *c.Assign), Result{}
+	case c.Activate != nil:
+		return s.activate(index, *c.Activate), Result{}
+	case c.Split != nil:
+		return s.split(index, *c.Split), Result{}
+	case c.Blame != nil:
+		return s.blame(index, *c.Blame), Result{}
+	default:
+		return s, Result{Fault: "command is empty"}
+	}
+}
+
+// announce takes a target's own description. A new incarnation proves that the
+// one before has ended, so its ranges are taken from it.
+func (s State) announce(index uint64, t Target) State {
+	old, known := s.Target(t.Name)
+	t.Changed = index
+	s.version = index
+	if known && old.Incarnation != t.Incarnation {
+		s = s.revokeOwner(index, old.Owner())
+	}
+	return s.withTarget(t)
+}
+
+func (s State) lose(index uint64, owner keyspace.Owner) State {
+	t, ok := s.Target(owner.Target)
+	if !ok || t.Incarnation != owner.Incarnation || t.Status == TargetLost {
+		return s
+	}
+	t.Status = TargetLost
+	t.Changed = index
+	s.version = index
+	return s.withTarget(t).revokeOwner(index, owner)
+}
+
+// revokeOwner takes all ranges of an owner that is gone.
+func (s State) revokeOwner(index uint64, owner keyspace.Owner) State {
+	for _, t := range s.tables {
+		var changed []keyspace.Range
+		for _, r := range t.keys.Ranges() {
+			if r.Owner == owner && (r.Phase == keyspace.Active || r.Phase == keyspace.Assigned) {
+				r.Phase, r.Epoch = keyspace.Revoking, index
+				changed = append(changed, r)
+			}
+		}
+		s = s.withRanges(index, t.service, changed)
+	}
+	return s
+}
+
+// withRanges replaces ranges of a service and marks the change.
+func (s State) withRanges(index uint64, service string, changed []keyspace.Range) State {
+	keys, ok := s.Table(service)
+	if !ok || len(changed) == 0 {
+		return s
+	}
+	next, err := keys.WithRanges(changed...)
+	if err != nil {
+		return s
+	}
+	s.version = index
+	return s.withTable(service, next)
+}
+
+// changeRanges edits those of the named ranges that are as they were when the
+// command was planned. Edit returns false to leave a range alone.
+func (s State) changeRanges(index uint64, refs []RangeRef, edit func(i int, r keyspace.Range) (keyspace.Range, bool)) State {
+	changed := make(map[string][]keyspace.Range)
+	for i, ref := range refs {
+		r, ok := s.rangeOf(ref)
+		if !ok {
+			continue
+		}
+		if r, ok = edit(i, r); ok {
+			changed[ref.Service] = append(changed[ref.Service], r)
+		}
+	}
+	for _, t := range s.tables {
+		s = s.withRanges(index, t.service, changed[t.service])
+	}
+	return s
+}
+
+func (s State) rangeOf(ref RangeRef) (keyspace.Range, bool) {
+	keys, ok := s.Table(ref.Service)
+	if !ok {
+		return keyspace.Range{}, false
+	}
+	r, err := keys.Find(ref.Start)
+	return r, err == nil && r.Epoch == ref.Epoch
+}
+
+func (s State) revoke(index uint64, refs []RangeRef) State {
+	return s.changeRanges(index, refs, func(_ int, r keyspace.Range) (keyspace.Range, bool) {
+		if r.Phase != keyspace.Active {
+			return r, false
+		}
+		r.Phase, r.Epoch = keyspace.Revoking, index
+		return r, true
+	})
+}
+
+func (s State) assign(index uint64, a Assign) State {
+	if len(a.Owners) != len(a.Ranges) {
+		return s
+	}
+	return s.changeRanges(index, a.Ranges, func(i int, r keyspace.Range) (keyspace.Range, bool) {
+		t, ok := s.Target(a.Owners[i].Target)
+		if !ok || t.Owner() != a.Owners[i] || t.Status != TargetLive {
+			return r, false
+		}
+		if r.Phase != keyspace.Unowned && r.Phase != keyspace.Revoking {
+			return r, false
+		}
+		r.Owner, r.Phase, r.Epoch = a.Owners[i], keyspace.Assigned, index
+		return r, true
+	})
+}
+
+func (s State) activate(index uint64, a Activate) State {
+	return s.changeRanges(index, a.Ranges, func(_ int, r keyspace.Range) (keyspace.Range, bool) {
+		if r.Phase != keyspace.Assigned || r.Owner != a.Owner {
+			return r, false
+		}
+		r.Phase = keyspace.Active
+		return r, true
+	})
+}
+
+// split keeps both halves with the owner, under its present epoch.
+func (s State) split(index uint64, c Split) State {
+	r, ok := s.rangeOf(c.Range)
+	keys, _ := s.Table(c.Range.Service)
+	if !ok || r.Phase != keyspace.Active || keys.Lookup(c.At).Start != r.Start {
+		return s
+	}
+	next, err := keys.WithSplit(c.At)
+	if err != nil {
+		return s
+	}
+	s.version = index
+	return s.withTable(c.Range.Service, next)
+}
+
+// blame counts a target's death against the requests it was running. Where one
+// of them had seen another target's death, only such ones are blamed: the
+// others are bystanders. Several entries may report the same death.
+func (s State) blame(index uint64, b Blame) State {
+	for _, f := range b.Cleared {
+		s.suspects = slices.DeleteFunc(slices.Clone(s.suspects), func(x Suspect) bool {
+			return x.Fingerprint == f && !x.Held()
+		})
+	}
+	for _, f := range b.Fingerprints {
+		s = s.withDeath(index, f, b.Owner)
+	}
+	s.version = index
+	return s.withoutBystanders(b.Owner)
+}
+
+func (s State) withDeath(index uint64, fingerprint string, owner keyspace.Owner) State {
+	s.suspects = slices.Clone(s.suspects)
+	i := slices.IndexFunc(s.suspects, func(x Suspect) bool { return x.Fingerprint == fingerprint })
+	if i < 0 {
+		s.suspects = append(s.suspects, Suspect{Fingerprint: fingerprint, Deaths: []keyspace.Owner{owner}, Index: index})
+		if len(s.suspects) > maxSuspects {
+			s.suspects = s.suspects[1:]
+		}
+		return s
+	}
+	x := s.suspects[i]
+	if !slices.Contains(x.Deaths, owner) && !x.Held() {
+		x.Deaths = append(slices.Clone(x.Deaths), owner)
+	}
+	x.Index = index
+	s.suspects[i] = x
+	return s
+}
+
+// withoutBystanders drops a death from the requests that saw no other, if one
+// that did was among them.
+func (s State) withoutBystanders(owner keyspace.Owner) State {
+	repeated := func(x Suspect) bool { return len(x.Deaths) > 1 && slices.Contains(x.Deaths, owner) }
+	if !slices.ContainsFunc(s.suspects, repeated) {
+		return s
+	}
+	s.suspects = slices.DeleteFunc(slices.Clone(s.suspects), func(x Suspect) bool {
+		return len(x.Deaths) == 1 && x.Deaths[0] == owner
+	})
+	return s
+}
+
+// withText takes an accepted text into force: new keyed services get a table,
+// and those no longer named lose theirs.
+func (s State) withText(index uint64, a AcceptedText, parsed text.Text) State {
+	s.history = append(slices.Clone(s.history), a)
+	if len(s.history) > maxHistory {
+		s.history = s.history[1:]
+	}
+	s.accepted = parsed
+	s.version = index
+	s.tables = slices.DeleteFunc(slices.Clone(s.tables), func(t table) bool {
+		service, ok := parsed.Service(t.service)
+		return !ok || !service.Keyed()
+	})
+	for _, service := range parsed.Services {
+		if _, ok := s.Table(service.Name); !ok && service.Keyed() {
+			s = s.withTable(service.Name, keyspace.New(service.Ranges))
+		}
+	}
+	return s
+}
+
+func faultf(format string, args ...any) Result { return Result{Fault: fmt.Sprintf(format, args...)} }
--- /dev/null
+++ b/internal/control/plan.go
@@ -0,0 +1,302 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cranberrywind/cranberrywind/internal/text"
+	"github.com/cranberrywind/cranberrywind/pkg/keyspace"
+	"github.com/cranberrywind/cranberrywind/pkg/lease"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
+)
+
+// Timing sets the leases and waits of ownership.
+type Timing struct {
+	EntryLease   time.Duration // how long an entry may route without a renewal
+	EntryRenewal time.Duration // pause between two renewals of an entry
+	TargetLease  time.Duration // how long a target may serve without a heartbeat
+	Heartbeat    time.Duration // pause between two heartbeats of a target
+	TargetLost   time.Duration // silence after which a target counts as lost
+}
+
+// DefaultTiming serves a key again within 2 s of its owner's loss.
+func DefaultTiming() Timing {
+	return Timing{
+		EntryLease:   time.Second,
+		EntryRenewal: 100 * time.Millisecond,
+		TargetLease:  700 * time.Millisecond,
+		Heartbeat:    150 * time.Millisecond,
+		TargetLost:   800 * time.Millisecond,
+	}
+}
+
+// EntryID names one start of one entry.
+type EntryID struct {
+	Instance    string
+	Incarnation string
+}
+
+// EntryView is what the leader knows of one entry's start.
+type EntryView struct {
+	Acked uint64 // no request of it runs under an older table version
+	Lease lease.Granted
+}
+
+// TargetView is what the leader knows of one target's start.
+type TargetView struct {
+	Heard   timer.Instant
+	Lease   lease.Granted
+	Granted uint64 // version of the last grant order that it confirmed
+	Refused bool   // its address refused a connection after it was lost
+}
+
+// View is what only the leader knows: leases, heartbeats and confirmations.
+// It begins empty with each term.
+type View struct {
+	Now     timer.Instant
+	Since   timer.Instant // start of this leader's term
+	Entries map[EntryID]EntryView
+	Targets map[keyspace.Owner]TargetView
+}
+
+// entriesPassed reports whether no entry can send a request under a table
+// older than the version. Entries that only a former leader knew are out once
+// their lease is over, or once they have renewed it with this leader.
+func (v View) entriesPassed(s State, version uint64, t Timing) bool {
+	for _, e := range v.Entries {
+		if e.Acked < version && !e.Lease.Over(v.Now) {
+			return false
+		}
+	}
+	return v.Now >= v.Since.Add(lease.Margin(t.EntryLease)) || v.knowsEveryEntry(s)
+}
+
+func (v View) knowsEveryEntry(s State) bool {
+	for _, i := range s.accepted.Instances {
+		if i.Entry && !v.knowsEntry(i.Name) {
+			return false
+		}
+	}
+	return true
+}
+
+func (v View) knowsEntry(instance string) bool {
+	for id, e := range v.Entries {
+		if id.Instance == instance && e.Acked > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// heard returns when the target was last heard, counted from the start of the
+// leader's term.
+func (v View) heard(owner keyspace.Owner) timer.Instant {
+	return max(v.Since, v.Targets[owner].Heard)
+}
+
+// Plan returns the command that the leader should propose next, if any.
+func Plan(s State, v View, t Timing) (Command, bool) {
+	planners := []func(State, View, Timing) (Command, bool){
+		planLoss, planAssign, planActivate, planDrain, planBalance,
+	}
+	for _, plan := range planners {
+		if c, ok := plan(s, v, t); ok {
+			return c, true
+		}
+	}
+	return Command{}, false
+}
+
+// planLoss gives up a target that was silent for too long.
+func planLoss(s State, v View, t Timing) (Command, bool) {
+	for _, target := range s.targets {
+		if target.Status == TargetLost {
+			continue
+		}
+		if v.Now.Sub(v.heard(target.Owner())) > t.TargetLost {
+			return Command{Lose: &Lose{Owner: target.Owner()}}, true
+		}
+	}
+	return Command{}, false
+}
+
+// planAssign gives free ranges to the targets that own the fewest.
+func planAssign(s State, v View, t Timing) (Command, bool) {
+	var out Assign
+	for _, service := range s.accepted.Services {
+		keys, ok := s.Table(service.Name)
+		if !ok {
+			continue
+		}
+		counts := ownedCounts(s, service.Name, keys)
+		for _, r := range keys.Ranges() {
+			if !free(s, v, t, service, r) {
+				continue
+			}
+			owner, ok := fewest(counts)
+			if !ok {
+				break
+			}
+			counts[owner]++
+			out.Ranges = append(out.Ranges, refOf(service.Name, r))
+			out.Owners = append(out.Owners, owner)
+		}
+	}
+	return Command{Assign: &out}, len(out.Ranges) > 0
+}
+
+func refOf(service string, r keyspace.Range) RangeRef {
+	return RangeRef{Service: service, Start: r.Start, Epoch: r.Epoch}
+}
+
+// ownedCounts returns the ranges owned by each target that may get more.
+func ownedCounts(s State, service string, keys keyspace.Table) map[keyspace.Owner]int {
+	counts := make(map[keyspace.Owner]int)
+	for _, target := range s.targets {
+		if target.Service == service && target.Status == TargetLive {
+			counts[target.Owner()] = 0
+		}
+	}
+	for _, r := range keys.Ranges() {
+		if _, ok := counts[r.Owner]; ok && r.Phase != keyspace.Revoking && r.Phase != keyspace.Unowned {
+			counts[r.Owner]++
+		}
+	}
+	return counts
+}
+
+// fewest returns the owner with the fewest ranges; names break ties.
+func fewest(counts map[keyspace.Owner]int) (keyspace.Owner, bool) {
+	var best keyspace.Owner
+	found := false
+	for owner, n := range counts {
+		if !found || n < counts[best] || (n == counts[best] && owner.Target < best.Target) {
+			best, found = owner, true
+		}
+	}
+	return best, found
+}
+
+// free reports whether a range may get a new owner: no entry can send to the
+// last owner any more, and the last owner has stopped serving it.
+func free(s State, v View, t Timing, service text.Service, r keyspace.Range) bool {
+	switch r.Phase {
+	case keyspace.Unowned:
+		return true
+	case keyspace.Revoking:
+		return v.entriesPassed(s, r.Epoch, t) && stopped(s, v, t, service, r)
+	default:
+		return false
+	}
+}
+
+// stopped reports whether the last owner of a revoked range serves it no more.
+func stopped(s State, v View, t Timing, service text.Service, r keyspace.Range) bool {
+	target, ok := s.Target(r.Owner.Target)
+	if !ok || target.Incarnation != r.Owner.Incarnation {
+		return true
+	}
+	view := v.Targets[r.Owner]
+	if view.Granted >= r.Epoch || view.Refused {
+		return true
+	}
+	if target.ChecksFence || service.Takeover == text.TakeoverMove {
+		return v.leaseOver(r.Owner, t)
+	}
+	return false
+}
+
+// leaseOver reports whether no leader's lease to the target can be valid.
+func (v View) leaseOver(owner keyspace.Owner, t Timing) bool {
+	return v.Now >= v.Since.Add(lease.Margin(t.TargetLease)) && v.Targets[owner].Lease.Over(v.Now)
+}
+
+// planActivate opens ranges whose owner has confirmed its grant.
+func planActivate(s State, v View, _ Timing) (Command, bool) {
+	for _, target := range s.targets {
+		granted := v.Targets[target.Owner()].Granted
+		out := Activate{Owner: target.Owner()}
+		for _, t := range s.tables {
+			for _, r := range t.keys.Ranges() {
+				if r.Owner == target.Owner() && r.Phase == keyspace.Assigned && r.Epoch <= granted {
+					out.Ranges = append(out.Ranges, refOf(t.service, r))
+				}
+			}
+		}
+		if len(out.Ranges) > 0 {
+			return Command{Activate: &out}, true
+		}
+	}
+	return Command{}, false
+}
+
+// drainBatch is how many ranges of one service move at the same time, so that
+// the keys of a draining target are not all unavailable at once.
+const drainBatch = 8
+
+// planDrain moves ranges away from draining targets.
+func planDrain(s State, _ View, _ Timing) (Command, bool) {
+	var out Revoke
+	for _, t := range s.tables {
+		if inMotion(t.keys) > 0 || len(ownedCounts(s, t.service, t.keys)) == 0 {
+			continue
+		}
+		for _, r := range t.keys.Ranges() {
+			target, ok := s.Target(r.Owner.Target)
+			if !ok || target.Status != TargetDraining || r.Phase != keyspace.Active {
+				continue
+			}
+			out.Ranges = append(out.Ranges, refOf(t.service, r))
+			if len(out.Ranges) == drainBatch {
+				break
+			}
+		}
+	}
+	return Command{Revoke: &out}, len(out.Ranges) > 0
+}
+
+func inMotion(keys keyspace.Table) int {
+	n := 0
+	for _, r := range keys.Ranges() {
+		if r.Phase == keyspace.Revoking || r.Phase == keyspace.Assigned {
+			n++
+		}
+	}
+	return n
+}
+
+// planBalance moves one range from the target with the most ranges to the one
+// with the fewest, if they differ by two or more.
+func planBalance(s State, _ View, _ Timing) (Command, bool) {
+	for _, t := range s.tables {
+		if inMotion(t.keys) > 0 {
+			continue
+		}
+		counts := ownedCounts(s, t.service, t.keys)
+		low, ok := fewest(counts)
+		if !ok {
+			continue
+		}
+		high := most(counts)
+		if counts[high]-counts[low] < 2 {
+			continue
+		}
+		ranges := t.keys.Ranges()
+		i := slices.IndexFunc(ranges, func(r keyspace.Range) bool { return r.Owner == high && r.Phase == keyspace.Active })
+		if i >= 0 {
+			return Command{Revoke: &Revoke{Ranges: []RangeRef{refOf(t.service, ranges[i])}}}, true
+		}
+	}
+	return Command{}, false
+}
+
+func most(counts map[keyspace.Owner]int) keyspace.Owner {
+	var best keyspace.Owner
+	for owner, n := range counts {
+		if best.Target == "" || n > counts[best] || (n == counts[best] && owner.Target < best.Target) {
+			best = owner
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/control/state.go
@@ -0,0 +1,291 @@
+// Package control is the state that the control instances agree on: the
+// accepted text, the targets as last announced and the ownership of key
+// ranges. State is immutable and changes only by applying committed commands;
+// Plan tells the leader which command to propose next.
+package control
+
+import (
+	"slices"
+	"sort"
+
+	"github.com/cranberrywind/cranberrywind/internal/text"
+	"github.com/cranberrywind/cranberrywind/internal/wire"
+	"github.com/cranberrywind/cranberrywind/pkg/keyspace"
+)
+
+// TargetStatus is what the system knows of a target.
+type TargetStatus string
+
+// States of a target.
+const (
+	TargetLive     TargetStatus = "live"
+	TargetDraining TargetStatus = "draining"
+	TargetLost     TargetStatus = "lost"
+)
+
+// Target is a target as last announced.
+type Target struct {
+	Name             string       `msgpack:"name" json:"name"`
+	Incarnation      string       `msgpack:"incarnation" json:"incarnation"`
+	Service          string       `msgpack:"service" json:"service"`
+	Address          string       `msgpack:"address" json:"address"`
+	AvailabilityZone string       `msgpack:"availability_zone" json:"availability_zone"`
+	Slots            int          `msgpack:"slots" json:"slots"`
+	Connections      int          `msgpack:"connections" json:"connections"`
+	ChecksFence      bool         `msgpack:"checks_fence" json:"checks_fence"`
+	Status           TargetStatus `msgpack:"status" json:"status"`
+	Changed          uint64       `msgpack:"changed" json:"changed"` // log index
+}
+
+// Owner returns the target as an owner of ranges.
+func (t Target) Owner() keyspace.Owner {
+	return keyspace.Owner{Target: t.Name, Incarnation: t.Incarnation}
+}
+
+// AcceptedText is a text that the members accepted.
+type AcceptedText struct {
+	Version  uint64 `msgpack:"version" json:"version"` // counts from 1
+	ChangeID string `msgpack:"change_id" json:"change_id"`
+	Index    uint64 `msgpack:"index" json:"index"` // log index of the deciding vote
+	Source   []byte `msgpack:"source" json:"source"`
+}
+
+// Proposal is a text that the members are voting on.
+type Proposal struct {
+	ChangeID string       `msgpack:"change_id" json:"change_id"`
+	Base     uint64       `msgpack:"base" json:"base"`
+	Source   []byte       `msgpack:"source" json:"source"`
+	Votes    []MemberVote `msgpack:"votes" json:"votes"`
+}
+
+// MemberVote is one member's counted vote.
+type MemberVote struct {
+	Member string `msgpack:"member" json:"member"`
+	Yes    bool   `msgpack:"yes" json:"yes"`
+}
+
+// ChangeState is what became of a proposal.
+type ChangeState string
+
+// States of a change.
+const (
+	ChangeOpen     ChangeState = "open"
+	ChangeAccepted ChangeState = "accepted"
+	ChangeRejected ChangeState = "rejected"
+	ChangeLost     ChangeState = "lost"
+)
+
+// Change is the lasting record of a proposal, so that a resend gets the first
+// answer again.
+type Change struct {
+	ChangeID string      `msgpack:"change_id" json:"change_id"`
+	Base     uint64      `msgpack:"base" json:"base"`
+	Hash     string      `msgpack:"hash" json:"hash"` // SHA-256 of the source, hex
+	State    ChangeState `msgpack:"state" json:"state"`
+	Winner   string      `msgpack:"winner" json:"winner,omitempty"`   // change that won the same base
+	Version  uint64      `msgpack:"version" json:"version,omitempty"` // accepted as
+}
+
+// ServiceTable is the ownership of one service's keys.
+type ServiceTable struct {
+	Service string           `msgpack:"service"`
+	Ranges  []keyspace.Range `msgpack:"ranges"`
+}
+
+// Suspect is a kind of request that was in flight when targets died.
+type Suspect struct {
+	Fingerprint string           `msgpack:"fingerprint" json:"fingerprint"`
+	Deaths      []keyspace.Owner `msgpack:"deaths" json:"deaths"`
+	Index       uint64           `msgpack:"index" json:"index"` // of the last death
+}
+
+// Held reports whether requests of this kind are refused.
+func (s Suspect) Held() bool { return len(s.Deaths) >= maxDeaths }
+
+// Bounds of the state.
+const (
+	maxDeaths   = 2    // targets that one kind of request may take down
+	maxSuspects = 1024 // kinds of requests remembered
+	maxChanges  = 4096 // proposals remembered
+	maxHistory  = 64   // accepted texts kept whole
+	maxOpen     = 64   // proposals open at once
+)
+
+// State is the control instances' agreed state.
+type State struct {
+	version  uint64 // log index of the last change that entries must see
+	history  []AcceptedText
+	accepted text.Text
+	open     []Proposal
+	changes  []Change
+	targets  []Target
+	tables   []table
+	suspects []Suspect
+}
+
+// table is a service's ownership.
+type table struct {
+	service string
+	keys    keyspace.Table
+}
+
+// Version returns the log index of the last change that entries must see.
+func (s State) Version() uint64 { return s.version }
+
+// Text returns the accepted text; its version is 0 before the first one.
+func (s State) Text() (AcceptedText, text.Text) {
+	if len(s.history) == 0 {
+		return AcceptedText{}, text.Text{}
+	}
+	return s.history[len(s.history)-1], s.accepted
+}
+
+// History returns the accepted texts, oldest first, as far as they are kept.
+func (s State) History() []AcceptedText { return slices.Clone(s.history) }
+
+// Open returns the proposals that are voted on.
+func (s State) Open() []Proposal { return slices.Clone(s.open) }
+
+// Change returns the record of a proposal.
+func (s State) Change(id string) (Change, bool) {
+	i := slices.IndexFunc(s.changes, func(c Change) bool { return c.ChangeID == id })
+	if i < 0 {
+		return Change{}, false
+	}
+	return s.changes[i], true
+}
+
+// Targets returns the targets in order of their names.
+func (s State) Targets() []Target { return slices.Clone(s.targets) }
+
+// Target returns the target with the name.
+func (s State) Target(name string) (Target, bool) {
+	i, ok := s.targetIndex(name)
+	if !ok {
+		return Target{}, false
+	}
+	return s.targets[i], true
+}
+
+func (s State) targetIndex(name string) (int, bool) {
+	return sort.Find(len(s.targets), func(i int) int {
+		switch {
+		case name < s.targets[i].Name:
+			return -1
+		case name > s.targets[i].Name:
+			return 1
+		default:
+			return 0
+		}
+	})
+}
+
+// Table returns the ownership of a keyed service's keys.
+func (s State) Table(service string) (keyspace.Table, bool) {
+	i := slices.IndexFunc(s.tables, func(t table) bool { return t.service == service })
+	if i < 0 {
+		return keyspace.Table{}, false
+	}
+	return s.tables[i].keys, true
+}
+
+// Suspects returns the kinds of requests that were in flight at deaths.
+func (s State) Suspects() []Suspect { return slices.Clone(s.suspects) }
+
+func (s State) withTarget(t Target) State {
+	i, ok := s.targetIndex(t.Name)
+	s.targets = slices.Clone(s.targets)
+	if ok {
+		s.targets[i] = t
+	} else {
+		s.targets = slices.Insert(s.targets, i, t)
+	}
+	return s
+}
+
+func (s State) withTable(service string, keys keyspace.Table) State {
+	s.tables = slices.Clone(s.tables)
+	i := slices.IndexFunc(s.tables, func(t table) bool { return t.service == service })
+	if i < 0 {
+		s.tables = append(s.tables, table{service: service, keys: keys})
+		return s
+	}
+	s.tables[i].keys = keys
+	return s
+}
+
+func (s State) withChange(c Change) State {
+	s.changes = slices.Clone(s.changes)
+	i := slices.IndexFunc(s.changes, func(x Change) bool { return x.ChangeID == c.ChangeID })
+	if i >= 0 {
+		s.changes[i] = c
+		return s
+	}
+	s.changes = append(s.changes, c)
+	if len(s.changes) > maxChanges {
+		s.changes = s.changes[len(s.changes)-maxChanges:]
+	}
+	return s
+}
+
+// snapshot is the encoded form of a State.
+type snapshot struct {
+	Version  uint64         `msgpack:"version"`
+	History  []AcceptedText `msgpack:"history"`
+	Open     []Proposal     `msgpack:"open"`
+	Changes  []Change       `msgpack:"changes"`
+	Targets  []Target       `msgpack:"targets"`
+	Tables   []ServiceTable `msgpack:"tables"`
+	Suspects []Suspect      `msgpack:"suspects"`
+}
+
+// Encode returns the state in the form that Decode reads.
+func (s State) Encode() []byte {
+	out := snapshot{
+		Version:  s.version,
+		History:  s.history,
+		Open:     s.open,
+		Changes:  s.changes,
+		Targets:  s.targets,
+		Tables:   s.serviceTables(),
+		Suspects: s.suspects,
+	}
+	return wire.Encode(out)
+}
+
+func (s State) serviceTables() []ServiceTable {
+	var out []ServiceTable
+	for _, t := range s.tables {
+		out = append(out, ServiceTable{Service: t.service, Ranges: t.keys.Ranges()})
+	}
+	return out
+}
+
+// Decode reads what Encode returned.
+func Decode(data []byte) (State, error) {
+	var in snapshot
+	if err := wire.Decode(data, &in); err != nil {
+		return State{}, err
+	}
+	s := State{
+		version:  in.Version,
+		history:  in.History,
+		open:     in.Open,
+		changes:  in.Changes,
+		targets:  in.Targets,
+		suspects: in.Suspects,
+	}
+	for _, t := range in.Tables {
+		keys, err := keyspace.FromRanges(t.Ranges)
+		if err != nil {
+			return State{}, err
+		}
+		s.tables = append(s.tables, table{service: t.Service, keys: keys})
+	}
+	if len(s.history) == 0 {
+		return s, nil
+	}
+	accepted, err := text.Parse("text", s.history[len(s.history)-1].Source)
+	s.accepted = accepted
+	return s, err
+}
--- /dev/null
+++ b/internal/control/votes.go
@@ -0,0 +1,182 @@
+package control
+
+import (
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"slices"
+
+	"github.com/cranberrywind/cranberrywind/internal/text"
+)
+
+// Propose puts a text to the vote if the accepted version is still Base.
+type Propose struct {
+	ChangeID string `msgpack:"change_id"`
+	Base     uint64 `msgpack:"base"`
+	Source   []byte `msgpack:"source"`
+}
+
+// Vote is a member's signed vote on a proposal.
+type Vote struct {
+	ChangeID  string `msgpack:"change_id"`
+	Member    string `msgpack:"member"`
+	Yes       bool   `msgpack:"yes"`
+	Signature []byte `msgpack:"signature"`
+}
+
+// Hash returns the hex SHA-256 of a text's source.
+func Hash(source []byte) string {
+	sum := sha256.Sum256(source)
+	return hex.EncodeToString(sum[:])
+}
+
+// Ballot returns the bytes that a member signs for a vote.
+func Ballot(changeID string, base uint64, hash, member string, yes bool) []byte {
+	return fmt.Appendf(nil, "cranberrywind vote 1\n%q\n%d\n%s\n%q\n%t\n", changeID, base, hash, member, yes)
+}
+
+// propose is a compare-and-set on the accepted version. The same change ID
+// gets the first answer again.
+func (s State) propose(p Propose) (State, Result) {
+	hash := Hash(p.Source)
+	if c, ok := s.Change(p.ChangeID); ok {
+		if c.Hash != hash || c.Base != p.Base {
+			return s, Result{Change: c, Fault: fmt.Sprintf("change ID %q was used for another text or base version", p.ChangeID)}
+		}
+		return s, Result{Change: c}
+	}
+	accepted, current := s.Text()
+	c := Change{ChangeID: p.ChangeID, Base: p.Base, Hash: hash, State: ChangeOpen}
+	if p.Base != accepted.Version {
+		c.State, c.Winner = ChangeLost, s.winnerOf(p.Base)
+		return s.withChange(c), Result{Change: c}
+	}
+	if fault := checkProposal(p, accepted, current, len(s.open)); fault != "" {
+		return s, Result{Change: c, Fault: fault}
+	}
+	s.open = append(slices.Clone(s.open), Proposal{ChangeID: p.ChangeID, Base: p.Base, Source: p.Source})
+	return s.withChange(c), Result{Change: c}
+}
+
+func checkProposal(p Propose, accepted AcceptedText, current text.Text, open int) string {
+	if p.ChangeID == "" {
+		return "change ID must be given"
+	}
+	if open >= maxOpen {
+		return fmt.Sprintf("%d proposals are open, the most allowed", open)
+	}
+	parsed, err := text.Parse("text", p.Source)
+	if err != nil {
+		return err.Error()
+	}
+	if accepted.Version == 0 {
+		return ""
+	}
+	if err := parsed.CheckChange(current); err != nil {
+		return err.Error()
+	}
+	return ""
+}
+
+// winnerOf returns the change that was accepted on the base version.
+func (s State) winnerOf(base uint64) string {
+	for _, a := range s.history {
+		if a.Version == base+1 {
+			return a.ChangeID
+		}
+	}
+	return ""
+}
+
+// vote counts a signed vote. The voters are the members of the accepted text,
+// or of the proposed one where none is accepted yet.
+func (s State) vote(index uint64, v Vote) (State, Result) {
+	change, ok := s.Change(v.ChangeID)
+	if !ok {
+		return s, faultf("change %q is not known", v.ChangeID)
+	}
+	i := slices.IndexFunc(s.open, func(p Proposal) bool { return p.ChangeID == v.ChangeID })
+	if i < 0 {
+		return s, Result{Change: change}
+	}
+	p := s.open[i]
+	voters := s.voters(p)
+	if fault := checkVote(voters, change, p, v); fault != "" {
+		return s, Result{Change: change, Fault: fault}
+	}
+	if slices.ContainsFunc(p.Votes, func(m MemberVote) bool { return m.Member == v.Member }) {
+		return s, Result{Change: change}
+	}
+	p.Votes = append(slices.Clone(p.Votes), MemberVote{Member: v.Member, Yes: v.Yes})
+	s.open = slices.Clone(s.open)
+	s.open[i] = p
+	return s.decide(index, change, p, len(voters.Members))
+}
+
+// voters returns the text whose members vote on the proposal.
+func (s State) voters(p Proposal) text.Text {
+	if accepted, current := s.Text(); accepted.Version > 0 {
+		return current
+	}
+	parsed, _ := text.Parse("text", p.Source)
+	return parsed
+}
+
+func checkVote(voters text.Text, c Change, p Proposal, v Vote) string {
+	member, ok := voters.Member(v.Member)
+	if !ok {
+		return fmt.Sprintf("%q is no member of the voting text", v.Member)
+	}
+	if !ed25519.Verify(member.PublicKey, Ballot(c.ChangeID, c.Base, c.Hash, v.Member, v.Yes), v.Signature) {
+		return fmt.Sprintf("signature of member %q does not match", v.Member)
+	}
+	for _, m := range p.Votes {
+		if m.Member == v.Member && m.Yes != v.Yes {
+			return fmt.Sprintf("member %q has already voted otherwise", v.Member)
+		}
+	}
+	return ""
+}
+
+// decide accepts or rejects a proposal once a majority of members agrees.
+func (s State) decide(index uint64, c Change, p Proposal, members int) (State, Result) {
+	yes := 0
+	for _, m := range p.Votes {
+		if m.Yes {
+			yes++
+		}
+	}
+	no := len(p.Votes) - yes
+	switch {
+	case 2*yes > members:
+		return s.accept(index, c, p)
+	case 2*no >= members:
+		c.State = ChangeRejected
+		s.open = slices.DeleteFunc(slices.Clone(s.open), func(x Proposal) bool { return x.ChangeID == p.ChangeID })
+		return s.withChange(c), Result{Change: c}
+	default:
+		return s, Result{Change: c}
+	}
+}
+
+// accept takes the proposal's text into force; the others on its base have lost.
+func (s State) accept(index uint64, c Change, p Proposal) (State, Result) {
+	parsed, err := text.Parse("text", p.Source)
+	if err != nil {
+		return s, Result{Change: c, Fault: err.Error()}
+	}
+	for _, other := range s.open {
+		if other.ChangeID == p.ChangeID {
+			continue
+		}
+		lost, _ := s.Change(other.ChangeID)
+		lost.State, lost.Winner = ChangeLost, p.ChangeID
+		s = s.withChange(lost)
+	}
+	s.open = nil
+	c.State, c.Version = ChangeAccepted, p.Base+1
+	s = s.withChange(c)
+	accepted := AcceptedText{Version: c.Version, ChangeID: c.ChangeID, Index: index, Source: p.Source}
+	return s.withText(index, accepted, parsed), Result{Change: c}
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,250 @@
+// Package daemon puts the parts of one instance together: the control groups
+// where it has that role, the entry where it has that one, and the listeners
+// towards other instances, callers, targets and operators.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-chi/chi/v5"
+
+	"github.com/cranberrywind/cranberrywind/internal/balancer"
+	"github.com/cranberrywind/cranberrywind/internal/burn"
+	"github.com/cranberrywind/cranberrywind/internal/caller"
+	"github.com/cranberrywind/cranberrywind/internal/control"
+	"github.com/cranberrywind/cranberrywind/internal/entry"
+	"github.com/cranberrywind/cranberrywind/internal/group"
+	"github.com/cranberrywind/cranberrywind/internal/instance"
+	"github.com/cranberrywind/cranberrywind/internal/operator"
+	"github.com/cranberrywind/cranberrywind/internal/router"
+	"github.com/cranberrywind/cranberrywind/internal/settings"
+	"github.com/cranberrywind/cranberrywind/internal/target"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
+)
+
+// Daemon is one running instance.
+type Daemon struct {
+	cfg     settings.Instance
+	log     *log.Logger
+	clock   *timer.System
+	pool    *instance.Pool
+	control *controlRole
+	entry   *entry.Entry
+	caller  *caller.Handler
+	check   *balancer.Check
+	burn    *burn.Recorder
+	metrics *metrics
+
+	mu       sync.Mutex
+	cleanups []func()
+	servers  []*http.Server
+	failed   chan error
+}
+
+// Timing sets the pace of an instance. All instances of a deployment share it.
+type Timing struct {
+	Group   group.Timing
+	Control control.Timing
+}
+
+// DefaultTiming returns the timing of a deployment within one region.
+func DefaultTiming() Timing {
+	return Timing{Group: group.DefaultTiming(), Control: control.DefaultTiming()}
+}
+
+// Start starts an instance and returns it with its clean-up function, which
+// ends it at once. Use Shutdown first for a planned stop.
+func Start(ctx context.Context, cfg settings.Instance, timing Timing, logger *log.Logger) (*Daemon, func(), error) {
+	ctx, cancel := context.WithCancel(ctx)
+	d := &Daemon{
+		cfg:     cfg,
+		log:     logger.With("instance", cfg.Name, "availability_zone", cfg.AvailabilityZone),
+		clock:   timer.NewSystem(ctx),
+		metrics: newMetrics(),
+		failed:  make(chan error, 1),
+	}
+	d.burn = burn.NewRecorder(func() time.Duration { return time.Duration(d.clock.Now()) })
+	d.onStop(cancel)
+	d.check = balancer.New(d.ready)
+	pool, closePool := instance.NewPool(ctx)
+	d.pool = pool
+	d.onStop(closePool)
+	if err := d.start(ctx, timing); err != nil {
+		d.stop()
+		return nil, nil, fmt.Errorf("start instance %s: %w", cfg.Name, err)
+	}
+	d.log.Info("instance started", "entry", cfg.Entry, "control", cfg.Control)
+	return d, d.stop, nil
+}
+
+func (d *Daemon) start(ctx context.Context, timing Timing) error {
+	client, closeClient := target.NewClient(d.clock)
+	d.onStop(closeClient)
+	if d.cfg.Control {
+		if err := d.startControl(ctx, timing, client); err != nil {
+			return err
+		}
+	}
+	if err := d.listenInstances(); err != nil {
+		return err
+	}
+	if d.cfg.Entry {
+		if err := d.startEntry(ctx, client); err != nil {
+			return err
+		}
+	}
+	return d.listenOperators()
+}
+
+func (d *Daemon) onStop(f func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cleanups = append(d.cleanups, f)
+}
+
+// stop runs the clean-up functions, the last one first.
+func (d *Daemon) stop() {
+	d.mu.Lock()
+	cleanups := slices.Clone(d.cleanups)
+	d.cleanups = nil
+	d.mu.Unlock()
+	for _, f := range slices.Backward(cleanups) {
+		f()
+	}
+}
+
+// Failed delivers the error that makes the instance unable to go on.
+func (d *Daemon) Failed() <-chan error { return d.failed }
+
+func (d *Daemon) fail(err error) {
+	select {
+	case d.failed <- err:
+	default:
+	}
+}
+
+func (d *Daemon) listenInstances() error {
+	l, err := net.Listen("tcp", d.cfg.Address)
+	if err != nil {
+		return fmt.Errorf("listen for instances: %w", err)
+	}
+	d.onStop(instance.Serve(l, &handler{daemon: d}))
+	return nil
+}
+
+func (d *Daemon) startEntry(ctx context.Context, client *target.Client) error {
+	var addresses []string
+	for _, p := range d.cfg.Bootstrap {
+		addresses = append(addresses, p.Address)
+	}
+	e, stopEntry := entry.Start(ctx, entry.Config{
+		Name:    d.cfg.Name,
+		Control: addresses,
+		Pool:    d.pool,
+		Clock:   d.clock,
+		Router:  router.Config{Limits: router.FixedLimit, Seed: uint64(time.Now().UnixNano())},
+		Log:     d.log,
+	})
+	d.entry = e
+	d.onStop(stopEntry)
+	d.caller = caller.New(caller.Config{
+		Entry:    e,
+		Client:   client,
+		Observer: d,
+		Log:      d.log,
+		Capacity: d.cfg.Capacity,
+	})
+	root := chi.NewRouter()
+	d.check.Mount(root)
+	root.Mount("/", d.caller.Routes())
+	if err := d.listenHTTP(d.cfg.CallerAddress, root); err != nil {
+		return err
+	}
+	return d.listenHTTP(d.cfg.TargetAddress, target.Handler(d.announce))
+}
+
+// announce passes a target's heartbeat on to the control leader.
+func (d *Daemon) announce(ctx context.Context, req *instance.AnnounceRequest) (*instance.AnnounceResponse, error) {
+	return instance.CallLeader[instance.AnnounceRequest, instance.AnnounceResponse](ctx, d.entry.Control(), "Announce", req)
+}
+
+func (d *Daemon) listenOperators() error {
+	r := chi.NewRouter()
+	d.check.Mount(r)
+	operator.Mount(r, d)
+	return d.listenHTTP(d.cfg.OperatorAddress, r)
+}
+
+const (
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 32 << 10
+)
+
+func (d *Daemon) listenHTTP(address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	d.mu.Lock()
+	d.servers = append(d.servers, s)
+	d.mu.Unlock()
+	d.onStop(func() { _ = s.Close() })
+	go func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			d.fail(fmt.Errorf("serve %s: %w", address, err))
+		}
+	}()
+	return nil
+}
+
+// ready tells the balancer whether this instance can route.
+func (d *Daemon) ready() error {
+	if d.entry == nil {
+		return nil
+	}
+	return d.entry.Ready()
+}
+
+// Ready returns nil while the instance can serve.
+func (d *Daemon) Ready() error { return d.ready() }
+
+// Observe counts an answer to a caller.
+func (d *Daemon) Observe(service string, outcome caller.Outcome, good bool, took time.Duration) {
+	d.burn.Add(service, good)
+	d.metrics.observe(service, string(outcome), took)
+}
+
+// Burn returns this instance's service-level counters.
+func (d *Daemon) Burn() burn.Report {
+	return d.burn.Report(func(service string) float64 {
+		if d.entry == nil {
+			return 0
+		}
+		s, _ := d.entry.View().Text.Service(service)
+		return s.Objective
+	})
+}
+
+// Metrics returns this instance's metrics.
+func (d *Daemon) Metrics() *expvar.Map { return d.metrics.root }
+
+// Routes reports whether the entry routes by the version or a later one.
+func (d *Daemon) Routes(version uint64) bool {
+	return d.entry != nil && d.entry.Ready() == nil && d.entry.View().Version >= version
+}
--- /dev/null
+++ b/internal/daemon/handler.go
@@ -0,0 +1,166 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/cranberrywind/cranberrywind/internal/group"
+	"github.com/cranberrywind/cranberrywind/internal/instance"
+	"github.com/cranberrywind/cranberrywind/pkg/replica"
+)
+
+// handler answers other instances.
+type handler struct{ daemon *Daemon }
+
+var _ instance.Handler = (*handler)(nil)
+
+// role returns the control role, or an error that sends the caller elsewhere.
+func (h *handler) role() (*controlRole, error) {
+	if h.daemon.control == nil {
+		return nil, &instance.NotLeaderError{}
+	}
+	return h.daemon.control, nil
+}
+
+// Deliver hands a message to its group's replica.
+func (h *handler) Deliver(e group.Envelope) {
+	c, err := h.role()
+	if err != nil {
+		return
+	}
+	if g := c.group(e.Group); g != nil {
+		g.Receive(e)
+	}
+}
+
+// Sync renews an entry's lease.
+func (h *handler) Sync(ctx context.Context, req *instance.SyncRequest) (*instance.SyncResponse, error) {
+	c, err := h.role()
+	if err != nil {
+		return nil, err
+	}
+	return c.controller.Sync(ctx, req)
+}
+
+// Announce takes a target's heartbeat.
+func (h *handler) Announce(ctx context.Context, req *instance.AnnounceRequest) (*instance.AnnounceResponse, error) {
+	c, err := h.role()
+	if err != nil {
+		return nil, err
+	}
+	return c.controller.Announce(ctx, req)
+}
+
+// Propose puts a text to the vote.
+func (h *handler) Propose(ctx context.Context, req *instance.ProposeRequest) (*instance.ChangeResponse, error) {
+	c, err := h.role()
+	if err != nil {
+		return nil, err
+	}
+	return c.controller.Propose(ctx, req)
+}
+
+// Vote counts a member's vote.
+func (h *handler) Vote(ctx context.Context, req *instance.VoteRequest) (*instance.ChangeResponse, error) {
+	c, err := h.role()
+	if err != nil {
+		return nil, err
+	}
+	return c.controller.Vote(ctx, req)
+}
+
+// Blame records what was in flight at a target that died.
+func (h *handler) Blame(ctx context.Context, req *instance.BlameRequest) (*instance.Empty, error) {
+	c, err := h.role()
+	if err != nil {
+		return nil, err
+	}
+	return c.controller.Blame(ctx, req)
+}
+
+// Status returns the agreed state and this instance's view of its groups.
+func (h *handler) Status(ctx context.Context, _ *instance.StatusRequest) (*instance.StatusResponse, error) {
+	c, err := h.role()
+	if err != nil {
+		return nil, err
+	}
+	out, err := c.controller.Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	out.Groups = c.statuses(ctx)
+	return out, nil
+}
+
+func (c *controlRole) statuses(ctx context.Context) map[string]replica.Status {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[string]replica.Status)
+	for name, g := range c.groups {
+		if s, err := g.Status(ctx); err == nil {
+			out[name] = s
+		}
+	}
+	return out
+}
+
+// Booking answers a command for a booking log.
+func (h *handler) Booking(ctx context.Context, req *instance.BookingRequest) (*instance.BookingResponse, error) {
+	c, err := h.role()
+	if err != nil {
+		return nil, err
+	}
+	l := c.bookingLog(req.Group)
+	if l == nil {
+		return nil, &instance.NotLeaderError{}
+	}
+	result, err := l.Handle(ctx, req.Command)
+	if err != nil {
+		return nil, err
+	}
+	return &instance.BookingResponse{Result: result}, nil
+}
+
+// Probe describes this instance's replica of a group.
+func (h *handler) Probe(_ context.Context, req *instance.ProbeRequest) (*instance.ProbeResponse, error) {
+	c, err := h.role()
+	if err != nil {
+		return nil, err
+	}
+	g := c.group(req.Group)
+	if g == nil {
+		return nil, fmt.Errorf("group %q is not open here", req.Group)
+	}
+	return &instance.ProbeResponse{Self: g.Self(), Formed: g.Formed()}, nil
+}
+
+// Form gives a replica without state its group's first membership.
+func (h *handler) Form(_ context.Context, req *instance.FormRequest) (*instance.Empty, error) {
+	c, err := h.role()
+	if err != nil {
+		return nil, err
+	}
+	g := c.group(req.Group)
+	if g == nil {
+		return nil, fmt.Errorf("group %q is not open here", req.Group)
+	}
+	return &instance.Empty{}, g.Form(req.Members)
+}
+
+// Join notes a replica that wants to be let into a group.
+func (h *handler) Join(_ context.Context, req *instance.JoinRequest) (*instance.Empty, error) {
+	c, err := h.role()
+	if err != nil {
+		return nil, err
+	}
+	g := c.group(req.Group)
+	if g == nil || g.Role().Role != replica.Leader {
+		leader := ""
+		if g != nil {
+			leader = g.LeaderAddress()
+		}
+		return nil, &instance.NotLeaderError{Leader: leader}
+	}
+	c.manager(req.Group).Join(req.Member)
+	return &instance.Empty{}, nil
+}
--- /dev/null
+++ b/internal/entry/bookings.go
@@ -0,0 +1,76 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/cranberrywind/cranberrywind/internal/booking"
+	"github.com/cranberrywind/cranberrywind/internal/instance"
+	"github.com/cranberrywind/cranberrywind/pkg/keyspace"
+)
+
+// bookings finds the leaders of the booking logs.
+type bookings struct {
+	pool      *instance.Pool
+	mu        sync.Mutex
+	addresses []string
+	leaders   map[string]*instance.Leader
+}
+
+// GroupName returns the name of the booking log with the number.
+func GroupName(n int) string { return fmt.Sprintf("booking-%d", n) }
+
+// groupOf returns the log that keeps a key.
+func groupOf(key string, groups int) string {
+	return GroupName(int(uint64(keyspace.PointOf(key)) % uint64(max(groups, 1))))
+}
+
+func (b *bookings) leader(group string) *instance.Leader {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l, ok := b.leaders[group]
+	if !ok {
+		l = instance.NewLeader(b.pool, b.addresses, callTimeout)
+		b.leaders[group] = l
+	}
+	return l
+}
+
+func (b *bookings) setAddresses(addresses []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.addresses = addresses
+	for _, l := range b.leaders {
+		l.SetAddresses(addresses)
+	}
+}
+
+// StartBooking asks the booking log for the right to send. After an error the
+// booking may be recorded as started, but it has not been sent.
+func (e *Entry) StartBooking(ctx context.Context, start booking.Start) (booking.Result, error) {
+	return e.book(ctx, start.Key, booking.Command{Start: &start})
+}
+
+// FinishBooking records what came of an attempt.
+func (e *Entry) FinishBooking(ctx context.Context, finish booking.Finish) error {
+	_, err := e.book(ctx, finish.Key, booking.Command{Finish: &finish})
+	return err
+}
+
+// PeekBooking returns what the booking log knows of a key. The record of an
+// unknown key has no phase.
+func (e *Entry) PeekBooking(ctx context.Context, key string) (booking.Record, error) {
+	res, err := e.book(ctx, key, booking.Command{Peek: key})
+	return res.Record, err
+}
+
+func (e *Entry) book(ctx context.Context, key string, command booking.Command) (booking.Result, error) {
+	group := groupOf(key, e.View().Text.Bookings.Groups)
+	req := &instance.BookingRequest{Group: group, Command: command}
+	res, err := instance.CallLeader[instance.BookingRequest, instance.BookingResponse](ctx, e.bookings.leader(group), "Booking", req)
+	if err != nil {
+		return booking.Result{}, fmt.Errorf("booking log %s: %w", group, err)
+	}
+	return res.Result, nil
+}
--- /dev/null
+++ b/internal/instance/server.go
@@ -0,0 +1,167 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/encoding"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/mem"
+	"google.golang.org/grpc/status"
+
+	"github.com/cranberrywind/cranberrywind/internal/group"
+	"github.com/cranberrywind/cranberrywind/internal/wire"
+	"github.com/cranberrywind/cranberrywind/pkg/replica"
+)
+
+// Handler is what an instance answers to others.
+type Handler interface {
+	Deliver(e group.Envelope)
+	Sync(ctx context.Context, req *SyncRequest) (*SyncResponse, error)
+	Announce(ctx context.Context, req *AnnounceRequest) (*AnnounceResponse, error)
+	Propose(ctx context.Context, req *ProposeRequest) (*ChangeResponse, error)
+	Vote(ctx context.Context, req *VoteRequest) (*ChangeResponse, error)
+	Blame(ctx context.Context, req *BlameRequest) (*Empty, error)
+	Status(ctx context.Context, req *StatusRequest) (*StatusResponse, error)
+	Booking(ctx context.Context, req *BookingRequest) (*BookingResponse, error)
+	Probe(ctx context.Context, req *ProbeRequest) (*ProbeResponse, error)
+	Form(ctx context.Context, req *FormRequest) (*Empty, error)
+	Join(ctx context.Context, req *JoinRequest) (*Empty, error)
+}
+
+const (
+	serviceName     = "cranberrywind.Instance"
+	maxMessageBytes = 1 << 30
+	keepaliveTime   = 10 * time.Second
+	keepaliveWait   = time.Second
+)
+
+// codec is the MessagePack codec for gRPC.
+type codec struct{}
+
+func (codec) Marshal(v any) (mem.BufferSlice, error) {
+	return mem.BufferSlice{mem.SliceBuffer(wire.Encode(v))}, nil
+}
+
+func (codec) Unmarshal(data mem.BufferSlice, v any) error {
+	return wire.Decode(data.Materialize(), v)
+}
+
+func (codec) Name() string { return wire.Name }
+
+func init() { encoding.RegisterCodecV2(codec{}) }
+
+// Serve answers other instances on the listener until the clean-up function is
+// called.
+func Serve(l net.Listener, h Handler) func() {
+	s := grpc.NewServer(
+		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.MaxSendMsgSize(maxMessageBytes),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveWait}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}),
+	)
+	s.RegisterService(description(), h)
+	go func() { _ = s.Serve(l) }()
+	return s.Stop
+}
+
+func description() *grpc.ServiceDesc {
+	return &grpc.ServiceDesc{
+		ServiceName: serviceName,
+		HandlerType: (*Handler)(nil),
+		Methods: []grpc.MethodDesc{
+			unary("Sync", Handler.Sync),
+			unary("Announce", Handler.Announce),
+			unary("Propose", Handler.Propose),
+			unary("Vote", Handler.Vote),
+			unary("Blame", Handler.Blame),
+			unary("Status", Handler.Status),
+			unary("Booking", Handler.Booking),
+			unary("Probe", Handler.Probe),
+			unary("Form", Handler.Form),
+			unary("Join", Handler.Join),
+		},
+		Streams: []grpc.StreamDesc{{StreamName: "Deliver", Handler: deliver, ClientStreams: true}},
+	}
+}
+
+// unary describes a method with one request and one response.
+func unary[Req, Res any](name string, call func(Handler, context.Context, *Req) (*Res, error)) grpc.MethodDesc {
+	handler := func(srv any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+		req := new(Req)
+		if err := decode(req); err != nil {
+			return nil, err
+		}
+		res, err := call(srv.(Handler), ctx, req)
+		if err != nil {
+			return nil, toStatus(err)
+		}
+		return res, nil
+	}
+	return grpc.MethodDesc{MethodName: name, Handler: handler}
+}
+
+// deliver reads the messages of one peer's replicas.
+func deliver(srv any, stream grpc.ServerStream) error {
+	for {
+		var e group.Envelope
+		if err := stream.RecvMsg(&e); err != nil {
+			return err
+		}
+		srv.(Handler).Deliver(e)
+	}
+}
+
+// NotLeaderError says where the leader of a group may be found.
+type NotLeaderError struct{ Leader string }
+
+// Error returns the message.
+func (e *NotLeaderError) Error() string {
+	return fmt.Sprintf("not the leader; the leader may be at %q", e.Leader)
+}
+
+// Is reports whether the target is replica.ErrNotLeader.
+func (e *NotLeaderError) Is(target error) bool { return target == replica.ErrNotLeader }
+
+// ErrRefused reports a request that the other instance turned down for good.
+var ErrRefused = errors.New("refused")
+
+// toStatus gives an error the gRPC code that fromStatus turns back.
+func toStatus(err error) error {
+	var notLeader *NotLeaderError
+	switch {
+	case errors.As(err, &notLeader):
+		return status.Error(codes.FailedPrecondition, notLeader.Leader)
+	case errors.Is(err, group.ErrUnknown):
+		return status.Error(codes.Unknown, err.Error())
+	case errors.Is(err, ErrRefused):
+		return status.Error(codes.PermissionDenied, err.Error())
+	case errors.Is(err, group.ErrLost), errors.Is(err, replica.ErrTransferring), errors.Is(err, replica.ErrNotLeader):
+		return status.Error(codes.Aborted, err.Error())
+	default:
+		return status.Error(codes.Internal, err.Error())
+	}
+}
+
+func fromStatus(err error) error {
+	if err == nil {
+		return nil
+	}
+	switch s, _ := status.FromError(err); s.Code() {
+	case codes.FailedPrecondition:
+		return &NotLeaderError{Leader: s.Message()}
+	case codes.PermissionDenied:
+		return fmt.Errorf("%s: %w", s.Message(), ErrRefused)
+	case codes.Aborted:
+		return fmt.Errorf("%s: %w", s.Message(), group.ErrLost)
+	case codes.Unavailable:
+		return fmt.Errorf("%s: %w", s.Message(), ErrUnreachable)
+	default:
+		return fmt.Errorf("%s: %w", s.Message(), group.ErrUnknown)
+	}
+}
--- /dev/null
+++ b/internal/local/local.go
@@ -0,0 +1,357 @@
+// Package local runs a whole deployment in one process on loopback addresses:
+// instances with both roles, stand-in targets for each service and an accepted
+// text. The dev command and the tests use it.
+package local
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"net"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/cranberrywind/cranberrywind/examples"
+	"github.com/cranberrywind/cranberrywind/internal/control"
+	"github.com/cranberrywind/cranberrywind/internal/daemon"
+	"github.com/cranberrywind/cranberrywind/internal/instance"
+	"github.com/cranberrywind/cranberrywind/internal/settings"
+	"github.com/cranberrywind/cranberrywind/internal/standin"
+	"github.com/cranberrywind/cranberrywind/internal/text"
+)
+
+// ErrNotReady reports a deployment that did not begin to serve in time.
+var ErrNotReady = errors.New("deployment is not ready")
+
+// Deployment is a running deployment.
+type Deployment struct {
+	opts      options
+	ctx       context.Context
+	member    ed25519.PrivateKey
+	settings  []settings.Instance
+	Instances []*Instance
+	Targets   []*standin.Target
+	Text      string
+}
+
+// Instance is one of the deployment's instances, which may be stopped.
+type Instance struct {
+	Settings settings.Instance
+	Daemon   *daemon.Daemon
+	stop     func()
+}
+
+// memberName is the one member of a local deployment's text.
+const memberName = "local"
+
+// Start starts a deployment with its data under dir and returns it with its
+// clean-up function.
+func Start(ctx context.Context, dir string, opts ...Option) (*Deployment, func(), error) {
+	d := &Deployment{opts: newOptions(opts)}
+	ctx, cancel := context.WithCancel(ctx)
+	d.ctx = ctx
+	stop := func() {
+		d.stopAll()
+		cancel()
+	}
+	if err := d.start(dir); err != nil {
+		stop()
+		return nil, nil, err
+	}
+	return d, stop, nil
+}
+
+func (d *Deployment) start(dir string) error {
+	if err := d.prepare(dir); err != nil {
+		return err
+	}
+	for _, cfg := range d.settings {
+		d.Instances = append(d.Instances, &Instance{Settings: cfg})
+	}
+	for i := range d.Instances {
+		if err := d.StartInstance(i); err != nil {
+			return err
+		}
+	}
+	if err := d.Accept(d.Text); err != nil {
+		return err
+	}
+	return d.startTargets()
+}
+
+// prepare makes up settings and text.
+func (d *Deployment) prepare(dir string) error {
+	public, private, err := ed25519.GenerateKey(nil)
+	if err != nil {
+		return fmt.Errorf("make member key: %w", err)
+	}
+	d.member = private
+	zones := []string{"zone-a", "zone-b", "zone-c"}
+	var peers []settings.Peer
+	for i := range d.opts.instances {
+		cfg, err := d.instanceSettings(i, zones[i%len(zones)], dir)
+		if err != nil {
+			return err
+		}
+		d.settings = append(d.settings, cfg)
+		if cfg.Control {
+			peers = append(peers, settings.Peer{Name: cfg.Name, Address: cfg.Address})
+		}
+	}
+	for i := range d.settings {
+		d.settings[i].Bootstrap = peers
+	}
+	source := d.opts.text
+	if source == "" {
+		if source, err = examples.Text(d.opts.deployment); err != nil {
+			return err
+		}
+	}
+	d.Text = d.textFor(source, public)
+	return nil
+}
+
+func (d *Deployment) instanceSettings(i int, zone, dir string) (settings.Instance, error) {
+	name := fmt.Sprintf("i%d", i+1)
+	cfg := settings.Instance{
+		Name:             name,
+		AvailabilityZone: zone,
+		Entry:            true,
+		Control:          i < d.opts.controls,
+		DataDir:          filepath.Join(dir, name),
+		LogLevel:         "info",
+		Capacity:         d.opts.capacity,
+		Drain:            d.opts.drain,
+		CallerAddress:    d.opts.caller,
+		OperatorAddress:  d.opts.operator,
+	}
+	if i > 0 {
+		cfg.CallerAddress, cfg.OperatorAddress = "", ""
+	}
+	for _, address := range []*string{&cfg.Address, &cfg.CallerAddress, &cfg.TargetAddress, &cfg.OperatorAddress} {
+		if *address != "" {
+			continue
+		}
+		free, err := FreeAddress()
+		if err != nil {
+			return cfg, err
+		}
+		*address = free
+	}
+	return cfg, nil
+}
+
+// FreeAddress returns a loopback address with a port that was free a moment ago.
+func FreeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("find a free port: %w", err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
+
+// textFor takes the services of an example text and adds this deployment's
+// member and instances.
+func (d *Deployment) textFor(source string, public ed25519.PublicKey) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[deployment]\nname = %s\n", d.opts.deployment)
+	fmt.Fprintf(&b, "\n[member %s]\npublic_key = %s\n", memberName, base64.StdEncoding.EncodeToString(public))
+	for _, cfg := range d.settings {
+		roles := "entry"
+		if cfg.Control {
+			roles = "entry, control"
+		}
+		fmt.Fprintf(&b, "\n[instance %s]\naddress = %s\navailability_zone = %s\nroles = %s\n", cfg.Name, cfg.Address, cfg.AvailabilityZone, roles)
+	}
+	b.WriteString("\n" + source[strings.Index(source, "[bookings]"):])
+	return b.String()
+}
+
+// StartInstance starts the instance with the number, or starts it again.
+func (d *Deployment) StartInstance(i int) error {
+	x := d.Instances[i]
+	running, stop, err := daemon.Start(d.ctx, x.Settings, d.opts.timing, d.opts.log)
+	if err != nil {
+		return err
+	}
+	x.Daemon, x.stop = running, stop
+	return nil
+}
+
+// StopInstance ends the instance with the number at once.
+func (d *Deployment) StopInstance(i int) {
+	if x := d.Instances[i]; x.stop != nil {
+		x.stop()
+		x.stop, x.Daemon = nil, nil
+	}
+}
+
+func (d *Deployment) stopAll() {
+	for i := range d.Instances {
+		d.StopInstance(i)
+	}
+}
+
+const (
+	startTimeout = 30 * time.Second
+	pollPeriod   = 20 * time.Millisecond
+)
+
+// Accept proposes the text and votes for it, and waits until it is accepted.
+func (d *Deployment) Accept(source string) error {
+	ctx, cancel := context.WithTimeout(d.ctx, startTimeout)
+	defer cancel()
+	base := uint64(0)
+	changeID := "local-" + control.Hash([]byte(source))[:12]
+	if x := d.running(); x == nil {
+		return ErrNotReady
+	}
+	if status, err := d.State(ctx); err == nil {
+		accepted, _ := status.Text()
+		base = accepted.Version
+	}
+	propose := control.Propose{ChangeID: changeID, Base: base, Source: []byte(source)}
+	res, err := retry(ctx, func() (*instance.ChangeResponse, error) {
+		return d.running().Propose(ctx, &instance.ProposeRequest{Propose: propose})
+	})
+	if err != nil {
+		return err
+	}
+	if res.Result.Fault != "" {
+		return fmt.Errorf("text refused: %s", res.Result.Fault)
+	}
+	vote := control.Vote{ChangeID: changeID, Member: memberName, Yes: true}
+	vote.Signature = ed25519.Sign(d.member, control.Ballot(changeID, base, control.Hash(propose.Source), memberName, true))
+	res, err = retry(ctx, func() (*instance.ChangeResponse, error) {
+		return d.running().Vote(ctx, &instance.VoteRequest{Vote: vote})
+	})
+	if err != nil {
+		return err
+	}
+	if res.Result.Change.State != control.ChangeAccepted {
+		return fmt.Errorf("text not accepted: state %q: %s", res.Result.Change.State, res.Result.Fault)
+	}
+	d.Text = source
+	return nil
+}
+
+// retry calls until it works or ctx ends.
+func retry[T any](ctx context.Context, call func() (T, error)) (T, error) {
+	for {
+		out, err := call()
+		if err == nil || ctx.Err() != nil {
+			return out, err
+		}
+		time.Sleep(pollPeriod)
+	}
+}
+
+// running returns an instance that is up.
+func (d *Deployment) running() *daemon.Daemon {
+	i := slices.IndexFunc(d.Instances, func(x *Instance) bool { return x.Daemon != nil })
+	if i < 0 {
+		return nil
+	}
+	return d.Instances[i].Daemon
+}
+
+// State returns the agreed state, read through the leader.
+func (d *Deployment) State(ctx context.Context) (control.State, error) {
+	res, err := d.running().Status(ctx, &instance.StatusRequest{})
+	if err != nil {
+		return control.State{}, err
+	}
+	return control.Decode(res.State)
+}
+
+func (d *Deployment) startTargets() error {
+	parsed, err := text.Parse("text", []byte(d.Text))
+	if err != nil {
+		return err
+	}
+	for _, s := range parsed.Services {
+		for n := range d.opts.targets {
+			if _, err := d.StartTarget(s, fmt.Sprintf("%s-%d", s.Name, n+1)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// StartTarget starts a stand-in target of the service.
+func (d *Deployment) StartTarget(s text.Service, name string) (*standin.Target, error) {
+	var announce []string
+	for _, x := range d.Instances {
+		announce = append(announce, x.Settings.TargetAddress)
+	}
+	cfg := standin.Config{
+		Name:             name,
+		Service:          s.Name,
+		Kind:             string(s.Kind),
+		Address:          "127.0.0.1:0",
+		AvailabilityZone: "zone-a",
+		Slots:            d.opts.slots,
+		Connections:      d.opts.connections,
+		ChecksFence:      d.opts.checksFence,
+		Announce:         announce,
+		Work:             d.opts.work,
+		DownloadBytes:    d.opts.downloadBytes,
+	}
+	t, _, err := standin.Start(d.ctx, cfg)
+	if err != nil {
+		return nil, err
+	}
+	d.Targets = append(d.Targets, t)
+	return t, nil
+}
+
+// WaitReady waits until every running instance may route and every key has an
+// owner that serves it.
+func (d *Deployment) WaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		if d.ready(ctx) {
+			return nil
+		}
+		time.Sleep(pollPeriod)
+	}
+	return ErrNotReady
+}
+
+func (d *Deployment) ready(ctx context.Context) bool {
+	state, err := d.State(ctx)
+	if err != nil {
+		return false
+	}
+	live := 0
+	for _, t := range state.Targets() {
+		if t.Status == control.TargetLive {
+			live++
+		}
+	}
+	if live < len(d.Targets) || !allActive(state) {
+		return false
+	}
+	for _, x := range d.Instances {
+		if x.Daemon != nil && !x.Daemon.Routes(state.Version()) {
+			return false
+		}
+	}
+	return true
+}
+
+// newLogger is used where no other is given.
+func newLogger() *log.Logger { return log.New(discard{}) }
+
+type discard struct{}
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
--- /dev/null
+++ b/internal/local/options.go
@@ -0,0 +1,107 @@
+package local
+
+import (
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/cranberrywind/cranberrywind/internal/control"
+	"github.com/cranberrywind/cranberrywind/internal/daemon"
+	"github.com/cranberrywind/cranberrywind/pkg/keyspace"
+)
+
+type options struct {
+	deployment    string
+	text          string
+	instances     int
+	controls      int
+	targets       int
+	slots         int
+	connections   int
+	capacity      int
+	checksFence   bool
+	work          time.Duration
+	downloadBytes int
+	drain         time.Duration
+	caller        string
+	operator      string
+	timing        daemon.Timing
+	log           *log.Logger
+}
+
+func newOptions(opts []Option) options {
+	o := options{
+		deployment:    "zarqa",
+		instances:     3,
+		controls:      3,
+		targets:       2,
+		slots:         4,
+		connections:   120,
+		capacity:      512,
+		checksFence:   true,
+		work:          2 * time.Millisecond,
+		downloadBytes: 256 << 10,
+		timing:        daemon.DefaultTiming(),
+		log:           newLogger(),
+	}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return o
+}
+
+// Option changes a deployment.
+type Option func(*options)
+
+// WithDeployment sets the example whose services are served.
+func WithDeployment(name string) Option { return func(o *options) { o.deployment = name } }
+
+// WithText sets a text whose services are served instead of an example's.
+func WithText(source string) Option { return func(o *options) { o.text = source } }
+
+// WithInstances sets the number of instances and how many have the control role.
+func WithInstances(n, controls int) Option {
+	return func(o *options) { o.instances, o.controls = n, controls }
+}
+
+// WithTargets sets the number of stand-in targets of each service and their slots.
+func WithTargets(n, slots int) Option {
+	return func(o *options) { o.targets, o.slots = n, slots }
+}
+
+// WithFences sets whether the targets check fences.
+func WithFences(check bool) Option { return func(o *options) { o.checksFence = check } }
+
+// WithWork sets the time that a target spends on a request.
+func WithWork(d time.Duration) Option { return func(o *options) { o.work = d } }
+
+// WithCapacity sets how many requests in flight an instance takes on.
+func WithCapacity(n int) Option { return func(o *options) { o.capacity = n } }
+
+// WithDownloadBytes sets the length of a download.
+func WithDownloadBytes(n int) Option { return func(o *options) { o.downloadBytes = n } }
+
+// WithAddresses sets the first instance's addresses for callers and operators.
+func WithAddresses(caller, operator string) Option {
+	return func(o *options) { o.caller, o.operator = caller, operator }
+}
+
+// WithLog sets the logger of all instances.
+func WithLog(l *log.Logger) Option { return func(o *options) { o.log = l } }
+
+// allActive reports whether every range of every service is served.
+func allActive(state control.State) bool {
+	_, parsed := state.Text()
+	for _, s := range parsed.Services {
+		keys, ok := state.Table(s.Name)
+		if !ok {
+			continue
+		}
+		for _, r := range keys.Ranges() {
+			if r.Phase != keyspace.Active {
+				return false
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/local/path_test.go
@@ -0,0 +1,66 @@
+package local_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrywind/cranberrywind/internal/standin"
+)
+
+func TestWholePath(t *testing.T) {
+	d := startReady(t)
+	t.Run("lookup reaches the owner through every entry", func(t *testing.T) {
+		first := send(t, http.MethodGet, callerOf(d, 0)+"/stock/oil", "", nil)
+		assertReply(t, first, http.StatusOK, "done")
+		for i := range d.Instances {
+			assert.Equal(t, send(t, http.MethodGet, callerOf(d, i)+"/stock/oil", "", nil).body, first.body)
+		}
+	})
+	t.Run("resent booking is replayed through another entry", func(t *testing.T) {
+		first := book(t, callerOf(d, 0), "/orders/42", "k1")
+		assertReply(t, first, http.StatusOK, "done")
+		again := book(t, callerOf(d, 1), "/orders/42", "k1")
+		assertReply(t, again, http.StatusOK, "done")
+		assert.Equal(t, again.body, first.body)
+		assert.Equal(t, again.header.Get("Idempotency-Replayed"), "true")
+	})
+	t.Run("download arrives whole", func(t *testing.T) {
+		r := send(t, http.MethodGet, callerOf(d, 2)+"/sheets/today.pdf", "", nil)
+		assertReply(t, r, http.StatusOK, "done")
+		assert.Assert(t, r.body == string(standin.DownloadBody(256<<10)))
+	})
+}
+
+func TestBadInputIsNotRun(t *testing.T) {
+	d := startReady(t)
+	base := callerOf(d, 0)
+	long := strings.Repeat("x", 200)
+	cases := []struct {
+		name, method, path, body string
+		header                   map[string]string
+		status                   int
+		field                    string
+	}{
+		{"unknown service", "GET", "/nope", "", nil, 404, "path"},
+		{"bad method", "PUT", "/stock/a", "", nil, 405, "method"},
+		{"missing key", "GET", "/stock/", "", nil, 400, "key"},
+		{"missing idempotency key", "POST", "/orders/a", "", nil, 400, "Idempotency-Key"},
+		{"malformed idempotency key", "POST", "/orders/a", "", map[string]string{"Idempotency-Key": "a b"}, 400, "Idempotency-Key"},
+		{"long idempotency key", "POST", "/orders/a", "", map[string]string{"Idempotency-Key": long}, 400, "Idempotency-Key"},
+		{"large body", "POST", "/orders/a", strings.Repeat("x", 2<<20), map[string]string{"Idempotency-Key": "k"}, 413, "body"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := send(t, c.method, base+c.path, c.body, c.header)
+			assertReply(t, r, c.status, "not_run")
+			assert.Assert(t, strings.Contains(r.body, `"field":"`+c.field+`"`), r.body)
+		})
+	}
+	t.Run("same idempotency key for another request", func(t *testing.T) {
+		assertReply(t, book(t, base, "/orders/b", "twice"), http.StatusOK, "done")
+		assertReply(t, book(t, base, "/orders/c", "twice"), http.StatusUnprocessableEntity, "not_run")
+	})
+}
--- /dev/null
+++ b/internal/router/targets.go
@@ -0,0 +1,161 @@
+package router
+
+import (
+	"time"
+
+	"github.com/cranberrywind/cranberrywind/internal/control"
+	"github.com/cranberrywind/cranberrywind/internal/text"
+	"github.com/cranberrywind/cranberrywind/pkg/keyspace"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
+)
+
+// load is what this entry sees of one target. Nothing that the target says of
+// itself enters here.
+type load struct {
+	incarnation string
+	inFlight    int
+	failures    int           // failed attempts since the last answer
+	shunned     timer.Instant // no unkeyed request goes there before
+}
+
+const (
+	shunBase = 100 * time.Millisecond // after the first failure
+	shunMax  = 5 * time.Second
+
+	// avoidPenalty ranks a target that just failed the request behind all others.
+	avoidPenalty = 1000.0
+)
+
+// note takes an attempt's end into account: a target that fails is left alone
+// for a time that doubles with each failure in a row.
+func (l *load) note(result Result, now timer.Instant) {
+	switch result {
+	case ResultAbandoned:
+		return
+	case ResultAnswered:
+		l.failures = 0
+		return
+	}
+	l.failures++
+	pause := shunBase << min(l.failures-1, 10)
+	l.shunned = now.Add(min(pause, shunMax))
+}
+
+func (r *Router) loadOf(t control.Target) *load {
+	l, ok := r.loads[t.Name]
+	if !ok || l.incarnation != t.Incarnation {
+		l = &load{incarnation: t.Incarnation}
+		r.loads[t.Name] = l
+	}
+	return l
+}
+
+// dropLoads forgets targets that are no longer known.
+func (r *Router) dropLoads() {
+	for name := range r.loads {
+		if _, ok := r.view.Targets[name]; !ok {
+			delete(r.loads, name)
+		}
+	}
+}
+
+func lost(t control.Target) bool { return t.Status == control.TargetLost }
+
+func (r *Router) hasTarget(service string) bool {
+	for _, t := range r.view.Targets {
+		if t.Service == service && t.Status == control.TargetLive {
+			return true
+		}
+	}
+	return false
+}
+
+// route returns where the request may go now.
+func (r *Router) route(service text.Service, e Arrived) (Route, bool) {
+	if r.view.Suspected[e.Fingerprint] && r.suspectRuns(e.Fingerprint) {
+		return Route{}, false
+	}
+	if service.Keyed() {
+		return r.routeKeyed(service, e)
+	}
+	return r.routeAny(service, e)
+}
+
+// suspectRuns reports whether a request of a suspected kind is at a target. One
+// runs at a time, so that a second death tells which of them did it.
+func (r *Router) suspectRuns(fingerprint string) bool {
+	for _, a := range r.attempts {
+		if a.request.Fingerprint == fingerprint {
+			return true
+		}
+	}
+	return false
+}
+
+// routeKeyed sends to the owner of the key, and nowhere else.
+func (r *Router) routeKeyed(service text.Service, e Arrived) (Route, bool) {
+	keys, ok := r.view.Tables[service.Name]
+	if !ok {
+		return Route{}, false
+	}
+	owned := keys.Lookup(e.Point)
+	if owned.Phase != keyspace.Active {
+		return Route{}, false
+	}
+	t, ok := r.view.Targets[owned.Owner.Target]
+	if !ok || t.Owner() != owned.Owner || lost(t) || !r.hasRoom(t) {
+		return Route{}, false
+	}
+	return r.routeTo(t, owned), true
+}
+
+func (r *Router) routeTo(t control.Target, owned keyspace.Range) Route {
+	return Route{
+		Target:  t,
+		Start:   owned.Start,
+		Epoch:   owned.Epoch,
+		Version: r.view.Version,
+		Expiry:  r.lease.Expiry(),
+	}
+}
+
+// routeAny sends to the target with the smallest share of its room in use.
+func (r *Router) routeAny(service text.Service, e Arrived) (Route, bool) {
+	var best control.Target
+	bestScore := 0.0
+	for _, t := range r.view.Targets {
+		if t.Service != service.Name || t.Status != control.TargetLive || !r.hasRoom(t) {
+			continue
+		}
+		l := r.loadOf(t)
+		if l.shunned > e.Now {
+			continue
+		}
+		score := float64(l.inFlight+1) / float64(max(t.Slots, 1))
+		if t.Name == e.Avoid {
+			score += avoidPenalty
+		}
+		if best.Name == "" || score < bestScore || (score == bestScore && t.Name < best.Name) {
+			best, bestScore = t, score
+		}
+	}
+	if best.Name == "" {
+		return Route{}, false
+	}
+	return r.routeTo(best, keyspace.Range{}), true
+}
+
+// hasRoom reports whether this entry may send one more request to the target.
+func (r *Router) hasRoom(t control.Target) bool {
+	return r.loadOf(t).inFlight < r.cfg.Limits(t, r.entries())
+}
+
+func (r *Router) entries() int {
+	n := 0
+	for _, i := range r.view.Text.Instances {
+		if i.Entry {
+			n++
+		}
+	}
+	return max(n, 1)
+}
--- /dev/null
+++ b/internal/settings/instance.go
@@ -0,0 +1,122 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Instance is the settings of one instance.
+type Instance struct {
+	Name             string
+	AvailabilityZone string
+	Entry            bool
+	Control          bool
+	Address          string   // for other instances: IP:PORT
+	CallerAddress    string   // for callers
+	TargetAddress    string   // where targets announce themselves
+	OperatorAddress  string   // for operators and metrics
+	DataDir          string   // of a control instance
+	Bootstrap        []Peer   // the first control instances
+	LogLevel         string   // debug, info, warn or error
+	Capacity         int      // requests in flight that this instance takes on
+	Drain            Duration // wait for the balancer after readiness is withdrawn
+}
+
+// Duration is a span of time in the settings.
+type Duration = time.Duration
+
+// Peer is an instance with the address where other instances reach it.
+type Peer struct {
+	Name    string
+	Address string
+}
+
+const (
+	defaultCapacity = 512 // requests in flight
+	maxCapacity     = 1 << 20
+	defaultDrain    = 2 * time.Second
+	maxDrain        = 5 * time.Minute
+)
+
+// Load reads an instance's settings from a file.
+func Load(path string) (Instance, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Instance{}, fmt.Errorf("read settings: %w", err)
+	}
+	return ParseInstance(path, data)
+}
+
+// ParseInstance reads an instance's settings.
+func ParseInstance(name string, data []byte) (Instance, error) {
+	f, err := Parse(name, data)
+	if err != nil {
+		return Instance{}, err
+	}
+	s := f.Section("instance")
+	out := Instance{
+		Name:             s.Required("name"),
+		AvailabilityZone: s.Required("availability_zone"),
+		LogLevel:         s.OneOf("log_level", "info", "debug", "info", "warn", "error"),
+		Capacity:         s.Int("capacity", defaultCapacity, 1, maxCapacity),
+		Drain:            s.Duration("drain", defaultDrain, 0, maxDrain),
+		DataDir:          s.String("data", ""),
+	}
+	out.readRoles(s)
+	out.readAddresses(s)
+	out.readBootstrap(f.Section("control"))
+	return out, f.Finish("instance", "control")
+}
+
+func (i *Instance) readRoles(s *Section) {
+	roles := s.List("roles")
+	for _, r := range roles {
+		if r != "entry" && r != "control" {
+			s.Fault("roles", r, "must be entry, control or both"+nearest(r, []string{"entry", "control"}))
+		}
+	}
+	i.Entry = slices.Contains(roles, "entry")
+	i.Control = slices.Contains(roles, "control")
+	if !i.Entry && !i.Control {
+		s.Fault("roles", strings.Join(roles, ", "), "must name entry, control or both")
+	}
+	if i.Control && i.DataDir == "" {
+		s.Fault("data", "", "must be given for the control role")
+	}
+}
+
+func (i *Instance) readAddresses(s *Section) {
+	i.Address = address(s, "address", true)
+	i.OperatorAddress = address(s, "operator_address", true)
+	i.CallerAddress = address(s, "caller_address", i.Entry)
+	i.TargetAddress = address(s, "target_address", i.Entry)
+}
+
+func address(s *Section, key string, required bool) string {
+	value := s.String(key, "")
+	if value == "" && !required {
+		return ""
+	}
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		s.Fault(key, value, "must be an IP address with a port, such as 127.0.0.1:7100")
+	}
+	return value
+}
+
+func (i *Instance) readBootstrap(s *Section) {
+	for _, item := range s.List("bootstrap") {
+		name, addr, ok := strings.Cut(item, "@")
+		if _, err := netip.ParseAddrPort(addr); !ok || err != nil || name == "" {
+			s.Fault("bootstrap", item, "must be NAME@IP:PORT")
+			continue
+		}
+		i.Bootstrap = append(i.Bootstrap, Peer{Name: name, Address: addr})
+	}
+	if len(i.Bootstrap) == 0 {
+		s.Fault("bootstrap", "", "must list at least one control instance")
+	}
+}
