--- /dev/null
+++ b/pkg/disk/disk_test.go
@@ -0,0 +1,201 @@
+package disk_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrywind/cranberrywind/pkg/disk"
+)
+
+var errFault = errors.New("injected fault")
+
+// faultyFS fails the operations that a test names, after a number of them.
+type faultyFS struct {
+	disk.OS
+	failWrite, failSync, failRename bool
+	shortWrite                      int // bytes that a failing write still writes
+}
+
+type faultyFile struct {
+	disk.File
+	fs *faultyFS
+}
+
+func (f *faultyFS) Create(path string) (disk.File, error) {
+	file, err := f.OS.Create(path)
+	return &faultyFile{File: file, fs: f}, err
+}
+
+func (f *faultyFS) Append(path string) (disk.File, error) {
+	file, err := f.OS.Append(path)
+	return &faultyFile{File: file, fs: f}, err
+}
+
+func (f *faultyFS) Rename(from, to string) error {
+	if f.failRename {
+		return errFault
+	}
+	return f.OS.Rename(from, to)
+}
+
+func (f *faultyFile) Write(data []byte) (int, error) {
+	if !f.fs.failWrite {
+		return f.File.Write(data)
+	}
+	n, _ := f.File.Write(data[:min(f.fs.shortWrite, len(data))])
+	return n, errFault
+}
+
+func (f *faultyFile) Sync() error {
+	if f.fs.failSync {
+		return errFault
+	}
+	return f.File.Sync()
+}
+
+func open(t *testing.T, dir string, opts ...disk.Option) (*disk.Store, []string, error) {
+	t.Helper()
+	s, records, stop, err := disk.Open(dir, opts...)
+	if err != nil {
+		return nil, nil, err
+	}
+	t.Cleanup(func() { _ = stop() })
+	var out []string
+	for _, r := range records {
+		out = append(out, string(r))
+	}
+	return s, out, nil
+}
+
+func assertRecords(t *testing.T, dir string, want ...string) {
+	t.Helper()
+	_, got, err := open(t, dir)
+	assert.NilError(t, err)
+	assert.Equal(t, strings.Join(got, ","), strings.Join(want, ","))
+}
+
+func logFile(t *testing.T, dir string) string {
+	t.Helper()
+	names, err := filepath.Glob(filepath.Join(dir, "log-*"))
+	assert.NilError(t, err)
+	assert.Equal(t, len(names), 1, "%v", names)
+	return names[0]
+}
+
+func filled(t *testing.T) string {
+	t.Helper()
+	dir := filepath.Join(t.TempDir(), "group")
+	s, _, err := open(t, dir)
+	assert.NilError(t, err)
+	for _, r := range []string{"one", "two", "three"} {
+		assert.NilError(t, s.Append([]byte(r)))
+	}
+	return dir
+}
+
+func TestReopen(t *testing.T) {
+	t.Run("records come back in order", func(t *testing.T) {
+		assertRecords(t, filled(t), "one", "two", "three")
+	})
+	t.Run("replace keeps only the new record", func(t *testing.T) {
+		dir := filled(t)
+		s, _, err := open(t, dir)
+		assert.NilError(t, err)
+		assert.NilError(t, s.Replace([]byte("all")))
+		assert.NilError(t, s.Append([]byte("more")))
+		assertRecords(t, dir, "all", "more")
+	})
+	t.Run("unfinished replacement is dropped", func(t *testing.T) {
+		dir := filled(t)
+		assert.NilError(t, os.WriteFile(filepath.Join(dir, "log-00000000000000000002.tmp"), []byte("half"), 0o600))
+		assertRecords(t, dir, "one", "two", "three")
+	})
+}
+
+// TestTornTail cuts the file at every length.
+func TestTornTail(t *testing.T) {
+	dir := filled(t)
+	path := logFile(t, dir)
+	whole, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	ends := []int{0, 15, 30, 47}
+	for n := range whole {
+		want := 0
+		for i, end := range ends {
+			if n >= end {
+				want = i
+			}
+		}
+		assert.NilError(t, os.WriteFile(path, whole[:n], 0o600))
+		assertRecords(t, dir, []string{"one", "two", "three"}[:want]...)
+	}
+}
+
+// TestFlippedByte flips each byte in turn: the store refuses the file and names
+// it, since the record was durable.
+func TestFlippedByte(t *testing.T) {
+	dir := filled(t)
+	path := logFile(t, dir)
+	whole, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	for n := range whole {
+		damaged := append([]byte(nil), whole...)
+		damaged[n] ^= 0x40
+		assert.NilError(t, os.WriteFile(path, damaged, 0o600))
+		_, _, err := open(t, dir)
+		assert.Assert(t, errors.Is(err, disk.ErrDamaged), "byte %d: %v", n, err)
+		assert.Assert(t, strings.Contains(err.Error(), path) && strings.Contains(err.Error(), "offset"), "byte %d: %v", n, err)
+	}
+}
+
+func TestFailedDisk(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault func(fs *faultyFS)
+	}{
+		{"full disk", func(fs *faultyFS) { fs.failWrite = true }},
+		{"short write", func(fs *faultyFS) { fs.failWrite, fs.shortWrite = true, 5 }},
+		{"failed sync", func(fs *faultyFS) { fs.failSync = true }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			dir := filled(t)
+			fs := &faultyFS{}
+			s, _, err := open(t, dir, disk.WithFS(fs))
+			assert.NilError(t, err)
+			c.fault(fs)
+			assert.Assert(t, errors.Is(s.Append([]byte("four")), errFault))
+			*fs = faultyFS{}
+			assert.Assert(t, errors.Is(s.Append([]byte("five")), disk.ErrFailed), "a store whose disk failed must not go on")
+			assert.Assert(t, errors.Is(s.Replace([]byte("six")), disk.ErrFailed))
+			_, got, err := open(t, dir)
+			assert.NilError(t, err)
+			assert.Equal(t, fmt.Sprint(got[:3]), "[one two three]")
+		})
+	}
+	t.Run("failed rename keeps the old log", func(t *testing.T) {
+		dir := filled(t)
+		fs := &faultyFS{failRename: true}
+		s, _, err := open(t, dir, disk.WithFS(fs))
+		assert.NilError(t, err)
+		assert.Assert(t, errors.Is(s.Replace([]byte("all")), errFault))
+		assertRecords(t, dir, "one", "two", "three")
+	})
+}
+
+func FuzzOpen(f *testing.F) {
+	f.Add([]byte{})
+	f.Add([]byte("\x03\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00one"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		dir := t.TempDir()
+		assert.NilError(t, os.WriteFile(filepath.Join(dir, "log-00000000000000000001"), data, 0o600))
+		_, _, err := open(t, dir)
+		assert.Assert(t, err == nil || errors.Is(err, disk.ErrDamaged), "%v", err)
+	})
+}
