Prove single ownership and bookings under losses and freezes of processes

Cause: ownership and at-most-once were not shown outside one process. Change: a harness of separate processes; callers send lookups and bookings through all entries while an owner, an entry or the control leader is killed or frozen and resumed, alone or two at once; checkers read the targets' own records.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -133,7 +133,11 @@
 }
 
 func (d *Daemon) listenInstances() error {
-	l, err := net.Listen("tcp", d.cfg.Address)
+	address := d.cfg.ListenAddress
+	if address == "" {
+		address = d.cfg.Address
+	}
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("listen for instances: %w", err)
 	}
--- a/internal/settings/instance.go
+++ b/internal/settings/instance.go
@@ -15,7 +15,8 @@
 	AvailabilityZone string
 	Entry            bool
 	Control          bool
-	Address          string   // for other instances: IP:PORT
+	Address          string   // where other instances reach this one: IP:PORT
+	ListenAddress    string   // where it listens for them, if not at Address
 	CallerAddress    string   // for callers
 	TargetAddress    string   // where targets announce themselves
 	OperatorAddress  string   // for operators and metrics
@@ -91,6 +92,10 @@
 
 func (i *Instance) readAddresses(s *Section) {
 	i.Address = address(s, "address", true)
+	i.ListenAddress = address(s, "listen_address", false)
+	if i.ListenAddress == "" {
+		i.ListenAddress = i.Address
+	}
 	i.OperatorAddress = address(s, "operator_address", true)
 	i.CallerAddress = address(s, "caller_address", i.Entry)
 	i.TargetAddress = address(s, "target_address", i.Entry)
--- /dev/null
+++ b/test/system_test.go
@@ -0,0 +1,403 @@
+// Package test runs the system as separate processes and provokes the failures
+// of processes and connections.
+package test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/cranberrywind/cranberrywind/internal/local"
+	"github.com/cranberrywind/cranberrywind/internal/operator"
+	"github.com/cranberrywind/cranberrywind/internal/standin"
+)
+
+// binary is the program under test, built once.
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "cranberrywind-test-")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "cranberrywind")
+	out, err := exec.Command("go", "build", "-o", binary, "../cmd/cranberrywind").CombinedOutput()
+	if err != nil {
+		panic(fmt.Sprintf("build: %v\n%s", err, out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is one child process.
+type process struct {
+	t    *testing.T
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+func start(t *testing.T, log string, args ...string) *process {
+	t.Helper()
+	out, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	assert.NilError(t, err)
+	cmd := exec.Command(binary, args...)
+	cmd.Stdout, cmd.Stderr = out, out
+	assert.NilError(t, cmd.Start())
+	_ = out.Close()
+	p := &process{t: t, cmd: cmd, done: make(chan struct{})}
+	go func() {
+		_ = cmd.Wait()
+		close(p.done)
+	}()
+	t.Cleanup(p.kill)
+	return p
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
+func (p *process) thaw()   { p.signal(syscall.SIGCONT) }
+
+// terminate asks for a planned stop and waits for it.
+func (p *process) terminate() {
+	p.t.Helper()
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+	case <-time.After(30 * time.Second):
+		p.t.Fatal("planned stop took more than 30 s")
+	}
+}
+
+// instanceConfig is the addresses and roles of one instance.
+type instanceConfig struct {
+	name, address, listen, caller, target, operator string
+	control                                         bool
+}
+
+// system is a deployment of processes.
+type system struct {
+	t         *testing.T
+	dir       string
+	configs   []instanceConfig
+	instances map[string]*process
+	targets   map[string]*process
+	text      string
+	takeover  string
+	services  string
+	key       string // file of the member's private key
+}
+
+const testServices = `
+[bookings]
+groups = 1
+retention = 1h
+
+[service stock]
+kind = lookup
+prefix = /stock/
+key = path:1
+deadline = 3s
+ranges = 12
+retry_budget = 1
+unfenced_takeover = %[1]s
+
+[service orders]
+kind = booking
+prefix = /orders/
+key = path:1
+deadline = 3s
+ranges = 12
+retry_budget = 1
+unfenced_takeover = %[1]s
+
+[service sheets]
+kind = download
+prefix = /sheets/
+deadline = 10s
+retry_budget = 1
+`
+
+// newSystem starts instances, the first three of them with the control role,
+// has a text accepted and starts targets.
+func newSystem(t *testing.T, instances int, opts ...func(*system)) *system {
+	t.Helper()
+	s := &system{
+		t: t, dir: t.TempDir(), takeover: "wait", services: testServices,
+		instances: make(map[string]*process), targets: make(map[string]*process),
+	}
+	for i := range instances {
+		s.configs = append(s.configs, s.newConfig(fmt.Sprintf("i%d", i+1), i < 3))
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	for _, c := range s.configs {
+		s.startInstance(c.name)
+	}
+	s.text = s.makeText()
+	s.accept(0, s.text)
+	return s
+}
+
+func (s *system) newConfig(name string, control bool) instanceConfig {
+	c := instanceConfig{name: name, control: control}
+	for _, a := range []*string{&c.address, &c.caller, &c.target, &c.operator} {
+		free, err := local.FreeAddress()
+		assert.NilError(s.t, err)
+		*a = free
+	}
+	c.listen = c.address
+	return c
+}
+
+func (s *system) config(name string) *instanceConfig {
+	for i := range s.configs {
+		if s.configs[i].name == name {
+			return &s.configs[i]
+		}
+	}
+	s.t.Fatalf("no instance %q", name)
+	return nil
+}
+
+func (s *system) dataDir(name string) string { return filepath.Join(s.dir, "data", name) }
+
+func (s *system) startInstance(name string) {
+	s.t.Helper()
+	c := s.config(name)
+	roles, data := "entry", ""
+	if c.control {
+		roles, data = "entry, control", "data = "+s.dataDir(name)
+	}
+	var bootstrap []string
+	for _, x := range s.configs[:3] {
+		bootstrap = append(bootstrap, x.name+"@"+x.address)
+	}
+	source := fmt.Sprintf(`[instance]
+name = %s
+availability_zone = zone-a
+roles = %s
+address = %s
+listen_address = %s
+caller_address = %s
+target_address = %s
+operator_address = %s
+%s
+drain = 500ms
+
+[control]
+bootstrap = %s
+`, c.name, roles, c.address, c.listen, c.caller, c.target, c.operator, data, strings.Join(bootstrap, ", "))
+	path := filepath.Join(s.dir, name+".ini")
+	assert.NilError(s.t, os.WriteFile(path, []byte(source), 0o600))
+	s.instances[name] = start(s.t, filepath.Join(s.dir, name+".log"), "serve", "--settings", path)
+}
+
+func (s *system) makeText() string {
+	s.t.Helper()
+	if s.key == "" {
+		s.key = filepath.Join(s.dir, "member.key")
+		assert.NilError(s.t, exec.Command(binary, "config", "keygen", "--file", s.key).Run())
+	}
+	return s.textWith(s.configs)
+}
+
+func (s *system) textWith(configs []instanceConfig) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[deployment]\nname = test\n\n[member m]\npublic_key = %s\n", publicKey(s.t, s.key))
+	for _, c := range configs {
+		roles := "entry"
+		if c.control {
+			roles = "entry, control"
+		}
+		fmt.Fprintf(&b, "\n[instance %s]\naddress = %s\navailability_zone = zone-a\nroles = %s\n", c.name, c.address, roles)
+	}
+	fmt.Fprintf(&b, s.services, s.takeover)
+	return b.String()
+}
+
+// accept proposes a text on the base version and votes for it.
+func (s *system) accept(base int, source string) {
+	s.t.Helper()
+	path := filepath.Join(s.dir, fmt.Sprintf("text-%d.ini", base+1))
+	assert.NilError(s.t, os.WriteFile(path, []byte(source), 0o600))
+	id := fmt.Sprintf("change-%d", base+1)
+	s.eventually("propose", func() error {
+		_, err := s.command("config", "propose", "--file", path, "--base", fmt.Sprint(base), "--change-id", id)
+		return err
+	})
+	s.eventually("vote", func() error {
+		_, err := s.command("config", "vote", "--change", id, "--member", "m", "--key", s.key)
+		return err
+	})
+}
+
+// command runs an operator's command against the first instance that is up.
+func (s *system) command(args ...string) (string, error) {
+	for _, c := range s.configs {
+		if p := s.instances[c.name]; p == nil || !alive(p) {
+			continue
+		}
+		out, err := exec.Command(binary, append(args, "--operator", c.operator)...).CombinedOutput()
+		if err != nil {
+			return "", fmt.Errorf("%v: %w: %s", args, err, out)
+		}
+		return string(out), nil
+	}
+	return "", fmt.Errorf("no instance is up")
+}
+
+func alive(p *process) bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+func (s *system) eventually(what string, check func() error) {
+	s.t.Helper()
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		if err := check(); err != nil {
+			return poll.Continue("%s: %v", what, err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+func (s *system) recordPath(name string) string { return filepath.Join(s.dir, name+".records") }
+
+func (s *system) startTarget(name, service, kind string, checksFence bool) {
+	s.t.Helper()
+	var announce []string
+	for _, c := range s.configs {
+		announce = append(announce, c.target)
+	}
+	s.targets[name] = start(s.t, filepath.Join(s.dir, name+".log"), "standin",
+		"--name", name, "--service", service, "--kind", kind, "--record", s.recordPath(name), "--slots", "8",
+		"--work", "2ms", fmt.Sprintf("--checks-fence=%t", checksFence), "--announce", strings.Join(announce, ","))
+}
+
+// startTargets starts n targets of each service and waits until all is served.
+func (s *system) startTargets(n int, checksFence bool) {
+	s.t.Helper()
+	for i := range n {
+		s.startTarget(fmt.Sprintf("stock-%d", i+1), "stock", "lookup", checksFence)
+		s.startTarget(fmt.Sprintf("orders-%d", i+1), "orders", "booking", checksFence)
+		s.startTarget(fmt.Sprintf("sheets-%d", i+1), "sheets", "download", checksFence)
+	}
+	s.waitServed()
+}
+
+// waitServed waits until every instance serves a spread of keys.
+func (s *system) waitServed() {
+	s.t.Helper()
+	for _, c := range s.configs {
+		if !alive(s.instances[c.name]) {
+			continue
+		}
+		for i := range 20 {
+			s.eventually("lookup at "+c.name, func() error {
+				r := lookup(c.caller, fmt.Sprintf("warm-%d", i))
+				if r.outcome != "done" {
+					return fmt.Errorf("outcome %q, status %d, %v", r.outcome, r.status, r.err)
+				}
+				return nil
+			})
+		}
+	}
+}
+
+// status reads the leader's view of the system.
+func (s *system) status() (operator.StatusReply, error) {
+	var out operator.StatusReply
+	text, err := s.command("config", "status", "--output", "json")
+	if err != nil {
+		return out, err
+	}
+	return out, json.Unmarshal([]byte(text), &out)
+}
+
+// leader returns the instance that leads the control group.
+func (s *system) leader() string {
+	s.t.Helper()
+	name := ""
+	s.eventually("find the leader", func() error {
+		text, err := s.command("config", "status", "--output", "json")
+		if err != nil {
+			return err
+		}
+		var out struct {
+			Groups map[string]struct {
+				Leader string `json:"leader"`
+			} `json:"groups"`
+		}
+		if err := json.Unmarshal([]byte(text), &out); err != nil {
+			return err
+		}
+		name, _, _ = strings.Cut(out.Groups["control"].Leader, "#")
+		if name == "" {
+			return fmt.Errorf("no leader known")
+		}
+		return nil
+	})
+	return name
+}
+
+// owner returns the target that owns a key.
+func (s *system) owner(service, key string) string {
+	s.t.Helper()
+	var out operator.KeyReply
+	s.eventually("find the owner", func() error {
+		text, err := s.command("keys", "owner", service, key, "--output", "json")
+		if err != nil {
+			return err
+		}
+		return json.Unmarshal([]byte(text), &out)
+	})
+	return out.Owner.Target
+}
+
+// records returns what all targets accepted.
+func (s *system) records() []standin.Record {
+	s.t.Helper()
+	var out []standin.Record
+	paths, err := filepath.Glob(filepath.Join(s.dir, "*.records"))
+	assert.NilError(s.t, err)
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		assert.NilError(s.t, err)
+		for line := range bytes.Lines(data) {
+			var r standin.Record
+			if json.Unmarshal(line, &r) == nil {
+				out = append(out, r)
+			}
+		}
+	}
+	return out
+}
+
+func publicKey(t *testing.T, path string) string {
+	t.Helper()
+	public, err := derivePublic(path)
+	assert.NilError(t, err)
+	return public
+}
