Treat a one-way cut between instances as cut both ways

Cause: with the control leader's incoming or outgoing answers swallowed silently, a key was served again only after 11.0 s and 5.5 s (test/TestLeaderCut), against 2 s. A leader whose answers are lost kept hearing its followers and stayed in office until gRPC's keepalive, whose shortest period is 10 s; callers tried the silent address first each time. Ruled out: a shorter gRPC keepalive (its minimum is 10 s); shorter elections (the leader was not silent towards its followers). Change: the stream between replicas carries pings and ends after 400 ms without an answer; a caller of the leader tries an address that did not answer last from then on.

--- a/cmd/cranberrywind/signals_unix.go
+++ b/cmd/cranberrywind/signals_unix.go
@@ -23,3 +23,10 @@
 	}()
 	return ctx, cancel
 }
+
+// drainSignal delivers the signals that ask a stand-in target to leave.
+func drainSignal() (<-chan os.Signal, func()) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1)
+	return signals, func() { signal.Stop(signals) }
+}
--- a/cmd/cranberrywind/standin.go
+++ b/cmd/cranberrywind/standin.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -22,8 +23,7 @@
 			}
 			defer stop()
 			_, _ = fmt.Fprintf(cmd.OutOrStdout(), "stand-in target %s listens on %s\n", t.Name(), t.Address())
-			<-cmd.Context().Done()
-			return nil
+			return drainOnSignal(cmd.Context(), t)
 		},
 	}
 	flags := cmd.Flags()
@@ -44,3 +44,18 @@
 	_ = cmd.MarkFlagRequired("announce")
 	return cmd
 }
+
+// drainOnSignal makes the target announce that it is leaving when the process
+// is told to drain, and returns when ctx ends.
+func drainOnSignal(ctx context.Context, t *standin.Target) error {
+	drain, stop := drainSignal()
+	defer stop()
+	for {
+		select {
+		case <-drain:
+			t.Drain()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,7 +24,7 @@
 const (
 	tickPeriod  = 10 * time.Millisecond
 	syncTimeout = 250 * time.Millisecond // of one try to renew the lease
-	callTimeout = 500 * time.Millisecond // of one try of any other call
+	callTimeout = 300 * time.Millisecond // of one try of any other call
 	syncPause   = 20 * time.Millisecond  // after a renewal that failed
 	routerQueue = 16384                  // events
 )
--- a/internal/instance/client.go
+++ b/internal/instance/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/cranberrywind/cranberrywind/internal/group"
 	"github.com/cranberrywind/cranberrywind/internal/wire"
+	"github.com/cranberrywind/cranberrywind/pkg/replica"
 )
 
 // ErrUnreachable reports that no instance took the request.
@@ -25,6 +26,8 @@
 	redialPause  = 50 * time.Millisecond
 	maxReconnect = 200 * time.Millisecond
 	callPause    = 20 * time.Millisecond // between two tries to find a leader
+	pingPeriod   = 100 * time.Millisecond
+	silenceLimit = 400 * time.Millisecond // without an answer to a ping
 )
 
 // Pool keeps one connection to each instance that this one speaks to.
@@ -123,6 +126,12 @@
 	}
 }
 
+// errSilent reports a peer that does not answer pings.
+var errSilent = errors.New("peer does not answer pings")
+
+// stream sends messages while the peer answers pings. A connection that loses
+// what flows one way counts as cut both ways: otherwise a leader whose answers
+// are lost would keep hearing its followers and stay in office.
 func (p *Pool) stream(address string, q <-chan group.Envelope) error {
 	c, err := p.conn(address)
 	if err != nil {
@@ -130,19 +139,71 @@
 	}
 	ctx, cancel := context.WithCancel(p.ctx)
 	defer cancel()
-	desc := &grpc.StreamDesc{StreamName: "Deliver", ClientStreams: true}
+	desc := &grpc.StreamDesc{StreamName: "Deliver", ClientStreams: true, ServerStreams: true}
 	s, err := c.NewStream(ctx, desc, "/"+serviceName+"/Deliver")
 	if err != nil {
 		return err
 	}
+	pongs := make(chan struct{}, 1)
+	go readPongs(s, pongs, cancel)
+	if err := awaitPong(ctx, s, pongs); err != nil {
+		return err
+	}
+	return pump(s, q, pongs)
+}
+
+// readPongs notes the peer's answers until the stream ends.
+func readPongs(s grpc.ClientStream, pongs chan<- struct{}, cancel context.CancelFunc) {
+	defer cancel()
 	for {
+		if err := s.RecvMsg(&Empty{}); err != nil {
+			return
+		}
+		select {
+		case pongs <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// awaitPong sends a first ping and waits for its answer.
+func awaitPong(ctx context.Context, s grpc.ClientStream, pongs <-chan struct{}) error {
+	if err := s.SendMsg(&group.Envelope{}); err != nil {
+		return err
+	}
+	wait := time.NewTimer(silenceLimit)
+	defer wait.Stop()
+	select {
+	case <-pongs:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-wait.C:
+		return errSilent
+	}
+}
+
+// pump sends messages and pings until the peer falls silent.
+func pump(s grpc.ClientStream, q <-chan group.Envelope, pongs <-chan struct{}) error {
+	ping := time.NewTicker(pingPeriod)
+	defer ping.Stop()
+	silence := time.NewTimer(silenceLimit)
+	defer silence.Stop()
+	for {
+		var e group.Envelope
 		select {
 		case <-s.Context().Done():
 			return s.Context().Err()
-		case e := <-q:
-			if err := s.SendMsg(&e); err != nil {
-				return err
-			}
+		case <-silence.C:
+			return errSilent
+		case <-pongs:
+			silence.Reset(silenceLimit)
+			continue
+		case <-ping.C:
+		case e = <-q:
+		}
+		if err := s.SendMsg(&e); err != nil {
+			return err
 		}
 	}
 }
@@ -162,42 +223,56 @@
 
 // Leader remembers where a group's leader was last found.
 type Leader struct {
-	pool      *Pool
-	timeout   time.Duration // of one try
+	pool    *Pool
+	timeout time.Duration // of one try
+
 	mu        sync.Mutex
-	addresses []string
-	last      string
+	addresses []string // in the order in which they are tried
 }
 
 // NewLeader returns a finder that tries the given addresses, each for at most
 // the timeout.
 func NewLeader(p *Pool, addresses []string, timeout time.Duration) *Leader {
-	return &Leader{pool: p, addresses: addresses, timeout: timeout}
+	return &Leader{pool: p, addresses: slices.Clone(addresses), timeout: timeout}
 }
 
-// SetAddresses replaces the addresses that are tried.
+// SetAddresses replaces the addresses that are tried. Those that stay keep
+// their order.
 func (l *Leader) SetAddresses(addresses []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.addresses = slices.Clone(addresses)
+	kept := slices.DeleteFunc(l.addresses, func(a string) bool { return !slices.Contains(addresses, a) })
+	for _, a := range addresses {
+		if !slices.Contains(kept, a) {
+			kept = append(kept, a)
+		}
+	}
+	l.addresses = kept
 }
 
-// candidates returns the addresses to try, the last leader first.
 func (l *Leader) candidates() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := slices.Clone(l.addresses)
-	if l.last != "" {
-		out = slices.DeleteFunc(out, func(a string) bool { return a == l.last })
-		out = slices.Insert(out, 0, l.last)
-	}
-	return out
+	return slices.Clone(l.addresses)
 }
 
-func (l *Leader) note(address string) {
+// prefer tries the address first from now on.
+func (l *Leader) prefer(address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.last = address
+	l.addresses = slices.DeleteFunc(l.addresses, func(a string) bool { return a == address })
+	l.addresses = slices.Insert(l.addresses, 0, address)
+}
+
+// demote tries the address last from now on: it did not answer.
+func (l *Leader) demote(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	i := slices.Index(l.addresses, address)
+	if i < 0 {
+		return
+	}
+	l.addresses = append(slices.Delete(l.addresses, i, i+1), address)
 }
 
 // CallLeader calls the group's leader, following hints, until it answers or ctx
@@ -223,16 +298,23 @@
 
 // tryLeader calls one address and, where it names another leader, that one.
 func tryLeader[Req, Res any](ctx context.Context, l *Leader, address, method string, req *Req) (*Res, error) {
-	res, err := callOnce[Req, Res](ctx, l, address, method, req)
+	res, err := tryOne[Req, Res](ctx, l, address, method, req)
 	var hint *NotLeaderError
 	if errors.As(err, &hint) && hint.Leader != "" && hint.Leader != address {
-		address = hint.Leader
-		res, err = callOnce[Req, Res](ctx, l, address, method, req)
+		return tryOne[Req, Res](ctx, l, hint.Leader, method, req)
 	}
-	if err == nil {
-		l.note(address)
-	} else {
-		l.note("")
+	return res, err
+}
+
+// tryOne calls one address and remembers whether it answered.
+func tryOne[Req, Res any](ctx context.Context, l *Leader, address, method string, req *Req) (*Res, error) {
+	res, err := callOnce[Req, Res](ctx, l, address, method, req)
+	switch {
+	case err == nil:
+		l.prefer(address)
+	case errors.Is(err, replica.ErrNotLeader):
+	default:
+		l.demote(address)
 	}
 	return res, err
 }
--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -86,7 +86,7 @@
 			unary("Form", Handler.Form),
 			unary("Join", Handler.Join),
 		},
-		Streams: []grpc.StreamDesc{{StreamName: "Deliver", Handler: deliver, ClientStreams: true}},
+		Streams: []grpc.StreamDesc{{StreamName: "Deliver", Handler: deliver, ClientStreams: true, ServerStreams: true}},
 	}
 }
 
@@ -106,13 +106,20 @@
 	return grpc.MethodDesc{MethodName: name, Handler: handler}
 }
 
-// deliver reads the messages of one peer's replicas.
+// deliver reads the messages of one peer's replicas and answers its pings,
+// which are empty messages.
 func deliver(srv any, stream grpc.ServerStream) error {
 	for {
 		var e group.Envelope
 		if err := stream.RecvMsg(&e); err != nil {
 			return err
 		}
+		if e.Group == "" {
+			if err := stream.SendMsg(&Empty{}); err != nil {
+				return err
+			}
+			continue
+		}
 		srv.(Handler).Deliver(e)
 	}
 }
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -9,7 +9,6 @@
 	"encoding/base64"
 	"errors"
 	"fmt"
-	"net"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -147,16 +146,6 @@
 	return cfg, nil
 }
 
-// FreeAddress returns a loopback address with a port that was free a moment ago.
-func FreeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("find a free port: %w", err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
-}
-
 // textFor takes the services of an example text and adds this deployment's
 // member and instances.
 func (d *Deployment) textFor(source string, public ed25519.PublicKey) string {
--- a/test/system_test.go
+++ b/test/system_test.go
@@ -74,6 +74,9 @@
 func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
 func (p *process) thaw()   { p.signal(syscall.SIGCONT) }
 
+// signalDrain makes a stand-in target announce that it is leaving.
+func (p *process) signalDrain() { p.signal(syscall.SIGUSR1) }
+
 // terminate asks for a planned stop and waits for it.
 func (p *process) terminate() {
 	p.t.Helper()
@@ -101,7 +104,8 @@
 	text      string
 	takeover  string
 	services  string
-	key       string // file of the member's private key
+	key       string   // file of the member's private key
+	lost      []string // replica IDs whose disks were lost
 }
 
 const testServices = `
@@ -148,6 +152,7 @@
 	for _, opt := range opts {
 		opt(s)
 	}
+	t.Cleanup(s.showLogs)
 	for _, c := range s.configs {
 		s.startInstance(c.name)
 	}
@@ -156,6 +161,19 @@
 	return s
 }
 
+// showLogs prints the end of each instance's log where the test failed.
+func (s *system) showLogs() {
+	if !s.t.Failed() {
+		return
+	}
+	const lines = 12
+	for _, c := range s.configs {
+		data, _ := os.ReadFile(filepath.Join(s.dir, c.name+".log"))
+		all := strings.Split(string(data), "\n")
+		s.t.Logf("log of %s:\n%s", c.name, strings.Join(all[max(0, len(all)-lines):], "\n"))
+	}
+}
+
 func (s *system) newConfig(name string, control bool) instanceConfig {
 	c := instanceConfig{name: name, control: control}
 	for _, a := range []*string{&c.address, &c.caller, &c.target, &c.operator} {
