Bound the targets that one request may take down to two, also for downloads

Cause: a request that crashes each target that runs it took down 3 of 5 download targets (internal/local TestPoisonRequest): the entry sent it again by a view that did not hold its own report yet. And a target that only broke off a connection counted as dead, so that a download was held after two bad connections. Ruled out: holding the caller's answer back until all entries know (the users refuse that). Change: the report's answer carries the suspects into the router before any retry; a request whose report was not taken is not sent again; a target counts as dead only if its address refuses connections. A download's rest is asked of a third target where the second does not offer it. Not shown: copies sent to several entries in the same millisecond before the first death.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -25,6 +25,10 @@
 // errShed reports that the target said that the request did not run.
 var errShed = errors.New("target turned the request down")
 
+// errUnreported reports a broken connection that control does not know of: the
+// request may be one that kills its targets and must not be sent again.
+var errUnreported = errors.New("broken connection could not be reported")
+
 // maxAttempts bounds how often one request goes to targets.
 const maxAttempts = 3
 
@@ -33,8 +37,7 @@
 func (h *Handler) send(c *call, t *entry.Ticket) (*http.Response, error) {
 	resp, err := h.cfg.Client.Send(t.Context, c.request, t.Route, uint64(c.want.Point))
 	if err != nil {
-		h.endFailed(c, t, err)
-		return nil, err
+		return nil, h.endFailed(c, t, err)
 	}
 	if resp.Header.Get(target.HeaderOutcome) == target.OutcomeNotRun {
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxShedBody))
@@ -50,16 +53,20 @@
 // endFailed gives a ticket back after an error. A broken connection is
 // reported first, so that a request that kills its target is found out before
 // its caller can send it again.
-func (h *Handler) endFailed(c *call, t *entry.Ticket, err error) {
+func (h *Handler) endFailed(c *call, t *entry.Ticket, err error) error {
 	switch {
 	case t.Context.Err() != nil:
 		t.End(router.ResultAbandoned)
 	case errors.Is(err, target.ErrNotRun):
 		t.End(router.ResultFailed)
 	default:
-		h.cfg.Entry.ReportBroken(t.Route.Target.Owner(), c.want.Fingerprint)
+		known := h.cfg.Entry.ReportBroken(t.Route.Target.Owner(), c.want.Fingerprint)
 		t.End(router.ResultBroken)
+		if !known {
+			return errors.Join(errUnreported, err)
+		}
 	}
+	return err
 }
 
 // receive reads a whole answer and ends the ticket.
@@ -72,9 +79,7 @@
 		return nil, errors.Join(target.ErrUncertain, err)
 	}
 	if err != nil {
-		err = errors.Join(target.ErrUncertain, err)
-		h.endFailed(c, t, err)
-		return nil, err
+		return nil, h.endFailed(c, t, errors.Join(target.ErrUncertain, err))
 	}
 	t.End(resultOf(resp.StatusCode))
 	h.cfg.Entry.ReportAnswered(c.want.Fingerprint)
--- a/internal/caller/download.go
+++ b/internal/caller/download.go
@@ -74,7 +74,7 @@
 
 // resumable reports whether the rest may be asked for elsewhere.
 func (t *transfer) resumable(err error) bool {
-	if errors.Is(err, errNotSame) || errors.Is(err, errCaller) {
+	if errors.Is(err, errCaller) || errors.Is(err, errUnreported) {
 		return false
 	}
 	return !t.started || (t.etag != "" && t.total >= 0)
@@ -109,8 +109,7 @@
 		ticket.End(router.ResultAbandoned)
 		return err
 	}
-	t.handler.endFailed(t.call, ticket, err)
-	return err
+	return t.handler.endFailed(t.call, ticket, err)
 }
 
 // begin passes the header on, or checks that a continuation fits.
--- a/internal/caller/lookup.go
+++ b/internal/caller/lookup.go
@@ -36,7 +36,7 @@
 		if err == nil {
 			last = a
 		}
-		if !mayRetry(ctx, attempt) {
+		if !mayRetry(ctx, attempt) || errors.Is(err, errUnreported) {
 			h.giveUp(w, c, last, ran, entry.Refusal{Reason: "no_answer", After: time.Second})
 			return
 		}
--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -184,12 +184,12 @@
 }
 
 // Blame records what was in flight at a target that died.
-func (c *Controller) Blame(ctx context.Context, req *instance.BlameRequest) (*instance.Empty, error) {
+func (c *Controller) Blame(ctx context.Context, req *instance.BlameRequest) (*instance.BlameResponse, error) {
 	if _, err := c.group.Propose(ctx, wire.Encode(control.Command{Blame: &req.Blame})); err != nil {
 		return nil, c.leaderError(err)
 	}
 	c.log.Warn("requests blamed for a target's death", "target", req.Blame.Owner.Target, "requests", len(req.Blame.Fingerprints))
-	return &instance.Empty{}, nil
+	return &instance.BlameResponse{Suspects: c.group.State().State.Suspects()}, nil
 }
 
 // Status returns the agreed state, read through a barrier.
--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -70,7 +70,7 @@
 }
 
 // Blame records what was in flight at a target that died.
-func (h *handler) Blame(ctx context.Context, req *instance.BlameRequest) (*instance.Empty, error) {
+func (h *handler) Blame(ctx context.Context, req *instance.BlameRequest) (*instance.BlameResponse, error) {
 	c, err := h.role()
 	if err != nil {
 		return nil, err
--- a/internal/entry/deaths.go
+++ b/internal/entry/deaths.go
@@ -7,6 +7,7 @@
 
 	"github.com/cranberrywind/cranberrywind/internal/control"
 	"github.com/cranberrywind/cranberrywind/internal/instance"
+	"github.com/cranberrywind/cranberrywind/internal/router"
 	"github.com/cranberrywind/cranberrywind/pkg/keyspace"
 )
 
@@ -14,6 +15,7 @@
 // that one report names all that were in flight.
 const (
 	deathWindow  = 5 * time.Millisecond
+	probeTimeout = 50 * time.Millisecond
 	blameWait    = 100 * time.Millisecond // longest wait of a request for its report
 	blameTimeout = 2 * time.Second
 )
@@ -29,21 +31,26 @@
 // given up.
 type death struct {
 	fingerprints []string
+	taken        bool // control has the report; set before done is closed
 	done         chan struct{}
 }
 
 // ReportBroken reports a request whose connection broke while it ran, and
-// waits until control has it or a short time is over.
-func (e *Entry) ReportBroken(owner keyspace.Owner, fingerprint string) {
+// waits a short time until control and this entry's router know of it. Such a
+// request may be sent again only where it returns true.
+func (e *Entry) ReportBroken(owner keyspace.Owner, fingerprint string) bool {
 	wait := time.NewTimer(blameWait)
 	defer wait.Stop()
+	x := e.deaths.add(owner, fingerprint)
 	select {
-	case <-e.deaths.add(owner, fingerprint):
+	case <-x.done:
+		return x.taken
 	case <-wait.C:
+		return false
 	}
 }
 
-func (d *deaths) add(owner keyspace.Owner, fingerprint string) <-chan struct{} {
+func (d *deaths) add(owner keyspace.Owner, fingerprint string) *death {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	x, ok := d.open[owner]
@@ -53,7 +60,7 @@
 		time.AfterFunc(deathWindow, func() { d.report(owner) })
 	}
 	x.fingerprints = append(x.fingerprints, fingerprint)
-	return x.done
+	return x
 }
 
 func (d *deaths) report(owner keyspace.Owner) {
@@ -62,7 +69,23 @@
 	delete(d.open, owner)
 	d.mu.Unlock()
 	defer close(x.done)
-	d.entry.blame(control.Blame{Owner: owner, Fingerprints: x.fingerprints})
+	if !d.entry.died(owner) {
+		x.taken = true
+		return
+	}
+	x.taken = d.entry.blame(control.Blame{Owner: owner, Fingerprints: x.fingerprints})
+}
+
+// died reports whether the target's process has ended. One that only broke off
+// a connection still accepts new ones.
+func (e *Entry) died(owner keyspace.Owner) bool {
+	t, ok := e.View().Targets[owner.Target]
+	if !ok || t.Incarnation != owner.Incarnation {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	return e.cfg.Refuses(ctx, t.Address)
 }
 
 // ReportAnswered clears a suspected request that a target answered.
@@ -73,11 +96,20 @@
 	go e.blame(control.Blame{Cleared: []string{fingerprint}})
 }
 
-func (e *Entry) blame(b control.Blame) {
+// blame reports to control and tells the router what is suspected now.
+func (e *Entry) blame(b control.Blame) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), blameTimeout)
 	defer cancel()
 	req := &instance.BlameRequest{Blame: b}
-	if _, err := instance.CallLeader[instance.BlameRequest, instance.Empty](ctx, e.control, "Blame", req); err != nil {
+	res, err := instance.CallLeader[instance.BlameRequest, instance.BlameResponse](ctx, e.control, "Blame", req)
+	if err != nil {
 		e.cfg.Log.Warn("report of a target's death not taken", "target", b.Owner.Target, "error", err)
+		return false
+	}
+	accused := router.Accused{Held: make(map[string]bool), Suspected: make(map[string]bool)}
+	for _, s := range res.Suspects {
+		accused.Suspected[s.Fingerprint] = true
+		accused.Held[s.Fingerprint] = s.Held()
 	}
+	return e.loop.Send(accused) == nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -36,6 +36,7 @@
 	Pool    *instance.Pool
 	Clock   timer.Service
 	Router  router.Config
+	Refuses func(ctx context.Context, address string) bool // whether it refuses connections
 	Log     *log.Logger
 }
 
--- a/internal/instance/messages.go
+++ b/internal/instance/messages.go
@@ -79,6 +79,11 @@
 // BlameRequest reports what was in flight at a target that died.
 type BlameRequest struct{ Blame control.Blame }
 
+// BlameResponse lists the kinds of requests that are suspected now.
+type BlameResponse struct {
+	Suspects []control.Suspect `msgpack:"suspects"`
+}
+
 // Empty is an answer without content.
 type Empty struct{}
 
--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -26,7 +26,7 @@
 	Announce(ctx context.Context, req *AnnounceRequest) (*AnnounceResponse, error)
 	Propose(ctx context.Context, req *ProposeRequest) (*ChangeResponse, error)
 	Vote(ctx context.Context, req *VoteRequest) (*ChangeResponse, error)
-	Blame(ctx context.Context, req *BlameRequest) (*Empty, error)
+	Blame(ctx context.Context, req *BlameRequest) (*BlameResponse, error)
 	Status(ctx context.Context, req *StatusRequest) (*StatusResponse, error)
 	Booking(ctx context.Context, req *BookingRequest) (*BookingResponse, error)
 	Probe(ctx context.Context, req *ProbeRequest) (*ProbeResponse, error)
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -23,6 +23,7 @@
 	"github.com/cranberrywind/cranberrywind/internal/settings"
 	"github.com/cranberrywind/cranberrywind/internal/standin"
 	"github.com/cranberrywind/cranberrywind/internal/text"
+	"github.com/cranberrywind/cranberrywind/pkg/keyspace"
 )
 
 // ErrNotReady reports a deployment that did not begin to serve in time.
@@ -275,8 +276,9 @@
 	return nil
 }
 
-// StartTarget starts a stand-in target of the service.
-func (d *Deployment) StartTarget(s text.Service, name string) (*standin.Target, error) {
+// StartTarget starts a stand-in target of the service. Changes edit its
+// configuration first.
+func (d *Deployment) StartTarget(s text.Service, name string, changes ...func(*standin.Config)) (*standin.Target, error) {
 	var announce []string
 	for _, x := range d.Instances {
 		announce = append(announce, x.Settings.TargetAddress)
@@ -294,6 +296,9 @@
 		Work:             d.opts.work,
 		DownloadBytes:    d.opts.downloadBytes,
 	}
+	for _, change := range changes {
+		change(&cfg)
+	}
 	t, _, err := standin.Start(d.ctx, cfg)
 	if err != nil {
 		return nil, err
@@ -316,20 +321,52 @@
 	return ErrNotReady
 }
 
+// WaitTargets waits until every target is known to every running instance.
+func (d *Deployment) WaitTargets(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		if state, err := d.State(ctx); err == nil && liveTargets(state) >= len(d.Targets) && d.routes(state) {
+			return nil
+		}
+		time.Sleep(pollPeriod)
+	}
+	return ErrNotReady
+}
+
+// Owner returns the target that owns a key.
+func (d *Deployment) Owner(ctx context.Context, service, key string) (keyspace.Owner, error) {
+	state, err := d.State(ctx)
+	if err != nil {
+		return keyspace.Owner{}, err
+	}
+	keys, ok := state.Table(service)
+	if !ok {
+		return keyspace.Owner{}, fmt.Errorf("service %q has no keys", service)
+	}
+	return keys.Lookup(keyspace.PointOf(service + "/" + key)).Owner, nil
+}
+
 func (d *Deployment) ready(ctx context.Context) bool {
 	state, err := d.State(ctx)
 	if err != nil {
 		return false
 	}
+	return liveTargets(state) >= len(d.Targets) && allActive(state) && d.routes(state)
+}
+
+func liveTargets(state control.State) int {
 	live := 0
 	for _, t := range state.Targets() {
 		if t.Status == control.TargetLive {
 			live++
 		}
 	}
-	if live < len(d.Targets) || !allActive(state) {
-		return false
-	}
+	return live
+}
+
+// routes reports whether every running instance routes by the state.
+func (d *Deployment) routes(state control.State) bool {
 	for _, x := range d.Instances {
 		if x.Daemon != nil && !x.Daemon.Routes(state.Version()) {
 			return false
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -211,6 +212,19 @@
 	return ""
 }
 
+// accuse adds to what the view suspects. The view's own maps are shared with
+// readers and stay as they are; the next view brings the agreed state.
+func (r *Router) accuse(e Accused) {
+	held, suspected := maps.Clone(r.view.Held), maps.Clone(r.view.Suspected)
+	for f, h := range e.Held {
+		held[f] = held[f] || h
+	}
+	for f := range e.Suspected {
+		suspected[f] = true
+	}
+	r.view.Held, r.view.Suspected = held, suspected
+}
+
 // renew takes over a lease and, where it changed, the view.
 func (r *Router) renew(e Renewed) []Effect {
 	r.lease = e.Lease
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -94,6 +94,14 @@
 // Ticked says that time has passed.
 type Ticked struct{ Now timer.Instant }
 
+// Accused says which kinds of requests are suspected of killing targets, as
+// control knew it after this entry's own report.
+type Accused struct {
+	Held      map[string]bool
+	Suspected map[string]bool
+}
+
+func (Accused) isEvent()   {}
 func (Arrived) isEvent()   {}
 func (Ended) isEvent()     {}
 func (Withdrawn) isEvent() {}
@@ -193,6 +201,9 @@
 		return r, r.renew(e)
 	case Ticked:
 		return r, r.expire(e.Now)
+	case Accused:
+		r.accuse(e)
+		return r, nil
 	default:
 		return r, nil
 	}
--- a/internal/standin/answers.go
+++ b/internal/standin/answers.go
@@ -27,6 +27,10 @@
 	if t.cfg.Kind == "download" {
 		w.Header().Set("ETag", fmt.Sprintf("%q", fmt.Sprintf("v1-%d", t.cfg.DownloadBytes)))
 		w.Header().Set("Content-Type", "application/octet-stream")
+		if t.cfg.BreakAfter > 0 || t.cfg.StallAfter > 0 {
+			t.breakOff(w, r)
+			return
+		}
 		http.ServeContent(w, r, "", time.Time{}, bytes.NewReader(DownloadBody(t.cfg.DownloadBytes)))
 		return
 	}
@@ -38,6 +42,18 @@
 	_ = json.NewEncoder(w).Encode(out)
 }
 
+// breakOff serves the beginning of a download only.
+func (t *Target) breakOff(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Length", fmt.Sprint(t.cfg.DownloadBytes))
+	n := max(t.cfg.BreakAfter, t.cfg.StallAfter)
+	_, _ = w.Write(DownloadBody(t.cfg.DownloadBytes)[:n])
+	_ = http.NewResponseController(w).Flush()
+	if t.cfg.StallAfter > 0 {
+		<-r.Context().Done()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func (t *Target) book(key string) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -13,6 +13,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -40,6 +41,8 @@
 	DownloadBytes    int
 	RecordPath       string // file for records; empty keeps them in memory only
 	Crash            func() // runs where a request asks for a crash
+	BreakAfter       int    // bytes of a download after which the connection breaks
+	StallAfter       int    // bytes of a download after which nothing more comes
 }
 
 // Record is one request that a target accepted.
@@ -63,6 +66,7 @@
 	cancel      context.CancelFunc
 	slots       chan struct{}
 	records     *recorder
+	crashed     atomic.Bool
 
 	mu       sync.Mutex
 	draining bool
@@ -352,7 +356,11 @@
 	t.answer(w, r)
 }
 
+// Crashed reports whether a request crashed the target.
+func (t *Target) Crashed() bool { return t.crashed.Load() }
+
 func (t *Target) crash() {
+	t.crashed.Store(true)
 	if t.cfg.Crash != nil {
 		t.cfg.Crash()
 		return
