--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -215,7 +215,9 @@
 // accuse adds to what the view suspects. The view's own maps are shared with
 // readers and stay as they are; the next view brings the agreed state.
 func (r *Router) accuse(e Accused) {
-	held, suspected := maps.Clone(r.view.Held), maps.Clone(r.view.Suspected)
+	held, suspected := make(map[string]bool), make(map[string]bool)
+	maps.Copy(held, r.view.Held)
+	maps.Copy(suspected, r.view.Suspected)
 	for f, h := range e.Held {
 		held[f] = held[f] || h
 	}
--- a/pkg/replica/random_test.go
+++ b/pkg/replica/random_test.go
@@ -67,7 +67,6 @@
 	cluster  *cluster
 	proposed int
 	replaced int
-	promoted int
 	spare    replica.ID
 }
 
--- a/test/load_test.go
+++ b/test/load_test.go
@@ -156,7 +156,7 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		id := fmt.Sprintf("b%d-%d", n, i)
 		for range 8 {
-			r := book(l.entry(rng), fmt.Sprintf("k%d", rng.IntN(1)+i%40), id)
+			r := book(l.entry(rng), fmt.Sprintf("k%d", i%40), id)
 			l.keep(id, r)
 			if r.outcome == "done" || ctx.Err() != nil {
 				break
