Send entries what changed instead of the whole view

Ruled out: compressing the whole view (still grows with the ranges); a digest per table (the log index already names a version exactly). Change: ranges and targets carry the log index of their last change; a renewal names the version that it holds and gets what changed since, or a whole table where the ranges' bounds changed. A change that does not fit makes the entry ask for the whole view.

--- a/internal/control/commands.go
+++ b/internal/control/commands.go
@@ -156,6 +156,9 @@
 	if !ok || len(changed) == 0 {
 		return s
 	}
+	for i := range changed {
+		changed[i].Changed = index
+	}
 	next, err := keys.WithRanges(changed...)
 	if err != nil {
 		return s
@@ -241,7 +244,7 @@
 		return s
 	}
 	s.version = index
-	return s.withTable(c.Range.Service, next)
+	return s.withLayout(index, c.Range.Service, next)
 }
 
 // blame counts a target's death against the requests it was running. Where one
@@ -307,7 +310,7 @@
 	})
 	for _, service := range parsed.Services {
 		if _, ok := s.Table(service.Name); !ok && service.Keyed() {
-			s = s.withTable(service.Name, keyspace.New(service.Ranges))
+			s = s.withLayout(index, service.Name, keyspace.New(service.Ranges))
 		}
 	}
 	return s
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -7,6 +7,7 @@
 import (
 	"slices"
 	"sort"
+	"strings"
 
 	"github.com/cranberrywind/cranberrywind/internal/text"
 	"github.com/cranberrywind/cranberrywind/internal/wire"
@@ -86,9 +87,11 @@
 	Version  uint64      `msgpack:"version" json:"version,omitempty"` // accepted as
 }
 
-// ServiceTable is the ownership of one service's keys.
+// ServiceTable is the ownership of one service's keys, or what changed in it.
 type ServiceTable struct {
 	Service string           `msgpack:"service"`
+	Layout  uint64           `msgpack:"layout"` // log index of the last split
+	Whole   bool             `msgpack:"whole"`  // holds all ranges
 	Ranges  []keyspace.Range `msgpack:"ranges"`
 }
 
@@ -126,6 +129,7 @@
 // table is a service's ownership.
 type table struct {
 	service string
+	layout  uint64 // log index at which the ranges' bounds last changed
 	keys    keyspace.Table
 }
 
@@ -203,17 +207,22 @@
 	return s
 }
 
+// withTable replaces a service's table whose bounds stay as they are.
 func (s State) withTable(service string, keys keyspace.Table) State {
 	s.tables = slices.Clone(s.tables)
 	i := slices.IndexFunc(s.tables, func(t table) bool { return t.service == service })
-	if i < 0 {
-		s.tables = append(s.tables, table{service: service, keys: keys})
-		return s
-	}
 	s.tables[i].keys = keys
 	return s
 }
 
+// withLayout replaces or adds a service's table whose bounds change.
+func (s State) withLayout(index uint64, service string, keys keyspace.Table) State {
+	s.tables = slices.DeleteFunc(slices.Clone(s.tables), func(t table) bool { return t.service == service })
+	s.tables = append(s.tables, table{service: service, layout: index, keys: keys})
+	slices.SortFunc(s.tables, func(a, b table) int { return strings.Compare(a.service, b.service) })
+	return s
+}
+
 func (s State) withChange(c Change) State {
 	s.changes = slices.Clone(s.changes)
 	i := slices.IndexFunc(s.changes, func(x Change) bool { return x.ChangeID == c.ChangeID })
@@ -256,7 +265,47 @@
 func (s State) serviceTables() []ServiceTable {
 	var out []ServiceTable
 	for _, t := range s.tables {
-		out = append(out, ServiceTable{Service: t.service, Ranges: t.keys.Ranges()})
+		out = append(out, t.whole())
+	}
+	return out
+}
+
+func (t table) whole() ServiceTable {
+	return ServiceTable{Service: t.service, Layout: t.layout, Whole: true, Ranges: t.keys.Ranges()}
+}
+
+// since returns what changed after the version: all of it where the ranges'
+// bounds did.
+func (t table) since(version uint64) ServiceTable {
+	if t.layout > version {
+		return t.whole()
+	}
+	out := ServiceTable{Service: t.service, Layout: t.layout}
+	for _, r := range t.keys.All() {
+		if r.Changed > version {
+			out.Ranges = append(out.Ranges, r)
+		}
+	}
+	return out
+}
+
+// TablesSince returns what changed in each table after the version. Every table
+// is listed, so that one that is gone is noticed.
+func (s State) TablesSince(version uint64) []ServiceTable {
+	out := make([]ServiceTable, 0, len(s.tables))
+	for _, t := range s.tables {
+		out = append(out, t.since(version))
+	}
+	return out
+}
+
+// TargetsSince returns the targets that changed after the version.
+func (s State) TargetsSince(version uint64) []Target {
+	var out []Target
+	for _, t := range s.targets {
+		if t.Changed > version {
+			out = append(out, t)
+		}
 	}
 	return out
 }
@@ -280,7 +329,7 @@
 		if err != nil {
 			return State{}, err
 		}
-		s.tables = append(s.tables, table{service: t.Service, keys: keys})
+		s.tables = append(s.tables, table{service: t.Service, layout: t.Layout, keys: keys})
 	}
 	if len(s.history) == 0 {
 		return s, nil
--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -30,7 +30,7 @@
 	c.noteEntry(id, req.Acked)
 	out := &instance.SyncResponse{Lease: c.timing.EntryLease}
 	if state.Version() != req.Version {
-		out.View = ViewOf(state)
+		out.View = ViewOf(state, req.Version, req.TextVersion)
 	}
 	return out, nil
 }
@@ -86,20 +86,20 @@
 	c.view.Entries[id] = e
 }
 
-// ViewOf returns what an entry routes by.
-func ViewOf(state control.State) *instance.View {
+// ViewOf returns what changed for an entry that holds the given versions of
+// view and text, 0 for none.
+func ViewOf(state control.State, since, textVersion uint64) *instance.View {
 	accepted, parsed := state.Text()
 	out := &instance.View{
+		Since:       since,
 		Version:     state.Version(),
 		TextVersion: accepted.Version,
-		Source:      accepted.Source,
-		Targets:     state.Targets(),
+		Targets:     state.TargetsSince(since),
+		Tables:      state.TablesSince(since),
 		Suspects:    state.Suspects(),
 	}
-	for _, service := range parsed.Services {
-		if keys, ok := state.Table(service.Name); ok {
-			out.Tables = append(out.Tables, control.ServiceTable{Service: service.Name, Ranges: keys.Ranges()})
-		}
+	if accepted.Version != textVersion {
+		out.Source = accepted.Source
 	}
 	for _, i := range parsed.ControlInstances() {
 		out.Control = append(out.Control, i.Address)
--- /dev/null
+++ b/internal/controller/view_bench_test.go
@@ -0,0 +1,66 @@
+package controller_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrywind/cranberrywind/internal/control"
+	"github.com/cranberrywind/cranberrywind/internal/controller"
+	"github.com/cranberrywind/cranberrywind/internal/wire"
+	"github.com/cranberrywind/cranberrywind/pkg/keyspace"
+)
+
+const (
+	rangesPerTarget = 16
+	settledAt       = 1000 // log index of the state before the change
+)
+
+// snapshot is the part of a control snapshot that the benchmark fills in.
+type snapshot struct {
+	Version uint64                 `msgpack:"version"`
+	Targets []control.Target       `msgpack:"targets"`
+	Tables  []control.ServiceTable `msgpack:"tables"`
+}
+
+func state(b *testing.B, targets int) control.State {
+	b.Helper()
+	s := snapshot{Version: settledAt}
+	ranges := keyspace.New(targets * rangesPerTarget).Ranges()
+	for n := range targets {
+		t := control.Target{
+			Name: fmt.Sprintf("stock-%05d", n), Incarnation: "6b1f0b0e-8a51-4c6e-9d0a-0b6f6c3b7a11", Service: "stock",
+			Address: "10.100.200.100:8080", AvailabilityZone: "availability-zone-1", Slots: 3, Connections: 120,
+			ChecksFence: true, Status: control.TargetLive, Changed: settledAt,
+		}
+		s.Targets = append(s.Targets, t)
+		for i := range rangesPerTarget {
+			r := &ranges[n*rangesPerTarget+i]
+			r.Owner, r.Epoch, r.Phase, r.Changed = t.Owner(), settledAt, keyspace.Active, settledAt
+		}
+	}
+	s.Tables = []control.ServiceTable{{Service: "stock", Layout: 1, Ranges: ranges}}
+	out, err := control.Decode(wire.Encode(s))
+	assert.NilError(b, err)
+	return out
+}
+
+// BenchmarkView makes and encodes what one entry is sent: the whole view at its
+// start, and the changes after the loss of one target.
+func BenchmarkView(b *testing.B) {
+	for _, targets := range []int{64, 256, 1024, 2300} {
+		s := state(b, targets)
+		lose := control.Command{Lose: &control.Lose{Owner: s.Targets()[0].Owner()}}
+		after, _ := s.Apply(settledAt+1, wire.Encode(lose))
+		for name, since := range map[string]uint64{"whole": 0, "changes": settledAt} {
+			b.Run(fmt.Sprintf("%s/targets=%d", name, targets), func(b *testing.B) {
+				size := 0
+				for b.Loop() {
+					size = len(wire.Encode(controller.ViewOf(after, since, 0)))
+				}
+				b.ReportMetric(float64(size), "bytes")
+			})
+		}
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,10 +11,8 @@
 	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
 
-	"github.com/cranberrywind/cranberrywind/internal/control"
 	"github.com/cranberrywind/cranberrywind/internal/instance"
 	"github.com/cranberrywind/cranberrywind/internal/router"
-	"github.com/cranberrywind/cranberrywind/internal/text"
 	"github.com/cranberrywind/cranberrywind/pkg/keyspace"
 	"github.com/cranberrywind/cranberrywind/pkg/lease"
 	"github.com/cranberrywind/cranberrywind/pkg/loop"
@@ -55,6 +53,10 @@
 	held  atomic.Pointer[lease.Held]
 	view  atomic.Pointer[router.View]
 
+	// behind says that the last changes did not fit: the next renewal asks for
+	// the whole view. Only keepSynced uses it.
+	behind bool
+
 	mu   sync.Mutex
 	open map[router.RequestID]*pending
 }
@@ -174,8 +176,12 @@
 		Instance:    e.cfg.Name,
 		Incarnation: e.incarnation,
 		Version:     view.Version,
+		TextVersion: view.TextVersion,
 		Acked:       e.acked.Load(),
 	}
+	if e.behind {
+		req.Version, req.TextVersion = 0, 0
+	}
 	asked := e.cfg.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, 4*syncTimeout)
 	defer cancel()
@@ -190,6 +196,7 @@
 	event := router.Renewed{Now: e.cfg.Clock.Now()}
 	if res.View != nil {
 		view, err := viewOf(res.View, e.view.Load())
+		e.behind = err != nil
 		if err != nil {
 			return err
 		}
@@ -212,41 +219,6 @@
 	return named
 }
 
-// viewOf checks and indexes a view. The text is parsed only where it changed.
-func viewOf(in *instance.View, last *router.View) (*router.View, error) {
-	out := &router.View{
-		Version:     in.Version,
-		TextVersion: in.TextVersion,
-		Text:        last.Text,
-		Targets:     make(map[string]control.Target, len(in.Targets)),
-		Tables:      make(map[string]keyspace.Table, len(in.Tables)),
-		Held:        make(map[string]bool),
-		Suspected:   make(map[string]bool),
-	}
-	if in.TextVersion != last.TextVersion {
-		parsed, err := text.Parse("text", in.Source)
-		if err != nil {
-			return nil, err
-		}
-		out.Text = parsed
-	}
-	for _, t := range in.Targets {
-		out.Targets[t.Name] = t
-	}
-	for _, t := range in.Tables {
-		keys, err := keyspace.FromRanges(t.Ranges)
-		if err != nil {
-			return nil, err
-		}
-		out.Tables[t.Service] = keys
-	}
-	for _, s := range in.Suspects {
-		out.Suspected[s.Fingerprint] = true
-		out.Held[s.Fingerprint] = s.Held()
-	}
-	return out, nil
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/instance/messages.go
+++ b/internal/instance/messages.go
@@ -15,8 +15,9 @@
 type SyncRequest struct {
 	Instance    string `msgpack:"instance"`
 	Incarnation string `msgpack:"incarnation"`
-	Version     uint64 `msgpack:"version"` // of the view it holds
-	Acked       uint64 `msgpack:"acked"`   // no request runs under an older version
+	Version     uint64 `msgpack:"version"`      // of the view it holds
+	TextVersion uint64 `msgpack:"text_version"` // of the text it holds
+	Acked       uint64 `msgpack:"acked"`        // no request runs under an older version
 }
 
 // SyncResponse renews an entry's lease, counted from when it sent the request.
@@ -25,11 +26,12 @@
 	View  *View         `msgpack:"view"` // nil where the entry's is the latest
 }
 
-// View is what an entry routes by.
+// View is what an entry routes by, as far as it changed after the version Since.
 type View struct {
+	Since       uint64                 `msgpack:"since"` // 0 for a whole view
 	Version     uint64                 `msgpack:"version"`
 	TextVersion uint64                 `msgpack:"text_version"`
-	Source      []byte                 `msgpack:"source"` // of the accepted text
+	Source      []byte                 `msgpack:"source"` // of the accepted text, where it changed
 	Targets     []control.Target       `msgpack:"targets"`
 	Tables      []control.ServiceTable `msgpack:"tables"`
 	Suspects    []control.Suspect      `msgpack:"suspects"`
--- a/pkg/keyspace/keyspace.go
+++ b/pkg/keyspace/keyspace.go
@@ -60,6 +60,8 @@
 	Owner Owner  `msgpack:"owner" json:"owner"`
 	Epoch uint64 `msgpack:"epoch" json:"epoch"`
 	Phase Phase  `msgpack:"phase" json:"phase"`
+	// Changed is the log index of the last change of any of these fields.
+	Changed uint64 `msgpack:"changed" json:"changed"`
 }
 
 // Table is an immutable, ordered list of ranges that covers the key space.
