Move ranges in batches, acknowledge at once, and let first targets share without moves

Cause: an idle deployment of 4 instances and 6 targets used 28% of a core and 16 KB/s at an entry (BenchmarkIdle). Its log showed ranges moving one at a time for about 10 s after the start: the first target to announce itself got all ranges and the others took them back one by one, each move waiting up to 100 ms for the entries' next renewal. Change: a service's first ranges wait until no target has joined for 300 ms (at most 2 s); planned moves go in batches of 4 within moves_a_minute and, where a deployment weighs churn, only for differences of a quarter of the mean; an entry tells the leader at once that it has taken over a version.

--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cranberrywind/cranberrywind/internal/text"
@@ -46,8 +45,9 @@
 type TargetView struct {
 	Heard   timer.Instant
 	Lease   lease.Granted
-	Granted uint64 // version of the last grant order that it confirmed
-	Refused bool   // its address refused a connection after it was lost
+	First   timer.Instant // first heartbeat to this leader
+	Granted uint64        // version of the last grant order that it confirmed
+	Refused bool          // its address refused a connection after it was lost
 }
 
 // View is what only the leader knows: leases, heartbeats and confirmations.
@@ -100,6 +100,7 @@
 // targets' heartbeats.
 type Planner struct {
 	quiet uint64 // version of a state without work, or 0
+	moves []allowance
 }
 
 // Next returns the command that the leader should propose next, if any, and
@@ -111,11 +112,14 @@
 	if p.quiet == s.version && s.version > 0 {
 		return p, Command{}, false
 	}
-	c, ok := planRanges(s, v, t)
-	if !ok && !s.moving() {
+	if c, ok := planRanges(s, v, t); ok {
+		return p, c, true
+	}
+	p, c, wanted := p.planBalance(s, v)
+	if !wanted && !s.moving() {
 		p.quiet = s.version
 	}
-	return p, c, ok
+	return p, c, c.Revoke != nil
 }
 
 // Plan returns the command that a leader should propose next, if any.
@@ -126,7 +130,7 @@
 
 // planRanges looks at all ranges.
 func planRanges(s State, v View, t Timing) (Command, bool) {
-	planners := []func(State, View, Timing) (Command, bool){planAssign, planActivate, planDrain, planBalance}
+	planners := []func(State, View, Timing) (Command, bool){planAssign, planActivate, planDrain}
 	for _, plan := range planners {
 		if c, ok := plan(s, v, t); ok {
 			return c, true
@@ -170,7 +174,11 @@
 			continue
 		}
 		counts := ownedCounts(s, service.Name, keys)
+		settled := v.settled(counts)
 		for _, r := range keys.All() {
+			if r.Phase == keyspace.Unowned && !settled {
+				continue
+			}
 			if !free(s, v, t, service, r) {
 				continue
 			}
@@ -186,6 +194,28 @@
 	return Command{Assign: &out}, len(out.Ranges) > 0
 }
 
+// A service's first ranges wait until no target has announced itself for
+// settleTime, so that those that start together share them without moves, but no
+// longer than maxSettle.
+const (
+	settleTime = 300 * time.Millisecond
+	maxSettle  = 2 * time.Second
+)
+
+// settled reports whether the targets that count the ranges of have been known
+// for long enough.
+func (v View) settled(counts map[keyspace.Owner]int) bool {
+	var oldest, newest timer.Instant
+	for owner := range counts {
+		first := v.Targets[owner].First
+		if oldest == 0 || first < oldest {
+			oldest = first
+		}
+		newest = max(newest, first)
+	}
+	return v.Now.Sub(newest) >= settleTime || v.Now.Sub(oldest) >= maxSettle
+}
+
 func refOf(service string, r keyspace.Range) RangeRef {
 	return RangeRef{Service: service, Start: r.Start, Epoch: r.Epoch}
 }
@@ -306,38 +336,3 @@
 	}
 	return n
 }
-
-// planBalance moves one range from the target with the most ranges to the one
-// with the fewest, if they differ by two or more.
-func planBalance(s State, _ View, _ Timing) (Command, bool) {
-	for _, t := range s.tables {
-		if inMotion(t.keys) > 0 {
-			continue
-		}
-		counts := ownedCounts(s, t.service, t.keys)
-		low, ok := fewest(counts)
-		if !ok {
-			continue
-		}
-		high := most(counts)
-		if counts[high]-counts[low] < 2 {
-			continue
-		}
-		ranges := t.keys.Ranges()
-		i := slices.IndexFunc(ranges, func(r keyspace.Range) bool { return r.Owner == high && r.Phase == keyspace.Active })
-		if i >= 0 {
-			return Command{Revoke: &Revoke{Ranges: []RangeRef{refOf(t.service, ranges[i])}}}, true
-		}
-	}
-	return Command{}, false
-}
-
-func most(counts map[keyspace.Owner]int) keyspace.Owner {
-	var best keyspace.Owner
-	for owner, n := range counts {
-		if best.Target == "" || n > counts[best] || (n == counts[best] && owner.Target < best.Target) {
-			best = owner
-		}
-	}
-	return best
-}
--- a/internal/control/plan_test.go
+++ b/internal/control/plan_test.go
@@ -22,6 +22,7 @@
 	t.Helper()
 	w := &world{machine: machine{t: t}, timing: control.DefaultTiming()}
 	w.view = control.View{Entries: make(map[control.EntryID]control.EntryView), Targets: make(map[keyspace.Owner]control.TargetView)}
+	w.pass(time.Second)
 	w.accept("first", 0, source(extra))
 	w.ack("i1", 1)
 	for _, target := range targets {
@@ -43,6 +44,9 @@
 // beat notes a heartbeat, which renews the target's lease.
 func (w *world) beat(x control.Target) {
 	v := w.view.Targets[x.Owner()]
+	if v.First == 0 {
+		v.First = w.view.Now
+	}
 	v.Heard = w.view.Now
 	v.Lease = v.Lease.WithGrant(w.view.Now, w.timing.TargetLease)
 	w.view.Targets[x.Owner()] = v
@@ -79,10 +83,12 @@
 func (w *world) settle() {
 	w.t.Helper()
 	for range 60 {
+		w.pass(10 * time.Millisecond)
 		w.plan()
 		w.ack("i1", w.state.Version())
 		for _, x := range w.state.Targets() {
 			if x.Status != control.TargetLost {
+				w.beat(x)
 				w.confirm(x)
 			}
 		}
--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -18,6 +18,10 @@
 		return nil, c.leaderError(nil)
 	}
 	id := control.EntryID{Instance: req.Instance, Incarnation: req.Incarnation}
+	if req.AckOnly {
+		c.noteAck(id, req.Acked)
+		return &instance.SyncResponse{}, nil
+	}
 	c.noteEntry(id, req.Acked)
 	applied, err := c.group.Barrier(ctx)
 	if err != nil {
@@ -86,6 +90,20 @@
 	c.view.Entries[id] = e
 }
 
+// noteAck notes what an entry acknowledged and plans on at once. It renews
+// nothing.
+func (c *Controller) noteAck(id control.EntryID, acked uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, ok := c.view.Entries[id]
+	if !ok {
+		return
+	}
+	e.Acked = max(e.Acked, acked)
+	c.view.Entries[id] = e
+	c.planSoon()
+}
+
 // ViewOf returns what changed for an entry that holds the given versions of
 // view and text, 0 for none.
 func ViewOf(state control.State, since, textVersion uint64) *instance.View {
@@ -151,6 +169,9 @@
 	defer c.mu.Unlock()
 	v := c.view.Targets[owner]
 	now := c.clock.Now()
+	if v.First == 0 {
+		v.First = now
+	}
 	v.Heard = now
 	v.Refused = false
 	v.Lease = v.Lease.WithGrant(now, c.timing.TargetLease)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -50,11 +50,21 @@
 	planner control.Planner
 	orders  map[keyspace.Owner]bool          // grant orders under way
 	probes  map[keyspace.Owner]timer.Instant // next probe of a lost target
+
+	wake chan struct{}
 }
 
 // New returns a controller of the replica.
 func New(g *group.Group[control.State], granter Granter, clock timer.Service, timing control.Timing, logger *log.Logger) *Controller {
-	return &Controller{group: g, granter: granter, clock: clock, timing: timing, log: logger}
+	return &Controller{group: g, granter: granter, clock: clock, timing: timing, log: logger, wake: make(chan struct{}, 1)}
+}
+
+// planSoon makes Run plan without waiting for the next tick.
+func (c *Controller) planSoon() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
 }
 
 // Run plans until ctx ends.
@@ -66,6 +76,7 @@
 		case <-ctx.Done():
 			return
 		case <-c.group.Watch():
+		case <-c.wake:
 		case <-ticks:
 		}
 		c.planOnce(ctx)
@@ -195,6 +206,7 @@
 		return
 	}
 	c.noteGranted(t.Owner(), order.Fence)
+	c.planSoon()
 }
 
 // noteGranted is called with the lock held.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -50,6 +50,7 @@
 
 	next  atomic.Uint64
 	acked atomic.Uint64
+	acks  chan struct{} // signals that acked has grown
 	held  atomic.Pointer[lease.Held]
 	view  atomic.Pointer[router.View]
 
@@ -88,6 +89,7 @@
 		sync:        instance.NewLeader(cfg.Pool, cfg.Control, syncTimeout),
 		control:     instance.NewLeader(cfg.Pool, cfg.Control, callTimeout),
 		open:        make(map[router.RequestID]*pending),
+		acks:        make(chan struct{}, 1),
 	}
 	e.held.Store(&lease.Held{})
 	e.view.Store(&router.View{})
@@ -98,6 +100,7 @@
 	ticks, stopTicks := cfg.Clock.Subscribe(tickPeriod)
 	go e.tick(ctx, ticks)
 	go e.keepSynced(ctx)
+	go e.keepAcknowledged(ctx)
 	return e, func() {
 		stopTicks()
 		cancel()
@@ -137,6 +140,10 @@
 			e.cancelAttempt(x.ID)
 		case router.Acked:
 			e.acked.Store(x.Version)
+			select {
+			case e.acks <- struct{}{}:
+			default:
+			}
 		}
 	}
 	return nil
@@ -169,6 +176,25 @@
 	}
 }
 
+// keepAcknowledged tells the leader at once when this entry has taken over a
+// version: a range that moves is served by nobody until all entries have.
+func (e *Entry) keepAcknowledged(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.acks:
+		}
+		req := &instance.SyncRequest{Instance: e.cfg.Name, Incarnation: e.incarnation, Acked: e.acked.Load(), AckOnly: true}
+		bounded, cancel := context.WithTimeout(ctx, syncTimeout)
+		_, err := instance.CallLeader[instance.SyncRequest, instance.SyncResponse](bounded, e.control, "Sync", req)
+		cancel()
+		if err != nil {
+			e.cfg.Log.Debug("version not acknowledged", "error", err)
+		}
+	}
+}
+
 // renew asks the control leader for a lease, counted from before the request.
 func (e *Entry) renew(ctx context.Context) error {
 	view := e.view.Load()
--- a/internal/instance/messages.go
+++ b/internal/instance/messages.go
@@ -18,6 +18,7 @@
 	Version     uint64 `msgpack:"version"`      // of the view it holds
 	TextVersion uint64 `msgpack:"text_version"` // of the text it holds
 	Acked       uint64 `msgpack:"acked"`        // no request runs under an older version
+	AckOnly     bool   `msgpack:"ack_only"`     // brings Acked at once and asks for nothing
 }
 
 // SyncResponse renews an entry's lease, counted from when it sent the request.
--- a/internal/text/text.go
+++ b/internal/text/text.go
@@ -50,10 +50,16 @@
 	TakeoverMove Takeover = "move"
 )
 
+// What a deployment weighs most when keys might move.
+const (
+	WeighsUnavailableTime = "unavailable_time"
+	WeighsChurn           = "churn"
+)
+
 // Text is a checked text.
 type Text struct {
 	Deployment string
-	Weighs     string // "unavailable_time" or "churn"
+	Weighs     string // WeighsUnavailableTime or WeighsChurn
 	Bookings   Bookings
 	Members    []Member
 	Instances  []Instance
@@ -162,7 +168,7 @@
 	d := f.Section("deployment")
 	out := Text{
 		Deployment: d.Required("name"),
-		Weighs:     d.OneOf("weighs", "unavailable_time", "unavailable_time", "churn"),
+		Weighs:     d.OneOf("weighs", WeighsUnavailableTime, WeighsUnavailableTime, WeighsChurn),
 	}
 	b := f.Section("bookings")
 	out.Bookings = Bookings{
