--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -7,6 +7,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 
 	"gonum.org/v1/gonum/stat"
 )
@@ -63,7 +65,10 @@
 	}
 	out := Fit{Series: s}
 	out.Fixed, out.Slope = stat.LinearRegression(xs, ys, nil, false)
-	out.R2 = stat.RSquared(xs, ys, nil, out.Fixed, out.Slope)
+	out.R2 = 1
+	if stat.Variance(ys, nil) > 0 {
+		out.R2 = stat.RSquared(xs, ys, nil, out.Fixed, out.Slope)
+	}
 	largest := 0.0
 	for i := range xs {
 		out.Worst = max(out.Worst, abs(ys[i]-out.At(xs[i])))
@@ -82,6 +87,9 @@
 	return x
 }
 
+// Names returns the names of all series in order.
+func (f Fits) Names() []string { return slices.Sorted(maps.Keys(f)) }
+
 // must returns the named line. A missing one is a fault of the program.
 func (f Fits) must(name string) Fit {
 	x, ok := f[name]
--- /dev/null
+++ b/internal/capacity/estimate.go
@@ -0,0 +1,181 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"math"
+)
+
+// Size is what an operator expects of a deployment.
+type Size struct {
+	Nodes       float64 // instances and targets together
+	Keys        float64
+	Requests    float64 // a second
+	Bookings    float64 // share of the requests
+	Changes     float64 // accepted texts a day
+	Losses      float64 // instances and targets lost a day
+	Restarts    float64 // planned, a day
+	Zones       float64 // availability zones
+	Cores       float64 // of one entry
+	Utilization float64 // of an entry's cores that requests may use
+	Retention   float64 // of booking records, in hours
+	Control     float64 // instances set aside for control
+}
+
+// Stated is the size that the users expect within two years. Shares, cores and
+// retention are this page's assumptions.
+func Stated() Size {
+	return Size{
+		Nodes: 2300, Keys: 2.2e9, Requests: 25e6, Bookings: 0.02, Changes: 1600, Losses: 7, Restarts: 180,
+		Zones: 11, Cores: 16, Utilization: 0.6, Retention: 72, Control: 9,
+	}
+}
+
+// Row is one line of the table. A budget of 0 means that none is stated.
+type Row struct {
+	Role      string  `json:"role"`
+	Quantity  string  `json:"quantity"`
+	Unit      string  `json:"unit"`
+	Budget    float64 `json:"budget"`
+	Estimate  float64 `json:"estimate"`
+	Mechanism string  `json:"mechanism"`
+	Basis     string  `json:"basis"`
+}
+
+// Margin returns how many times the estimate fits into the budget, or 0 where
+// no budget is stated.
+func (r Row) Margin() float64 {
+	if r.Budget == 0 || r.Estimate == 0 {
+		return 0
+	}
+	return r.Budget / r.Estimate
+}
+
+// Per-node budgets that the users state for control.
+const (
+	budgetCore  = 3.0       // percent of one core
+	budgetBytes = 12 * 1024 // bytes a second
+	budgetHeap  = 32 << 20  // bytes
+	inForce     = 11_000.0  // milliseconds
+)
+
+const (
+	daySeconds       = 86_400.0
+	commandsPerLoss  = 4    // lose, assign, activate, and the move back
+	commandsPerBook  = 2    // start and finish
+	textBytesPerNode = 90.0 // of an instance's section in the text
+	textBytesFixed   = 8_192.0
+	controlCores     = 8.0 // of an instance set aside for control
+)
+
+// Layout is how the nodes divide into roles.
+type Layout struct {
+	Entries float64 `json:"entries"`
+	Targets float64 `json:"targets"`
+}
+
+// Divide returns how many entries carry the requests, by the measured processor
+// time of one, and how many nodes remain as targets.
+func Divide(f Fits, s Size) Layout {
+	perRequest := f.must("entry_us").Slope // microseconds of processor time
+	entries := math.Ceil(s.Requests * perRequest / (1e6 * s.Cores * s.Utilization))
+	return Layout{Entries: entries, Targets: max(s.Nodes-s.Control-entries, 0)}
+}
+
+// Estimate works out the table for a size.
+func Estimate(f Fits, s Size) (Layout, []Row) {
+	l := Divide(f, s)
+	rows := entryRows(f, s, l)
+	rows = append(rows, leaderRows(f, s, l)...)
+	rows = append(rows, bookingRows(f, s)...)
+	return l, rows
+}
+
+func entryRows(f Fits, s Size, l Layout) []Row {
+	text := textBytesFixed + textBytesPerNode*(l.Entries+s.Control)
+	daily := s.Changes*text + (s.Losses+s.Restarts)*commandsPerLoss*f.must("change_bytes").At(l.Targets)
+	traffic := f.must("entry_traffic").At(l.Entries) + daily/daySeconds
+	return []Row{
+		{"entry", "entries for the requests", "instances", 0, l.Entries, "router loop, one hop", "entry_us"},
+		{"entry", "memory of the view", "bytes", budgetHeap, f.must("view_heap").At(l.Targets), "ranges, never keys; immutable table", "view_heap"},
+		{"entry", "control traffic", "B/s", budgetBytes, traffic, "held renewals, changes only, whole text", "entry_traffic, change_bytes"},
+		{"entry", "control processor time, with the leader's share", "% of a core", budgetCore, f.must("idle_by_entries").Slope, "one held renewal per 100 ms", "idle_by_entries"},
+		{"entry", "text in force everywhere", "ms", inForce, f.must("in_force").At(l.Entries), "held renewals answered at once", "in_force"},
+		{"entry", "router's share of a request", "us", 0, f.must("router_us").At(l.Targets), "one reducer loop per entry", "router_us"},
+	}
+}
+
+func leaderRows(f Fits, s Size, l Layout) []Row {
+	plans := 50.0 // a second
+	renewals := f.must("idle_by_entries").Slope * l.Entries
+	heartbeats := f.must("idle_by_targets").Slope * l.Targets
+	bytes := f.must("leader_by_entries").Slope*l.Entries + f.must("leader_by_targets").Slope*l.Targets
+	commands := s.Changes*3 + (s.Losses+s.Restarts)*commandsPerLoss
+	return []Row{
+		{"control leader", "idle planning", "% of a core", 100 * controlCores, f.must("plan_us").At(l.Targets) * plans / 1e4, "planner skips unchanged states", "plan_us"},
+		{"control leader", "entries' renewals", "% of a core", 100 * controlCores, renewals, "direct to the leader", "idle_by_entries"},
+		{"control leader", "targets' heartbeats", "% of a core", 100 * controlCores, heartbeats, "direct to the leader", "idle_by_targets"},
+		{"control leader", "traffic", "B/s", 125e6, bytes, "1 Gbit/s link", "leader_by_entries, leader_by_targets"},
+		{"control leader", "changes to all entries after one loss", "ms of a core", 1000, f.must("change_us").At(l.Targets) * l.Entries / 1e3, "one walk over the ranges for each entry", "change_us"},
+		{"control", "snapshot", "bytes", budgetHeap, f.must("snapshot_bytes").At(l.Targets), "one snapshot, not a replay", "snapshot_bytes"},
+		{"control", "log commands a day", "commands", 0, commands, "three for a text, four for a loss", "counted"},
+	}
+}
+
+func bookingRows(f Fits, s Size) []Row {
+	perSecond := s.Requests * s.Bookings
+	commands := perSecond * commandsPerBook
+	records := perSecond * s.Retention * 3600
+	return []Row{
+		{"booking log", "commands a second", "commands/s", 0, commands, "two for each booking", "counted"},
+		{"booking log", "groups of three needed", "groups", 0, math.Ceil(commands / f.must("group_rate").best()), "many small groups by key hash", "group_rate"},
+		{"booking log", "memory of all records, one copy", "bytes", 0, records * f.must("record_bytes").best(), "records in memory for the retention", "record_bytes"},
+	}
+}
+
+// best returns the largest measured quantity: what the mechanism reached.
+func (f Fit) best() float64 {
+	out := 0.0
+	for _, p := range f.Points {
+		out = max(out, p[1])
+	}
+	return out
+}
+
+// WriteText writes the table.
+func WriteText(w io.Writer, l Layout, rows []Row) error {
+	if _, err := fmt.Fprintf(w, "%.0f entries, %.0f targets\n\n", l.Entries, l.Targets); err != nil {
+		return err
+	}
+	for _, r := range rows {
+		if _, err := fmt.Fprintln(w, r.text()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r Row) text() string {
+	budget, margin := "none stated", ""
+	if r.Budget > 0 {
+		budget = number(r.Budget)
+		margin = fmt.Sprintf("%.2f", r.Margin())
+		if r.Margin() < 1 {
+			margin += " BREAKS"
+		}
+	}
+	return fmt.Sprintf("%-15s %-50s %12s %-13s budget %-12s margin %-14s %s", r.Role, r.Quantity, number(r.Estimate), r.Unit, budget, margin, r.Mechanism)
+}
+
+// number writes a quantity with three significant digits and a decimal prefix.
+func number(x float64) string {
+	for _, p := range []struct {
+		size float64
+		name string
+	}{{1e15, "P"}, {1e12, "T"}, {1e9, "G"}, {1e6, "M"}, {1e3, "k"}} {
+		if x >= p.size {
+			return fmt.Sprintf("%.3g %s", x/p.size, p.name)
+		}
+	}
+	return fmt.Sprintf("%.3g", x)
+}
--- a/internal/control/control_bench_test.go
+++ b/internal/control/control_bench_test.go
@@ -4,11 +4,14 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
 
 	"github.com/cranberrywind/cranberrywind/internal/control"
 	"github.com/cranberrywind/cranberrywind/internal/wire"
 	"github.com/cranberrywind/cranberrywind/pkg/keyspace"
-	"github.com/cranberrywind/cranberrywind/pkg/lease"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
 // rangesPerTarget is how many ranges a target owns in the benchmarks.
@@ -26,6 +29,8 @@
 	state := m.state
 	view := control.View{Entries: make(map[control.EntryID]control.EntryView), Targets: make(map[keyspace.Owner]control.TargetView)}
 	index := m.index
+	const now = timer.Instant(time.Hour)
+	view.Now = now
 	step := func(c control.Command) {
 		index++
 		state, _ = state.Apply(index, wire.Encode(c))
@@ -35,7 +40,7 @@
 		x.Address, x.AvailabilityZone, x.Slots, x.Connections = "10.100.200.100:8080", "availability-zone-1", 3, 120
 		x.Incarnation = "6b1f0b0e-8a51-4c6e-9d0a-0b6f6c3b7a11"
 		step(control.Command{Announce: &control.Announce{Target: x}})
-		view.Targets[x.Owner()] = control.TargetView{Lease: lease.Granted{}, Granted: 1 << 40}
+		view.Targets[x.Owner()] = control.TargetView{First: 1, Heard: now, Granted: 1 << 40}
 	}
 	view.Entries[control.EntryID{Instance: "i1", Incarnation: "1"}] = control.EntryView{Acked: 1 << 40}
 	for range 4 {
@@ -53,9 +58,22 @@
 		}
 		step(control.Command{Activate: &activate})
 	}
+	assertActive(b, state, ranges)
 	return state, view
 }
 
+func assertActive(b *testing.B, state control.State, want int) {
+	b.Helper()
+	active := 0
+	keys, _ := state.Table("stock")
+	for _, r := range keys.All() {
+		if r.Phase == keyspace.Active {
+			active++
+		}
+	}
+	assert.Equal(b, active, want)
+}
+
 func eachSize(b *testing.B, run func(b *testing.B, state control.State, view control.View)) {
 	for _, n := range benchTargets {
 		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
--- a/internal/local/idle_bench_test.go
+++ b/internal/local/idle_bench_test.go
@@ -1,17 +1,17 @@
 package local_test
 
 import (
-	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
-	"github.com/cranberrywind/cranberrywind/internal/load"
 	"github.com/cranberrywind/cranberrywind/internal/local"
 	"github.com/cranberrywind/cranberrywind/internal/standin"
 	"github.com/cranberrywind/cranberrywind/pkg/replica"
@@ -60,28 +60,48 @@
 	b.ReportMetric((bytes(entry)-entryBefore)/seconds, "entry_B/s")
 }
 
-// BenchmarkRequestCost measures the processor time that one request takes at
-// the entry, as the difference between routed and direct requests.
+// BenchmarkRequestCost measures the processor time that requests take at the
+// entry, as the difference between routed and direct ones, at several numbers
+// of requests.
 func BenchmarkRequestCost(b *testing.B) {
-	const seconds = 3
 	d := benchDeployment(b, local.WithTargets(1, 64), local.WithWork(0))
 	i := slices.IndexFunc(d.Targets, func(t *standin.Target) bool { return t.Name() == "stock-1" })
-	run := func(address string, rate float64) float64 {
-		before := cpu()
-		load.Run(context.Background(), load.Config{
-			Targets: []string{address}, Rate: rate, Duration: seconds * time.Second, Keys: 1000, Seed: 1, Timeout: 5 * time.Second,
-			Kinds: []load.Kind{{Name: "lookup", Method: http.MethodGet, Prefix: "/stock/", Weight: 1}},
+	direct, routed := "http://"+d.Targets[i].Address(), callerOf(d, 0)
+	burst(b, direct, 2000)
+	burst(b, routed, 2000)
+	for _, n := range []int{5_000, 10_000, 20_000, 40_000} {
+		b.Run(fmt.Sprintf("requests=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				used := burst(b, routed, n) - burst(b, direct, n)
+				b.ReportMetric(float64(used.Microseconds()), "hop_us")
+				b.ReportMetric(float64(used.Microseconds())/float64(n), "hop_us/request")
+			}
 		})
-		return float64((cpu() - before).Microseconds()) / seconds
 	}
-	for _, rate := range []float64{500, 1000, 2000, 4000} {
-		b.Run(fmt.Sprintf("rate=%.0f", rate), func(b *testing.B) {
-			for b.Loop() {
-				direct := run(d.Targets[i].Address(), rate)
-				routed := run(d.Instances[0].Settings.CallerAddress, rate)
-				b.ReportMetric(routed-direct, "hop_us/s")
-				b.ReportMetric((routed-direct)/rate, "hop_us/request")
+}
+
+// burst sends n lookups from a few callers at once and returns the processor
+// time that the whole process took.
+func burst(b *testing.B, base string, n int) time.Duration {
+	b.Helper()
+	const callers = 12
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callers}}
+	defer client.CloseIdleConnections()
+	before := cpu()
+	var wg sync.WaitGroup
+	for c := range callers {
+		wg.Go(func() {
+			for i := range n / callers {
+				resp, err := client.Get(fmt.Sprintf("%s/stock/k%d", base, c*n+i))
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				_, _ = io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
 			}
 		})
 	}
+	wg.Wait()
+	return cpu() - before
 }
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -326,7 +326,7 @@
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
-		if state, err := d.State(ctx); err == nil && liveTargets(state) >= len(d.Targets) && d.routes(state) {
+		if state, err := d.State(ctx); err == nil && liveTargets(state) >= len(d.Targets) && d.Routes(state) {
 			return nil
 		}
 		time.Sleep(pollPeriod)
@@ -352,7 +352,7 @@
 	if err != nil {
 		return false
 	}
-	return liveTargets(state) >= len(d.Targets) && allActive(state) && d.routes(state)
+	return liveTargets(state) >= len(d.Targets) && allActive(state) && d.Routes(state)
 }
 
 func liveTargets(state control.State) int {
@@ -365,8 +365,8 @@
 	return live
 }
 
-// routes reports whether every running instance routes by the state.
-func (d *Deployment) routes(state control.State) bool {
+// Routes reports whether every running instance routes by the state.
+func (d *Deployment) Routes(state control.State) bool {
 	for _, x := range d.Instances {
 		if x.Daemon != nil && !x.Daemon.Routes(state.Version()) {
 			return false
