Let entries find their share of a target's slots, and pause at full targets

Change: adaptive limits (additive increase, decrease by a third on a refusal); a full target is left alone for 2 to 16 ms; a request that was turned down waits for a slot again and takes nothing from the retry budget. Credits given by control are not measured.

--- a/cmd/cranberrywind/main.go
+++ b/cmd/cranberrywind/main.go
@@ -63,7 +63,7 @@
 	}
 	root.AddCommand(
 		newServe(), newDev(), newStandin(), newCheck(), newConfig(),
-		newKeys(), newTargets(), newReport(), newCapacity(), newVersion(),
+		newKeys(), newTargets(), newReport(), newLoad(), newCapacity(), newVersion(),
 	)
 	return root
 }
--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -134,7 +134,15 @@
 	}
 }
 
-// mayRetry reports whether another attempt is worth asking for.
-func mayRetry(ctx context.Context, attempt int) bool {
-	return attempt+1 < maxAttempts && ctx.Err() == nil
+// again reports whether another attempt may be asked for after one that failed
+// at the target, and prepares it. A request that a target turned down waits for
+// a slot again; other failures are counted.
+func (c *call) again(ctx context.Context, err error, target string) bool {
+	c.want.Retry = true
+	c.want.Avoid = target
+	c.want.Shed = errors.Is(err, errShed)
+	if !c.want.Shed {
+		c.failed++
+	}
+	return c.failed < maxAttempts && ctx.Err() == nil && !errors.Is(err, errUnreported)
 }
--- a/internal/caller/booking.go
+++ b/internal/caller/booking.go
@@ -96,7 +96,7 @@
 // to have run.
 func (x *run) sendUntilRun(ctx context.Context, ticket *entry.Ticket) ending {
 	h, c := x.handler, x.call
-	for attempt := 0; ; attempt++ {
+	for {
 		a, err := x.sendOnce(ticket)
 		switch {
 		case err == nil:
@@ -105,10 +105,8 @@
 			go x.finish(booking.Unknown, booking.Answer{})
 			return ending{failure: unknown(http.StatusGatewayTimeout, "answer_lost", time.Second)}
 		}
-		refusal := &entry.Refusal{Reason: "no_answer", After: time.Second}
-		if mayRetry(ctx, attempt) {
-			c.want.Retry = true
-			c.want.Avoid = ticket.Route.Target.Name
+		refusal := &entry.Refusal{Reason: reasonNoAnswer, After: time.Second}
+		if c.again(ctx, err, ticket.Route.Target.Name) {
 			ticket, refusal = h.cfg.Entry.Acquire(context.WithoutCancel(ctx), c.want)
 		}
 		if refusal != nil {
--- a/internal/caller/download.go
+++ b/internal/caller/download.go
@@ -37,8 +37,7 @@
 func (h *Handler) download(ctx context.Context, w http.ResponseWriter, c *call) {
 	t := &transfer{handler: h, call: c, w: w}
 	ran := false
-	for attempt := 0; ; attempt++ {
-		c.want.Retry = attempt > 0
+	for {
 		ticket, refusal := h.cfg.Entry.Acquire(ctx, c.want)
 		if refusal == nil {
 			err := t.attempt(ticket)
@@ -46,9 +45,8 @@
 				return
 			}
 			ran = ran || !notRun(err)
-			c.want.Avoid = ticket.Route.Target.Name
-			refusal = &entry.Refusal{Reason: "no_answer", After: time.Second}
-			if mayRetry(ctx, attempt) && t.resumable(err) {
+			refusal = &entry.Refusal{Reason: reasonNoAnswer, After: time.Second}
+			if c.again(ctx, err, ticket.Route.Target.Name) && t.resumable(err) {
 				continue
 			}
 		}
@@ -74,7 +72,7 @@
 
 // resumable reports whether the rest may be asked for elsewhere.
 func (t *transfer) resumable(err error) bool {
-	if errors.Is(err, errCaller) || errors.Is(err, errUnreported) {
+	if errors.Is(err, errCaller) {
 		return false
 	}
 	return !t.started || (t.etag != "" && t.total >= 0)
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -66,6 +66,7 @@
 	service  text.Service
 	request  target.Request
 	want     entry.Wanted
+	failed   int // attempts
 	started  time.Time
 	deadline time.Time // by which the caller must have its answer
 }
--- a/internal/caller/lookup.go
+++ b/internal/caller/lookup.go
@@ -8,9 +8,13 @@
 	"time"
 
 	"github.com/cranberrywind/cranberrywind/internal/entry"
+	"github.com/cranberrywind/cranberrywind/internal/router"
 	"github.com/cranberrywind/cranberrywind/internal/target"
 )
 
+// reasonNoAnswer says that attempts failed and no more are made.
+const reasonNoAnswer router.Reason = "no_answer"
+
 // maxLookupAnswer is the largest answer to a lookup, which is kept whole before
 // the caller gets its first byte.
 const maxLookupAnswer = 8 << 20 // bytes
@@ -20,8 +24,7 @@
 func (h *Handler) lookup(ctx context.Context, w http.ResponseWriter, c *call) {
 	ran := false // an attempt may have run
 	var last *answer
-	for attempt := 0; ; attempt++ {
-		c.want.Retry = attempt > 0
+	for {
 		ticket, refusal := h.cfg.Entry.Acquire(ctx, c.want)
 		if refusal != nil {
 			h.giveUp(w, c, last, ran, *refusal)
@@ -29,18 +32,17 @@
 		}
 		a, err := h.tryLookup(c, ticket)
 		ran = ran || !notRun(err)
-		if err == nil && (a.status < http.StatusInternalServerError || !mayRetry(ctx, attempt)) {
+		if err == nil && a.status < http.StatusInternalServerError {
 			h.write(w, c, a)
 			return
 		}
 		if err == nil {
 			last = a
 		}
-		if !mayRetry(ctx, attempt) || errors.Is(err, errUnreported) {
-			h.giveUp(w, c, last, ran, entry.Refusal{Reason: "no_answer", After: time.Second})
+		if !c.again(ctx, err, ticket.Route.Target.Name) {
+			h.giveUp(w, c, last, ran, entry.Refusal{Reason: reasonNoAnswer, After: time.Second})
 			return
 		}
-		c.want.Avoid = ticket.Route.Target.Name
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -156,7 +156,7 @@
 		Control: addresses,
 		Pool:    d.pool,
 		Clock:   d.clock,
-		Router:  router.Config{Limits: router.FixedLimit, Seed: uint64(time.Now().UnixNano())},
+		Router:  router.Config{Limits: router.AdaptiveLimit, Seed: uint64(time.Now().UnixNano())},
 		Refuses: client.Refuses,
 		Log:     d.log,
 	})
--- a/internal/entry/tickets.go
+++ b/internal/entry/tickets.go
@@ -16,6 +16,7 @@
 	Deadline    time.Time     // until which the request may wait for a target
 	Grace       time.Duration // after the deadline in which an answer still counts
 	Retry       bool
+	Shed        bool   // the target turned the earlier attempt down
 	Avoid       string // target that just failed the request
 }
 
@@ -48,6 +49,7 @@
 		Deadline:    now.Add(time.Until(want.Deadline)),
 		Now:         now,
 		Retry:       want.Retry,
+		Shed:        want.Shed,
 		Avoid:       want.Avoid,
 	}
 	if err := e.loop.Send(event); err != nil {
--- /dev/null
+++ b/internal/local/overload_bench_test.go
@@ -0,0 +1,52 @@
+package local_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cranberrywind/cranberrywind/internal/load"
+	"github.com/cranberrywind/cranberrywind/internal/local"
+)
+
+// goodputLimit is the least share of the capacity that must be answered when
+// twice as much is asked for.
+const goodputLimit = 0.9
+
+// BenchmarkOverload offers one service 0.5 and 2 times what its targets can
+// answer, through ten entries, and compares the answers.
+func BenchmarkOverload(b *testing.B) {
+	const (
+		targets = 4
+		slots   = 3
+		work    = 20 * time.Millisecond
+	)
+	capacity := targets * slots / work.Seconds()
+	d := benchDeployment(b, local.WithInstances(10, 3), local.WithTargets(targets, slots), local.WithWork(work))
+	var callers []string
+	for _, x := range d.Instances {
+		callers = append(callers, x.Settings.CallerAddress)
+	}
+	for _, share := range []float64{0.5, 2} {
+		name := map[float64]string{0.5: "half", 2: "twice"}[share]
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				r := load.Run(context.Background(), load.Config{
+					Targets: callers, Rate: capacity * share, Duration: 8 * time.Second, Keys: 100_000, Seed: 3, Timeout: 10 * time.Second,
+					Kinds: []load.Kind{{Name: "lookup", Method: http.MethodGet, Prefix: "/stock/", Weight: 1}},
+				})
+				k := r.Kinds["lookup"]
+				goodput := float64(k.Outcomes["done"]) / 8 / capacity
+				b.ReportMetric(goodput, "goodput/capacity")
+				b.ReportMetric(float64(k.Outcomes["not_run"])/float64(k.Sent), "not_run_share")
+				b.ReportMetric(float64(k.Outcomes["unknown"]+k.Outcomes["broken"]), "unknown_or_broken")
+				b.ReportMetric(float64(k.P50.Microseconds())/1e3, "p50_ms")
+				b.ReportMetric(float64(k.P99.Microseconds())/1e3, "p99_ms")
+				if share > 1 && goodput < goodputLimit {
+					b.Errorf("goodput is %.2f of the capacity, less than %.2f", goodput, goodputLimit)
+				}
+			}
+		})
+	}
+}
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -28,7 +28,7 @@
 	if reason != "" {
 		return []Effect{r.refuse(e.ID, reason)}
 	}
-	if reason := r.spend(service, e.Retry); reason != "" {
+	if reason := r.spend(service, e.Retry && !e.Shed); reason != "" {
 		return []Effect{r.refuse(e.ID, reason)}
 	}
 	if e.Deadline <= e.Now {
@@ -146,6 +146,9 @@
 	l := r.loadOf(a.route.Target)
 	l.inFlight--
 	l.note(e.Result, e.Now)
+	if e.Result == ResultShed {
+		r.pauseAfterShed(l, e.Now)
+	}
 	effects := r.pump(a.request.Service, e.Now)
 	if a.stale > 0 {
 		effects = append(effects, r.ack()...)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -55,7 +55,8 @@
 	Fingerprint string
 	Deadline    timer.Instant
 	Now         timer.Instant
-	Retry       bool
+	Retry       bool   // an earlier attempt failed
+	Shed        bool   // the target turned the earlier attempt down
 	Avoid       string // target that just failed the request
 }
 
@@ -170,13 +171,11 @@
 
 // Config sets the policy of a router.
 type Config struct {
-	Limits LimitPolicy
-	Seed   uint64
+	Limits  LimitPolicy
+	NoPause bool // ask a full target again at once; the baseline
+	Seed    uint64
 }
 
-// LimitPolicy returns how many requests this entry may have at a target.
-type LimitPolicy func(t control.Target, entries int) int
-
 // New returns a router without a view; it refuses everything until Renewed.
 func New(cfg Config) *Router {
 	return &Router{
--- a/internal/router/targets.go
+++ b/internal/router/targets.go
@@ -6,6 +6,7 @@
 	"github.com/cranberrywind/cranberrywind/internal/control"
 	"github.com/cranberrywind/cranberrywind/internal/text"
 	"github.com/cranberrywind/cranberrywind/pkg/keyspace"
+	"github.com/cranberrywind/cranberrywind/pkg/limit"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
@@ -14,6 +15,9 @@
 type load struct {
 	incarnation string
 	inFlight    int
+	limiter     limit.Limiter
+	sheds       int           // refusals in a row
+	fullUntil   timer.Instant // no request goes there before
 	failures    int           // failed attempts since the last answer
 	shunned     timer.Instant // no unkeyed request goes there before
 }
@@ -32,8 +36,14 @@
 	switch result {
 	case ResultAbandoned:
 		return
+	case ResultShed:
+		l.sheds++
+		l.limiter = l.limiter.WithShed()
+		return
 	case ResultAnswered:
 		l.failures = 0
+		l.sheds = 0
+		l.limiter = l.limiter.WithAnswer()
 		return
 	}
 	l.failures++
@@ -44,7 +54,7 @@
 func (r *Router) loadOf(t control.Target) *load {
 	l, ok := r.loads[t.Name]
 	if !ok || l.incarnation != t.Incarnation {
-		l = &load{incarnation: t.Incarnation}
+		l = &load{incarnation: t.Incarnation, limiter: r.cfg.Limits(t, r.entries())}
 		r.loads[t.Name] = l
 	}
 	return l
@@ -103,7 +113,7 @@
 		return Route{}, false
 	}
 	t, ok := r.view.Targets[owned.Owner.Target]
-	if !ok || t.Owner() != owned.Owner || lost(t) || !r.hasRoom(t) {
+	if !ok || t.Owner() != owned.Owner || lost(t) || !r.hasRoom(t, e.Now) {
 		return Route{}, false
 	}
 	return r.routeTo(t, owned), true
@@ -124,7 +134,7 @@
 	var best control.Target
 	bestScore := 0.0
 	for _, t := range r.view.Targets {
-		if t.Service != service.Name || t.Status != control.TargetLive || !r.hasRoom(t) {
+		if t.Service != service.Name || t.Status != control.TargetLive || !r.hasRoom(t, e.Now) {
 			continue
 		}
 		l := r.loadOf(t)
@@ -146,8 +156,9 @@
 }
 
 // hasRoom reports whether this entry may send one more request to the target.
-func (r *Router) hasRoom(t control.Target) bool {
-	return r.loadOf(t).inFlight < r.cfg.Limits(t, r.entries())
+func (r *Router) hasRoom(t control.Target, now timer.Instant) bool {
+	l := r.loadOf(t)
+	return l.fullUntil <= now && l.inFlight < l.limiter.Allowed()
 }
 
 func (r *Router) entries() int {
