Refuse what can no longer be answered in time before it is sent

Change: the router keeps the moving mean and deviation of each target's answer times (as TCP's retransmission timer does) and refuses a request as not run once its time left is shorter than that.

--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -31,7 +31,7 @@
 	if reason := r.spend(service, e.Retry && !e.Shed); reason != "" {
 		return []Effect{r.refuse(e.ID, reason)}
 	}
-	if e.Deadline <= e.Now {
+	if e.Deadline <= e.Now.Add(r.expected(service, e)) {
 		return []Effect{r.refuse(e.ID, ReasonDeadline)}
 	}
 	if q := r.queueOf(service.Name); len(q.items) > 0 && !service.Keyed() {
@@ -146,6 +146,9 @@
 	l := r.loadOf(a.route.Target)
 	l.inFlight--
 	l.note(e.Result, e.Now)
+	if e.Result == ResultAnswered {
+		l.measure(e.Now.Sub(a.request.Now))
+	}
 	if e.Result == ResultShed {
 		r.pauseAfterShed(l, e.Now)
 	}
@@ -174,6 +177,10 @@
 	kept := q.items[:0]
 	for _, e := range q.items {
 		e.Now = now
+		if e.Deadline <= now.Add(r.expected(service, e)) {
+			effects = append(effects, r.refuse(e.ID, ReasonDeadline))
+			continue
+		}
 		if route, ok := r.route(service, e); ok {
 			effects = append(effects, r.admit(e, route))
 			continue
@@ -206,10 +213,11 @@
 
 func (r *Router) overdue(e Arrived, now timer.Instant) Reason {
 	e.Now = now
-	if _, reason := r.admissible(e); reason != "" {
+	service, reason := r.admissible(e)
+	if reason != "" {
 		return reason
 	}
-	if e.Deadline <= now {
+	if e.Deadline <= now.Add(r.expected(service, e)) {
 		return ReasonDeadline
 	}
 	return ""
--- a/internal/router/targets.go
+++ b/internal/router/targets.go
@@ -15,6 +15,8 @@
 type load struct {
 	incarnation string
 	inFlight    int
+	mean        time.Duration // of the time until an answer, moving
+	deviation   time.Duration // mean distance from it, moving
 	limiter     limit.Limiter
 	sheds       int           // refusals in a row
 	fullUntil   timer.Instant // no request goes there before
@@ -51,6 +53,42 @@
 	l.shunned = now.Add(min(pause, shunMax))
 }
 
+// Shares of a new measurement in the moving mean and deviation, and how many
+// deviations an answer may take longer than the mean (as TCP's retransmission
+// timer, RFC 6298).
+const (
+	meanShare      = 8
+	deviationShare = 4
+	deviations     = 4
+)
+
+// measure takes the time of an answered attempt into account.
+func (l *load) measure(took time.Duration) {
+	if l.mean == 0 {
+		l.mean, l.deviation = took, took/2
+		return
+	}
+	l.deviation += ((took - l.mean).Abs() - l.deviation) / deviationShare
+	l.mean += (took - l.mean) / meanShare
+}
+
+// expected is the time that an answer takes at most, as a rule.
+func (l *load) expected() time.Duration { return l.mean + deviations*l.deviation }
+
+// expected returns how long the answer of a request's owner takes at most, or 0
+// where any target may answer.
+func (r *Router) expected(service text.Service, e Arrived) time.Duration {
+	keys, ok := r.view.Tables[service.Name]
+	if !ok {
+		return 0
+	}
+	l, ok := r.loads[keys.Lookup(e.Point).Owner.Target]
+	if !ok {
+		return 0
+	}
+	return min(l.expected(), service.Deadline/2)
+}
+
 func (r *Router) loadOf(t control.Target) *load {
 	l, ok := r.loads[t.Name]
 	if !ok || l.incarnation != t.Incarnation {
