Refuse at once what would wait too long for its owner

Cause: at twice the capacity a refused caller waited up to 757 ms (p99) of its 800 ms, since the queue was cut only by its length and by the deadline. Tried and dropped: the wait as queue length times the mean answer time over the entry's own limit: refused p99 746 ms, since ten entries share the target. Change: the router measures the pace at which a target answers this entry while requests wait, and refuses a request at its arrival if those ahead of it make it too late. What is refused late is what waited for an owner that slowed down.

--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -57,7 +57,11 @@
 	P50      time.Duration  `json:"p50_ns"`
 	P99      time.Duration  `json:"p99_ns"`
 	Max      time.Duration  `json:"max_ns"`
-	times    *hdrhistogram.Histogram
+	// RefusedP50 and RefusedP99 are how long callers waited for a refusal.
+	RefusedP50 time.Duration `json:"refused_p50_ns"`
+	RefusedP99 time.Duration `json:"refused_p99_ns"`
+	times      *hdrhistogram.Histogram
+	refusals   *hdrhistogram.Histogram
 }
 
 const (
@@ -93,6 +97,8 @@
 		k.P50 = time.Duration(k.times.ValueAtQuantile(50))
 		k.P99 = time.Duration(k.times.ValueAtQuantile(99))
 		k.Max = time.Duration(k.times.Max())
+		k.RefusedP50 = time.Duration(k.refusals.ValueAtQuantile(50))
+		k.RefusedP99 = time.Duration(k.refusals.ValueAtQuantile(99))
 	}
 	return g.result
 }
@@ -113,6 +119,7 @@
 		g.result.Kinds[k.Name] = &KindResult{
 			Outcomes: make(map[string]int),
 			times:    hdrhistogram.New(1, maxTracked, digits),
+			refusals: hdrhistogram.New(1, maxTracked, digits),
 		}
 	}
 	return g
@@ -197,6 +204,9 @@
 	k := g.result.Kinds[r.kind.Name]
 	k.Sent++
 	k.Outcomes[outcome]++
+	if outcome == "not_run" {
+		_ = k.refusals.RecordValue(min(int64(took), maxTracked))
+	}
 	if strings.HasPrefix(outcome, "done") || strings.HasPrefix(outcome, "200") {
 		_ = k.times.RecordValue(min(int64(took), maxTracked))
 	}
@@ -231,7 +241,8 @@
 // WriteText writes the result as a table.
 func (r Result) WriteText(w io.Writer) error {
 	for name, k := range r.Kinds {
-		_, err := fmt.Fprintf(w, "%-12s sent %d, %v; answered: p50 %s, p99 %s, max %s\n", name, k.Sent, k.Outcomes, k.P50, k.P99, k.Max)
+		_, err := fmt.Fprintf(w, "%-12s sent %d, %v; answered: p50 %s, p99 %s, max %s; refused: p50 %s, p99 %s\n",
+			name, k.Sent, k.Outcomes, k.P50, k.P99, k.Max, k.RefusedP50, k.RefusedP99)
 		if err != nil {
 			return err
 		}
--- a/internal/local/overload_bench_test.go
+++ b/internal/local/overload_bench_test.go
@@ -43,6 +43,8 @@
 				b.ReportMetric(float64(k.Outcomes["unknown"]+k.Outcomes["broken"]), "unknown_or_broken")
 				b.ReportMetric(float64(k.P50.Microseconds())/1e3, "p50_ms")
 				b.ReportMetric(float64(k.P99.Microseconds())/1e3, "p99_ms")
+				b.ReportMetric(float64(k.RefusedP50.Microseconds())/1e3, "refused_p50_ms")
+				b.ReportMetric(float64(k.RefusedP99.Microseconds())/1e3, "refused_p99_ms")
 				if share > 1 && goodput < goodputLimit {
 					b.Errorf("goodput is %.2f of the capacity, less than %.2f", goodput, goodputLimit)
 				}
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -102,10 +102,11 @@
 	return q
 }
 
-// wait queues a request, or refuses it where too many wait.
+// wait queues a request, or refuses it at once where too many wait for it to be
+// answered in time.
 func (r *Router) wait(service text.Service, e Arrived) []Effect {
 	q := r.queueOf(service.Name)
-	if len(q.items) >= service.MaxWaiting {
+	if len(q.items) >= service.MaxWaiting || e.Deadline <= e.Now.Add(r.expectedWait(service, q, e)) {
 		return []Effect{r.refuse(e.ID, ReasonQueueFull)}
 	}
 	q.items = append(q.items, e)
@@ -148,6 +149,7 @@
 	l.note(e.Result, e.Now)
 	if e.Result == ResultAnswered {
 		l.measure(e.Now.Sub(a.request.Now))
+		l.pace(e.Now, len(r.queueOf(a.request.Service).items) > 0)
 	}
 	if e.Result == ResultShed {
 		r.pauseAfterShed(l, e.Now)
--- a/internal/router/targets.go
+++ b/internal/router/targets.go
@@ -17,6 +17,8 @@
 	inFlight    int
 	mean        time.Duration // of the time until an answer, moving
 	deviation   time.Duration // mean distance from it, moving
+	gap         time.Duration // between two answers while requests wait, moving mean
+	answered    timer.Instant // last answer
 	limiter     limit.Limiter
 	sheds       int           // refusals in a row
 	fullUntil   timer.Instant // no request goes there before
@@ -60,6 +62,8 @@
 	meanShare      = 8
 	deviationShare = 4
 	deviations     = 4
+	// maxGap is a gap after which the pace says nothing of a busy target.
+	maxGap = time.Second
 )
 
 // measure takes the time of an answered attempt into account.
@@ -72,6 +76,19 @@
 	l.mean += (took - l.mean) / meanShare
 }
 
+// pace takes the time since the last answer into account, if requests waited.
+func (l *load) pace(now timer.Instant, waiting bool) {
+	gap := now.Sub(l.answered)
+	l.answered = now
+	switch {
+	case !waiting || gap > maxGap:
+	case l.gap == 0:
+		l.gap = gap
+	default:
+		l.gap += (gap - l.gap) / meanShare
+	}
+}
+
 // expected is the time that an answer takes at most, as a rule.
 func (l *load) expected() time.Duration { return l.mean + deviations*l.deviation }
 
@@ -89,6 +106,28 @@
 	return min(l.expected(), service.Deadline/2)
 }
 
+// expectedWait returns how long a request will wait for its owner behind those
+// that wait for the same one, and be answered then. It is 0 where that can't be
+// told, as while the range moves.
+func (r *Router) expectedWait(service text.Service, q *queue, e Arrived) time.Duration {
+	keys, ok := r.view.Tables[service.Name]
+	if !ok {
+		return 0
+	}
+	owned := keys.Lookup(e.Point)
+	l, ok := r.loads[owned.Owner.Target]
+	if !ok || owned.Phase != keyspace.Active {
+		return 0
+	}
+	ahead := 0
+	for _, other := range q.items {
+		if keys.Lookup(other.Point).Owner == owned.Owner {
+			ahead++
+		}
+	}
+	return time.Duration(ahead)*l.gap + l.expected()
+}
+
 func (r *Router) loadOf(t control.Target) *load {
 	l, ok := r.loads[t.Name]
 	if !ok || l.incarnation != t.Incarnation {
