Keep a turned-down request's place in the queue

Change: it goes back to the head; the queue is cut where the wait by the measured pace, doubled, would be too long.

--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -103,9 +103,13 @@
 }
 
 // wait queues a request, or refuses it at once where too many wait for it to be
-// answered in time.
+// answered in time. One that its target turned down keeps its place.
 func (r *Router) wait(service text.Service, e Arrived) []Effect {
 	q := r.queueOf(service.Name)
+	if e.Shed {
+		q.items = slices.Insert(q.items, 0, e)
+		return nil
+	}
 	if len(q.items) >= service.MaxWaiting || e.Deadline <= e.Now.Add(r.expectedWait(service, q, e)) {
 		return []Effect{r.refuse(e.ID, ReasonQueueFull)}
 	}
--- a/internal/router/targets.go
+++ b/internal/router/targets.go
@@ -62,6 +62,8 @@
 	meanShare      = 8
 	deviationShare = 4
 	deviations     = 4
+	// waitSafety is how many times longer than by the pace a wait may become.
+	waitSafety = 2
 	// maxGap is a gap after which the pace says nothing of a busy target.
 	maxGap = time.Second
 )
@@ -125,7 +127,7 @@
 			ahead++
 		}
 	}
-	return time.Duration(ahead)*l.gap + l.expected()
+	return waitSafety*time.Duration(ahead)*l.gap + l.expected()
 }
 
 func (r *Router) loadOf(t control.Target) *load {
