Balance ranges by measured load and cut hot keys out of their ranges

Change: entries count requests by range and key in bounded memory (Space-Saving) and report once a second; the leader keeps moving rates, weighs ranges by number and load, moves those that even targets out within moves_a_minute, and splits a range at a key that alone is a quarter of a mean target's load. Deployments that weigh churn move only for twice and more the difference. Ruled out: moving by load without splits (one range then weighs more than any gap). A split is never undone yet, a table grows to at most 4 times the text's ranges.

--- a/cmd/cranberrywind/read.go
+++ b/cmd/cranberrywind/read.go
@@ -128,10 +128,23 @@
 
 func newReport() *cobra.Command {
 	cmd := &cobra.Command{Use: "report", Short: "Reports on how callers are served"}
-	cmd.AddCommand(newBurn())
+	cmd.AddCommand(newBurn(), newOwnership())
 	return cmd
 }
 
+func newOwnership() *cobra.Command {
+	return newRead("ownership", "Show imbalance and moves of each service's keys", "/v1/status", func(w io.Writer, v operator.StatusReply) error {
+		for _, b := range v.Balances {
+			_, err := fmt.Fprintf(w, "%-20s %8.1f requests/s, imbalance %.2f (busiest target over the mean), %d ranges, %d moved\n",
+				b.Service, b.Requests, b.Imbalance, b.Ranges, b.Moved)
+			if err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
 var errNoReport = errors.New("no instance answered")
 
 func newBurn() *cobra.Command {
--- a/internal/control/balance.go
+++ b/internal/control/balance.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cranberrywind/cranberrywind/internal/text"
-	"github.com/cranberrywind/cranberrywind/pkg/keyspace"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
@@ -25,6 +24,8 @@
 	// churnShare is the part of the mean by which targets may differ where the
 	// deployment weighs churn.
 	churnShare = 4
+	// churnFactor is how many times larger a difference must be there.
+	churnFactor = 2
 	// minGap is the smallest difference in ranges that is worth a move.
 	minGap = 2
 )
@@ -51,9 +52,9 @@
 	return p
 }
 
-// planBalance moves ranges from the target with the most to the one with the
-// fewest, as far as the service's moves a minute allow. It reports whether any
-// service is out of balance.
+// planBalance moves ranges from the busiest target to the least busy one, as far
+// as the service's moves a minute allow, and cuts a hot key out of its range
+// first. It reports whether any service is out of balance.
 func (p Planner) planBalance(s State, v View) (Planner, Command, bool) {
 	wanted := false
 	for _, service := range s.accepted.Services {
@@ -61,64 +62,22 @@
 		if !ok || inMotion(keys) > 0 {
 			continue
 		}
-		high, excess := surplus(s, service.Name, keys)
-		if excess == 0 {
+		w := weigh(s, v.Loads, service.Name, keys)
+		if split, ok := w.planSplit(service, keys, v.Loads); ok {
+			return p, Command{Split: &split}, true
+		}
+		moves := w.planMoves(s, service.Name, keys)
+		if len(moves) == 0 {
 			continue
 		}
 		wanted = true
 		a := p.allowanceOf(service, v.Now)
-		n := min(excess, balanceBatch, int(a.tokens))
-		if n == 0 {
-			p = p.withAllowance(a)
-			continue
-		}
+		n := min(len(moves), int(a.tokens))
 		a.tokens -= float64(n)
-		return p.withAllowance(a), Command{Revoke: &Revoke{Ranges: firstOwned(service.Name, keys, high, n)}}, true
-	}
-	return p, Command{}, wanted
-}
-
-// surplus returns the target with the most ranges and how many of them should
-// go to the one with the fewest.
-func surplus(s State, service string, keys keyspace.Table) (keyspace.Owner, int) {
-	counts := ownedCounts(s, service, keys)
-	low, ok := fewest(counts)
-	if !ok {
-		return low, 0
-	}
-	high := most(counts)
-	gap := counts[high] - counts[low]
-	if gap < gapWorthAMove(s, keys.Len(), len(counts)) {
-		return high, 0
-	}
-	return high, gap / 2
-}
-
-// gapWorthAMove is the difference between two targets from which on a move pays
-// for itself: any that evens out, unless the deployment weighs churn.
-func gapWorthAMove(s State, ranges, targets int) int {
-	if s.accepted.Weighs != text.WeighsChurn {
-		return minGap
-	}
-	return max(minGap, ranges/targets/churnShare)
-}
-
-func firstOwned(service string, keys keyspace.Table, owner keyspace.Owner, n int) []RangeRef {
-	var out []RangeRef
-	for _, r := range keys.All() {
-		if r.Owner == owner && r.Phase == keyspace.Active && len(out) < n {
-			out = append(out, refOf(service, r))
+		p = p.withAllowance(a)
+		if n > 0 {
+			return p, Command{Revoke: &Revoke{Ranges: moves[:n]}}, true
 		}
 	}
-	return out
-}
-
-func most(counts map[keyspace.Owner]int) keyspace.Owner {
-	var best keyspace.Owner
-	for owner, n := range counts {
-		if best.Target == "" || n > counts[best] || (n == counts[best] && owner.Target < best.Target) {
-			best = owner
-		}
-	}
-	return best
+	return p, Command{}, wanted
 }
--- a/internal/control/commands.go
+++ b/internal/control/commands.go
@@ -209,7 +209,8 @@
 	if len(a.Owners) != len(a.Ranges) {
 		return s
 	}
-	return s.changeRanges(index, a.Ranges, func(i int, r keyspace.Range) (keyspace.Range, bool) {
+	moved := make(map[string]uint64)
+	s = s.changeRanges(index, a.Ranges, func(i int, r keyspace.Range) (keyspace.Range, bool) {
 		t, ok := s.Target(a.Owners[i].Target)
 		if !ok || t.Owner() != a.Owners[i] || t.Status != TargetLive {
 			return r, false
@@ -217,9 +218,22 @@
 		if r.Phase != keyspace.Unowned && r.Phase != keyspace.Revoking {
 			return r, false
 		}
+		if r.Owner.Target != "" && r.Owner.Target != t.Name {
+			moved[t.Service]++
+		}
 		r.Owner, r.Phase, r.Epoch = a.Owners[i], keyspace.Assigned, index
 		return r, true
 	})
+	return s.withMoved(moved)
+}
+
+// withMoved counts ranges that changed hands.
+func (s State) withMoved(moved map[string]uint64) State {
+	s.tables = slices.Clone(s.tables)
+	for i := range s.tables {
+		s.tables[i].moved += moved[s.tables[i].service]
+	}
+	return s
 }
 
 func (s State) activate(index uint64, a Activate) State {
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -57,6 +57,7 @@
 	Since   timer.Instant // start of this leader's term
 	Entries map[EntryID]EntryView
 	Targets map[keyspace.Owner]TargetView
+	Loads   Loads
 }
 
 // entriesPassed reports whether no entry can send a request under a table
@@ -99,17 +100,21 @@
 // there was nothing to do, so that an unchanged state costs only a look at the
 // targets' heartbeats.
 type Planner struct {
-	quiet uint64 // version of a state without work, or 0
+	quiet uint64        // version of a state without work, or 0
+	look  timer.Instant // when to look at the load of such a state again
 	moves []allowance
 }
 
+// lookPeriod is the pause between two looks at the load of a quiet state.
+const lookPeriod = time.Second
+
 // Next returns the command that the leader should propose next, if any, and
 // the planner for the time after.
 func (p Planner) Next(s State, v View, t Timing) (Planner, Command, bool) {
 	if c, ok := planLoss(s, v, t); ok {
 		return p, c, true
 	}
-	if p.quiet == s.version && s.version > 0 {
+	if p.quiet == s.version && s.version > 0 && v.Now < p.look {
 		return p, Command{}, false
 	}
 	if c, ok := planRanges(s, v, t); ok {
@@ -118,8 +123,9 @@
 	p, c, wanted := p.planBalance(s, v)
 	if !wanted && !s.moving() {
 		p.quiet = s.version
+		p.look = v.Now.Add(lookPeriod)
 	}
-	return p, c, c.Revoke != nil
+	return p, c, c != Command{}
 }
 
 // Plan returns the command that a leader should propose next, if any.
@@ -165,7 +171,7 @@
 	return Command{}, false
 }
 
-// planAssign gives free ranges to the targets that own the fewest.
+// planAssign gives free ranges to the targets that weigh the least.
 func planAssign(s State, v View, t Timing) (Command, bool) {
 	var out Assign
 	for _, service := range s.accepted.Services {
@@ -173,20 +179,20 @@
 		if !ok {
 			continue
 		}
-		counts := ownedCounts(s, service.Name, keys)
-		settled := v.settled(counts)
-		for _, r := range keys.All() {
+		w := weigh(s, v.Loads, service.Name, keys)
+		settled := v.settled(w)
+		for i, r := range keys.All() {
 			if r.Phase == keyspace.Unowned && !settled {
 				continue
 			}
 			if !free(s, v, t, service, r) {
 				continue
 			}
-			owner, ok := fewest(counts)
+			owner, ok := w.lightest()
 			if !ok {
 				break
 			}
-			counts[owner]++
+			w.add(owner, w.ranges[i])
 			out.Ranges = append(out.Ranges, refOf(service.Name, r))
 			out.Owners = append(out.Owners, owner)
 		}
@@ -202,11 +208,11 @@
 	maxSettle  = 2 * time.Second
 )
 
-// settled reports whether the targets that count the ranges of have been known
-// for long enough.
-func (v View) settled(counts map[keyspace.Owner]int) bool {
+// settled reports whether the targets that may own ranges have been known for
+// long enough.
+func (v View) settled(w weights) bool {
 	var oldest, newest timer.Instant
-	for owner := range counts {
+	for owner := range w.targets {
 		first := v.Targets[owner].First
 		if oldest == 0 || first < oldest {
 			oldest = first
@@ -236,18 +242,6 @@
 	return counts
 }
 
-// fewest returns the owner with the fewest ranges; names break ties.
-func fewest(counts map[keyspace.Owner]int) (keyspace.Owner, bool) {
-	var best keyspace.Owner
-	found := false
-	for owner, n := range counts {
-		if !found || n < counts[best] || (n == counts[best] && owner.Target < best.Target) {
-			best, found = owner, true
-		}
-	}
-	return best, found
-}
-
 // free reports whether a range may get a new owner: no entry can send to the
 // last owner any more, and the last owner has stopped serving it.
 func free(s State, v View, t Timing, service text.Service, r keyspace.Range) bool {
--- a/internal/control/plan_test.go
+++ b/internal/control/plan_test.go
@@ -75,10 +75,24 @@
 			return
 		}
 		w.apply(c)
+		if c.Split != nil {
+			w.divide(*c.Split)
+		}
 	}
 	w.t.Fatal("planning does not end")
 }
 
+// divide does what a leader does after a split.
+func (w *world) divide(s control.Split) {
+	keys, _ := w.state.Table(s.Range.Service)
+	for i, r := range keys.All() {
+		if r.Start == s.At {
+			_, last := keys.Span(i)
+			w.view.Loads = w.view.Loads.WithSplit(s.Range.Service, s.Range.Start, s.At, last)
+		}
+	}
+}
+
 // settle plans while all entries and live targets confirm at once.
 func (w *world) settle() {
 	w.t.Helper()
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -91,6 +91,7 @@
 type ServiceTable struct {
 	Service string           `msgpack:"service"`
 	Layout  uint64           `msgpack:"layout"` // log index of the last split
+	Moved   uint64           `msgpack:"moved"`  // ranges that went from one target to another
 	Whole   bool             `msgpack:"whole"`  // holds all ranges
 	Ranges  []keyspace.Range `msgpack:"ranges"`
 }
@@ -130,6 +131,7 @@
 type table struct {
 	service string
 	layout  uint64 // log index at which the ranges' bounds last changed
+	moved   uint64 // ranges that went from one target to another
 	keys    keyspace.Table
 }
 
@@ -217,8 +219,14 @@
 
 // withLayout replaces or adds a service's table whose bounds change.
 func (s State) withLayout(index uint64, service string, keys keyspace.Table) State {
-	s.tables = slices.DeleteFunc(slices.Clone(s.tables), func(t table) bool { return t.service == service })
-	s.tables = append(s.tables, table{service: service, layout: index, keys: keys})
+	next := table{service: service, layout: index, keys: keys}
+	s.tables = slices.DeleteFunc(slices.Clone(s.tables), func(t table) bool {
+		if t.service == service {
+			next.moved = t.moved
+		}
+		return t.service == service
+	})
+	s.tables = append(s.tables, next)
 	slices.SortFunc(s.tables, func(a, b table) int { return strings.Compare(a.service, b.service) })
 	return s
 }
@@ -271,7 +279,7 @@
 }
 
 func (t table) whole() ServiceTable {
-	return ServiceTable{Service: t.service, Layout: t.layout, Whole: true, Ranges: t.keys.Ranges()}
+	return ServiceTable{Service: t.service, Layout: t.layout, Moved: t.moved, Whole: true, Ranges: t.keys.Ranges()}
 }
 
 // since returns what changed after the version: all of it where the ranges'
@@ -280,7 +288,7 @@
 	if t.layout > version {
 		return t.whole()
 	}
-	out := ServiceTable{Service: t.service, Layout: t.layout}
+	out := ServiceTable{Service: t.service, Layout: t.layout, Moved: t.moved}
 	for _, r := range t.keys.All() {
 		if r.Changed > version {
 			out.Ranges = append(out.Ranges, r)
@@ -329,7 +337,7 @@
 		if err != nil {
 			return State{}, err
 		}
-		s.tables = append(s.tables, table{service: t.Service, layout: t.Layout, keys: keys})
+		s.tables = append(s.tables, table{service: t.Service, layout: t.Layout, moved: t.Moved, keys: keys})
 	}
 	if len(s.history) == 0 {
 		return s, nil
--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -23,6 +23,7 @@
 		return &instance.SyncResponse{}, nil
 	}
 	c.noteEntry(id, req.Acked)
+	c.noteLoads(req.Loads)
 	applied, err := c.group.Barrier(ctx)
 	if err != nil {
 		return nil, c.leaderError(err)
@@ -90,6 +91,23 @@
 	c.view.Entries[id] = e
 }
 
+func (c *Controller) noteLoads(loads []control.ServiceLoad) {
+	if len(loads) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.decayLoads()
+	c.view.Loads = c.view.Loads.WithReport(loads)
+}
+
+// decayLoads is called with the lock held.
+func (c *Controller) decayLoads() {
+	now := c.clock.Now()
+	c.view.Loads = c.view.Loads.WithDecay(now.Sub(c.decayed))
+	c.decayed = now
+}
+
 // noteAck notes what an entry acknowledged and plans on at once. It renews
 // nothing.
 func (c *Controller) noteAck(id control.EntryID, acked uint64) {
@@ -221,6 +239,7 @@
 	}
 	out := &instance.StatusResponse{State: applied.State.Encode()}
 	view := c.snapshotView()
+	out.Balances = view.Loads.Balances(applied.State)
 	for id, e := range view.Entries {
 		seen := instance.EntrySeen{Instance: id.Instance, Incarnation: id.Incarnation, Acked: e.Acked, LeaseOver: e.Lease.Over(view.Now)}
 		out.Seen = append(out.Seen, seen)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -48,6 +48,7 @@
 	term    uint64
 	view    control.View
 	planner control.Planner
+	decayed timer.Instant                    // when the loads last decayed
 	orders  map[keyspace.Owner]bool          // grant orders under way
 	probes  map[keyspace.Owner]timer.Instant // next probe of a lost target
 
@@ -95,6 +96,7 @@
 		now := c.clock.Now()
 		c.term = role.Term
 		c.planner = control.Planner{}
+		c.decayed = now
 		c.view = control.View{
 			Since:   now,
 			Entries: make(map[control.EntryID]control.EntryView),
@@ -154,10 +156,30 @@
 		c.log.Warn("control command not committed", "error", err)
 		return false
 	}
+	if command.Split != nil {
+		c.noteSplit(*command.Split)
+	}
 	c.logCommand(result.Index, command)
 	return true
 }
 
+// noteSplit divides the load of a range that was cut in two.
+func (c *Controller) noteSplit(s control.Split) {
+	keys, ok := c.group.State().State.Table(s.Range.Service)
+	if !ok {
+		return
+	}
+	last := s.At
+	for i, r := range keys.All() {
+		if r.Start == s.At {
+			_, last = keys.Span(i)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.view.Loads = c.view.Loads.WithSplit(s.Range.Service, s.Range.Start, s.At, last)
+}
+
 func (c *Controller) logCommand(index uint64, command control.Command) {
 	switch {
 	case command.Lose != nil:
@@ -166,6 +188,8 @@
 		c.log.Info("ranges assigned", "ranges", len(command.Assign.Ranges), "epoch", index)
 	case command.Activate != nil:
 		c.log.Info("ranges active", "target", command.Activate.Owner.Target, "ranges", len(command.Activate.Ranges), "epoch", index)
+	case command.Split != nil:
+		c.log.Info("range split", "service", command.Split.Range.Service, "at", uint64(command.Split.At), "epoch", index)
 	case command.Revoke != nil:
 		c.log.Info("ranges revoked", "ranges", len(command.Revoke.Ranges), "epoch", index)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -25,6 +25,7 @@
 	callTimeout = 300 * time.Millisecond // of one try of any other call
 	syncPause   = 20 * time.Millisecond  // after a renewal that failed
 	routerQueue = 16384                  // events
+	loadPeriod  = time.Second            // between two reports of load
 )
 
 // Config is what an entry is told at start.
@@ -51,6 +52,7 @@
 	next  atomic.Uint64
 	acked atomic.Uint64
 	acks  chan struct{} // signals that acked has grown
+	loads atomic.Pointer[router.LoadReported]
 	held  atomic.Pointer[lease.Held]
 	view  atomic.Pointer[router.View]
 
@@ -99,6 +101,7 @@
 	e.loop = l
 	ticks, stopTicks := cfg.Clock.Subscribe(tickPeriod)
 	go e.tick(ctx, ticks)
+	go e.askLoads(ctx)
 	go e.keepSynced(ctx)
 	go e.keepAcknowledged(ctx)
 	return e, func() {
@@ -128,6 +131,20 @@
 	}
 }
 
+// askLoads has the router report its load regularly.
+func (e *Entry) askLoads(ctx context.Context) {
+	ticks, stop := e.cfg.Clock.Subscribe(loadPeriod)
+	defer stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks:
+			e.loop.TrySend(router.LoadAsked{})
+		}
+	}
+}
+
 // run carries out the router's effects.
 func (e *Entry) run(_ context.Context, effects []router.Effect) error {
 	for _, effect := range effects {
@@ -138,6 +155,8 @@
 			e.decide(x.ID, decision{refusal: &Refusal{Reason: x.Reason, After: x.After}})
 		case router.Cancel:
 			e.cancelAttempt(x.ID)
+		case router.LoadReported:
+			e.loads.Store(&x)
 		case router.Acked:
 			e.acked.Store(x.Version)
 			select {
@@ -205,6 +224,9 @@
 		TextVersion: view.TextVersion,
 		Acked:       e.acked.Load(),
 	}
+	if loads := e.loads.Swap(nil); loads != nil {
+		req.Loads = loads.Services
+	}
 	if e.behind {
 		req.Version, req.TextVersion = 0, 0
 	}
--- a/internal/instance/messages.go
+++ b/internal/instance/messages.go
@@ -13,12 +13,13 @@
 
 // SyncRequest is an entry's renewal of its lease.
 type SyncRequest struct {
-	Instance    string `msgpack:"instance"`
-	Incarnation string `msgpack:"incarnation"`
-	Version     uint64 `msgpack:"version"`      // of the view it holds
-	TextVersion uint64 `msgpack:"text_version"` // of the text it holds
-	Acked       uint64 `msgpack:"acked"`        // no request runs under an older version
-	AckOnly     bool   `msgpack:"ack_only"`     // brings Acked at once and asks for nothing
+	Instance    string                `msgpack:"instance"`
+	Incarnation string                `msgpack:"incarnation"`
+	Version     uint64                `msgpack:"version"`         // of the view it holds
+	TextVersion uint64                `msgpack:"text_version"`    // of the text it holds
+	Acked       uint64                `msgpack:"acked"`           // no request runs under an older version
+	Loads       []control.ServiceLoad `msgpack:"loads,omitempty"` // since the last report
+	AckOnly     bool                  `msgpack:"ack_only"`        // brings Acked at once and asks for nothing
 }
 
 // SyncResponse renews an entry's lease, counted from when it sent the request.
@@ -98,6 +99,8 @@
 	State  []byte                    `msgpack:"state"` // encoded control.State
 	Groups map[string]replica.Status `msgpack:"groups"`
 	Seen   []EntrySeen               `msgpack:"seen"`
+	// Balances is measured by this leader since it took office.
+	Balances []control.Balance `msgpack:"balances"`
 }
 
 // EntrySeen is what the leader knows of an entry.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -196,6 +196,7 @@
 	Targets     map[string]int       `json:"targets"` // by status
 	Groups      any                  `json:"groups"`
 	Suspects    []control.Suspect    `json:"suspects"`
+	Balances    []control.Balance    `json:"balances"`
 }
 
 func (h handler) status(w http.ResponseWriter, r *http.Request) {
@@ -212,6 +213,7 @@
 		Targets:     make(map[string]int),
 		Groups:      res.Groups,
 		Suspects:    state.Suspects(),
+		Balances:    res.Balances,
 	}
 	for _, p := range state.Open() {
 		if c, ok := state.Change(p.ChangeID); ok {
--- /dev/null
+++ b/internal/router/loads.go
@@ -0,0 +1,70 @@
+package router
+
+import (
+	"github.com/cranberrywind/cranberrywind/internal/control"
+	"github.com/cranberrywind/cranberrywind/internal/text"
+	"github.com/cranberrywind/cranberrywind/pkg/keyspace"
+	"github.com/cranberrywind/cranberrywind/pkg/topk"
+)
+
+const (
+	trackedRanges  = 256 // per service
+	trackedKeys    = 64  // per service
+	reportedRanges = 64
+	reportedKeys   = 8
+)
+
+// LoadAsked asks for the load since the last time.
+type LoadAsked struct{}
+
+// LoadReported brings the load that arrived at this entry for each service.
+type LoadReported struct{ Services []control.ServiceLoad }
+
+func (LoadAsked) isEvent()     {}
+func (LoadReported) isEffect() {}
+
+// demand counts what callers asked of one service, whatever the answers.
+type demand struct {
+	ranges *topk.Counter[keyspace.Point]
+	keys   *topk.Counter[keyspace.Point]
+}
+
+// countDemand counts a caller's request for a key.
+func (r *Router) countDemand(service text.Service, e Arrived) {
+	if e.Retry || !service.Keyed() {
+		return
+	}
+	keys, ok := r.view.Tables[service.Name]
+	if !ok {
+		return
+	}
+	d, ok := r.demands[service.Name]
+	if !ok {
+		d = &demand{ranges: topk.New[keyspace.Point](trackedRanges), keys: topk.New[keyspace.Point](trackedKeys)}
+		r.demands[service.Name] = d
+	}
+	d.ranges.Add(keys.Lookup(e.Point).Start)
+	d.keys.Add(e.Point)
+}
+
+// reportLoad returns the counts and begins new ones.
+func (r *Router) reportLoad() []Effect {
+	var out LoadReported
+	for name, d := range r.demands {
+		out.Services = append(out.Services, control.ServiceLoad{
+			Service: name,
+			Ranges:  counts(d.ranges.Top(reportedRanges)),
+			Keys:    counts(d.keys.Top(reportedKeys)),
+		})
+	}
+	clear(r.demands)
+	return []Effect{out}
+}
+
+func counts(items []topk.Item[keyspace.Point]) []control.PointCount {
+	out := make([]control.PointCount, 0, len(items))
+	for _, x := range items {
+		out = append(out, control.PointCount{Point: x.Key, Count: x.Count})
+	}
+	return out
+}
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -25,6 +25,7 @@
 
 func (r *Router) arrive(e Arrived) []Effect {
 	service, reason := r.admissible(e)
+	r.countDemand(service, e)
 	if reason != "" {
 		return []Effect{r.refuse(e.ID, reason)}
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -165,6 +165,7 @@
 	attempts map[RequestID]*attempt
 	waiting  map[string]*queue // by service
 	budgets  map[string]limit.Budget
+	demands  map[string]*demand // by service
 	acked    uint64
 	draws    uint64
 }
@@ -184,6 +185,7 @@
 		attempts: make(map[RequestID]*attempt),
 		waiting:  make(map[string]*queue),
 		budgets:  make(map[string]limit.Budget),
+		demands:  make(map[string]*demand),
 	}
 }
 
@@ -200,6 +202,8 @@
 		return r, r.renew(e)
 	case Ticked:
 		return r, r.expire(e.Now)
+	case LoadAsked:
+		return r, r.reportLoad()
 	case Accused:
 		r.accuse(e)
 		return r, nil
