--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -21,6 +21,7 @@
 const HeaderIdempotencyKey = "Idempotency-Key"
 
 const (
+	maxHeaderBytes   = 32 << 10
 	maxKeyBytes      = 512
 	maxIdempotency   = 128 // bytes
 	fingerprintBytes = 16
@@ -34,8 +35,23 @@
 
 func sizeRule(limit int) string { return fmt.Sprintf("must have at most %d bytes", limit) }
 
+// headerBytes returns the length of a request's URI and headers.
+func headerBytes(r *http.Request) int {
+	n := len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v)
+		}
+	}
+	return n
+}
+
 // checkRequest looks at everything but the body.
 func checkRequest(r *http.Request, service text.Service) *failure {
+	if n := headerBytes(r); n > maxHeaderBytes {
+		f := invalid(http.StatusRequestHeaderFieldsTooLarge, "headers", fmt.Sprintf("%d bytes", n), sizeRule(maxHeaderBytes))
+		return &f
+	}
 	if !slices.Contains(service.Methods, r.Method) {
 		f := invalid(http.StatusMethodNotAllowed, "method", r.Method, "must be one of "+strings.Join(service.Methods, ", "))
 		f.allow = strings.Join(service.Methods, ", ")
--- /dev/null
+++ b/internal/caller/request_test.go
@@ -0,0 +1,74 @@
+package caller
+
+import (
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrywind/cranberrywind/internal/text"
+)
+
+func TestForwardedHeaders(t *testing.T) {
+	in := http.Header{}
+	for name, value := range map[string]string{
+		"Accept": "text/plain", "Connection": "close, X-Hop", "X-Hop": "1", "Te": "trailers",
+		"Cranberrywind-Epoch": "9", "Cranberrywind-Outcome": "done", "Idempotency-Key": "k", "X-Idempotency-Key": "k",
+	} {
+		in.Set(name, value)
+	}
+	out := forwarded(in)
+	assert.Equal(t, len(out), 1, "%v", out)
+	assert.Equal(t, out.Get("Accept"), "text/plain")
+	assert.Equal(t, in.Get("Cranberrywind-Epoch"), "9", "the caller's headers must stay as they are")
+}
+
+func TestKeys(t *testing.T) {
+	cases := []struct {
+		name, uri string
+		header    string
+		key       text.KeySource
+		want      string
+	}{
+		{"part of the path", "/stock/oil/price", "", text.KeySource{From: text.KeyPath, Part: 1}, "oil"},
+		{"second part", "/stock/oil/price", "", text.KeySource{From: text.KeyPath, Part: 2}, "price"},
+		{"missing part", "/stock/oil", "", text.KeySource{From: text.KeyPath, Part: 2}, ""},
+		{"escaped", "/stock/palm%20oil", "", text.KeySource{From: text.KeyPath, Part: 1}, "palm oil"},
+		{"query", "/stock/?sku=7&x=1", "", text.KeySource{From: text.KeyQuery, Name: "sku"}, "7"},
+		{"header", "/stock/", "h", text.KeySource{From: text.KeyHeader, Name: "X-Key"}, "h"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			u, err := url.Parse(c.uri)
+			assert.NilError(t, err)
+			r := &http.Request{URL: u, Header: http.Header{"X-Key": {c.header}}}
+			key, fault := keyOf(r, text.Service{Prefix: "/stock/", Key: c.key})
+			assert.Equal(t, key, c.want)
+			assert.Equal(t, fault == nil, c.want != "")
+		})
+	}
+}
+
+func FuzzFill(f *testing.F) {
+	f.Add("/stock/oil?x=1", "k", "a,b", "body")
+	f.Add("/stock/%00", "", "Connection", "")
+	f.Fuzz(func(t *testing.T, uri, key, connection, body string) {
+		u, err := url.ParseRequestURI(uri)
+		if err != nil {
+			return
+		}
+		r := &http.Request{Method: http.MethodPost, URL: u, RequestURI: uri, Header: http.Header{"Connection": {connection}, "Idempotency-Key": {key}}}
+		service := text.Service{Name: "s", Kind: text.Booking, Prefix: "/stock/", Methods: []string{http.MethodPost}, Key: text.KeySource{From: text.KeyPath, Part: 1}}
+		if checkRequest(r, service) != nil {
+			return
+		}
+		c := &call{service: service}
+		if c.fill(r, []byte(body)) != nil {
+			return
+		}
+		assert.Assert(t, c.request.IdempotencyKey == key && len(key) <= maxIdempotency && !strings.ContainsAny(key, "\r\n "))
+		assert.Equal(t, len(c.want.Fingerprint), 2*fingerprintBytes)
+	})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -191,9 +191,11 @@
 }
 
 const (
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 2 * time.Minute
-	maxHeaderBytes = 32 << 10
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// maxHeaderBytes is above what callers may send, so that they get a clear
+	// answer from internal/caller.
+	maxHeaderBytes = 1 << 20
 )
 
 func (d *Daemon) listenHTTP(address string, h http.Handler) error {
--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
 	"github.com/cranberrywind/cranberrywind/internal/group"
@@ -33,49 +34,38 @@
 	}
 }
 
-// Sync renews an entry's lease.
-func (h *handler) Sync(ctx context.Context, req *instance.SyncRequest) (*instance.SyncResponse, error) {
+// atControl runs a call that needs the control role.
+func atControl[T any](h *handler, call func(c *controlRole) (*T, error)) (*T, error) {
 	c, err := h.role()
 	if err != nil {
 		return nil, err
 	}
-	return c.controller.Sync(ctx, req)
+	return call(c)
+}
+
+// Sync renews an entry's lease.
+func (h *handler) Sync(ctx context.Context, req *instance.SyncRequest) (*instance.SyncResponse, error) {
+	return atControl(h, func(c *controlRole) (*instance.SyncResponse, error) { return c.controller.Sync(ctx, req) })
 }
 
 // Announce takes a target's heartbeat.
 func (h *handler) Announce(ctx context.Context, req *instance.AnnounceRequest) (*instance.AnnounceResponse, error) {
-	c, err := h.role()
-	if err != nil {
-		return nil, err
-	}
-	return c.controller.Announce(ctx, req)
+	return atControl(h, func(c *controlRole) (*instance.AnnounceResponse, error) { return c.controller.Announce(ctx, req) })
 }
 
 // Propose puts a text to the vote.
 func (h *handler) Propose(ctx context.Context, req *instance.ProposeRequest) (*instance.ChangeResponse, error) {
-	c, err := h.role()
-	if err != nil {
-		return nil, err
-	}
-	return c.controller.Propose(ctx, req)
+	return atControl(h, func(c *controlRole) (*instance.ChangeResponse, error) { return c.controller.Propose(ctx, req) })
 }
 
 // Vote counts a member's vote.
 func (h *handler) Vote(ctx context.Context, req *instance.VoteRequest) (*instance.ChangeResponse, error) {
-	c, err := h.role()
-	if err != nil {
-		return nil, err
-	}
-	return c.controller.Vote(ctx, req)
+	return atControl(h, func(c *controlRole) (*instance.ChangeResponse, error) { return c.controller.Vote(ctx, req) })
 }
 
 // Blame records what was in flight at a target that died.
 func (h *handler) Blame(ctx context.Context, req *instance.BlameRequest) (*instance.BlameResponse, error) {
-	c, err := h.role()
-	if err != nil {
-		return nil, err
-	}
-	return c.controller.Blame(ctx, req)
+	return atControl(h, func(c *controlRole) (*instance.BlameResponse, error) { return c.controller.Blame(ctx, req) })
 }
 
 // Status returns the agreed state and this instance's view of its groups.
@@ -121,30 +111,32 @@
 	return &instance.BookingResponse{Result: result}, nil
 }
 
+// errNoGroup reports a group that has no replica at this instance.
+var errNoGroup = errors.New("group is not open here")
+
+// atGroup runs a call that needs a group's replica.
+func atGroup[T any](h *handler, name string, call func(g runningGroup) (*T, error)) (*T, error) {
+	return atControl(h, func(c *controlRole) (*T, error) {
+		g := c.group(name)
+		if g == nil {
+			return nil, fmt.Errorf("group %q: %w", name, errNoGroup)
+		}
+		return call(g)
+	})
+}
+
 // Probe describes this instance's replica of a group.
 func (h *handler) Probe(_ context.Context, req *instance.ProbeRequest) (*instance.ProbeResponse, error) {
-	c, err := h.role()
-	if err != nil {
-		return nil, err
-	}
-	g := c.group(req.Group)
-	if g == nil {
-		return nil, fmt.Errorf("group %q is not open here", req.Group)
-	}
-	return &instance.ProbeResponse{Self: g.Self(), Formed: g.Formed()}, nil
+	return atGroup(h, req.Group, func(g runningGroup) (*instance.ProbeResponse, error) {
+		return &instance.ProbeResponse{Self: g.Self(), Formed: g.Formed()}, nil
+	})
 }
 
 // Form gives a replica without state its group's first membership.
 func (h *handler) Form(_ context.Context, req *instance.FormRequest) (*instance.Empty, error) {
-	c, err := h.role()
-	if err != nil {
-		return nil, err
-	}
-	g := c.group(req.Group)
-	if g == nil {
-		return nil, fmt.Errorf("group %q is not open here", req.Group)
-	}
-	return &instance.Empty{}, g.Form(req.Members)
+	return atGroup(h, req.Group, func(g runningGroup) (*instance.Empty, error) {
+		return &instance.Empty{}, g.Form(req.Members)
+	})
 }
 
 // Join notes a replica that wants to be let into a group.
--- a/internal/local/path_test.go
+++ b/internal/local/path_test.go
@@ -50,6 +50,7 @@
 		{"missing idempotency key", "POST", "/orders/a", "", nil, 400, "Idempotency-Key"},
 		{"malformed idempotency key", "POST", "/orders/a", "", map[string]string{"Idempotency-Key": "a b"}, 400, "Idempotency-Key"},
 		{"long idempotency key", "POST", "/orders/a", "", map[string]string{"Idempotency-Key": long}, 400, "Idempotency-Key"},
+		{"large headers", "GET", "/stock/a", "", map[string]string{"X-Large": strings.Repeat("x", 64<<10)}, 431, "headers"},
 		{"large body", "POST", "/orders/a", strings.Repeat("x", 2<<20), map[string]string{"Idempotency-Key": "k"}, 413, "body"},
 	}
 	for _, c := range cases {
