--- a/internal/caller/request_test.go
+++ b/internal/caller/request_test.go
@@ -51,6 +51,34 @@
 	}
 }
 
+func TestIdempotencyKeys(t *testing.T) {
+	cases := []struct {
+		name   string
+		values []string
+		valid  bool
+	}{
+		{"one", []string{"order-7"}, true},
+		{"none", nil, false},
+		{"empty", []string{""}, false},
+		{"two", []string{"a", "b"}, false},
+		{"the same twice", []string{"a", "a"}, false},
+		{"space", []string{"a b"}, false},
+		{"control character", []string{"a\x01"}, false},
+		{"not ASCII", []string{"schlüssel"}, false},
+		{"too long", []string{strings.Repeat("k", maxIdempotency+1)}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			fault := checkIdempotencyKey(c.values)
+			assert.Equal(t, fault == nil, c.valid)
+			if fault != nil {
+				assert.Equal(t, fault.outcome, NotRun)
+				assert.Equal(t, fault.field, HeaderIdempotencyKey)
+			}
+		})
+	}
+}
+
 func FuzzFill(f *testing.F) {
 	f.Add("/stock/oil?x=1", "k", "a,b", "body")
 	f.Add("/stock/%00", "", "Connection", "")
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -195,6 +195,16 @@
 	}
 }
 
+// Balances returns how evenly each service's targets are used, as far as this
+// replica leads and has measured.
+func (c *Controller) Balances() []control.Balance {
+	if !c.leads() {
+		return nil
+	}
+	view := c.snapshotView()
+	return view.Loads.Balances(c.group.State().State)
+}
+
 // sendOrders brings each target its grants where it lacks the latest.
 func (c *Controller) sendOrders(ctx context.Context) {
 	state := c.group.State().State
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"fmt"
 	"path/filepath"
 	"sync"
@@ -56,6 +57,7 @@
 	d.onStop(stopGroup)
 	c.state = g
 	c.controller = controller.New(g, granter, d.clock, timing.Control, d.log)
+	d.metrics.root.Set("balance", expvar.Func(func() any { return c.controller.Balances() }))
 	c.adopt(ctx, g)
 	go c.controller.Run(ctx)
 	go c.openBookings(ctx)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -235,7 +235,7 @@
 // Observe counts an answer to a caller.
 func (d *Daemon) Observe(service string, outcome caller.Outcome, good bool, took time.Duration) {
 	d.burn.Add(service, good)
-	d.metrics.observe(service, string(outcome), took)
+	d.metrics.observe(service, string(outcome), good, took)
 }
 
 // Burn returns this instance's service-level counters.
--- a/internal/group/group_bench_test.go
+++ b/internal/group/group_bench_test.go
@@ -20,13 +20,13 @@
 				x := newGroupOf(b, replicas)
 				x.add(1)
 				g := x.leader()
-				propose(b, g, proposers)
+				propose(b, g, proposers, b.N)
 			})
 		}
 	}
 }
 
-func propose(b *testing.B, g *group.Group[counter], proposers int) {
+func propose(b *testing.B, g *group.Group[counter], proposers, n int) {
 	b.Helper()
 	var mu sync.Mutex
 	var times []time.Duration
@@ -46,13 +46,40 @@
 		})
 	}
 	began := time.Now()
-	for range b.N {
+	for range n {
 		work <- struct{}{}
 	}
 	close(work)
 	wg.Wait()
-	b.ReportMetric(float64(b.N)/time.Since(began).Seconds(), "commands/s")
+	b.ReportMetric(float64(n)/time.Since(began).Seconds(), "commands/s")
 	slices.Sort(times)
 	b.ReportMetric(float64(times[len(times)/2].Microseconds()), "p50_us")
 	b.ReportMetric(float64(times[len(times)*99/100].Microseconds()), "p99_us")
 }
+
+// BenchmarkCatchUp measures how long a replica takes that missed a number of
+// commands, from its start until it has applied them, and the bytes of its log
+// afterwards.
+func BenchmarkCatchUp(b *testing.B) {
+	for _, missed := range []int{500, 2000, 8000} {
+		b.Run(fmt.Sprintf("missed=%d", missed), func(b *testing.B) {
+			x := newTrio(b)
+			x.add(1)
+			total := uint64(1)
+			for b.Loop() {
+				away := x.follower()
+				x.stop[away]()
+				propose(b, x.leader(), 64, missed)
+				total += uint64(missed)
+				began := time.Now()
+				if err := x.start(away, nil); err != nil {
+					b.Fatal(err)
+				}
+				for uint64(x.run[away].State().State) < total {
+					time.Sleep(time.Millisecond)
+				}
+				b.ReportMetric(float64(time.Since(began).Milliseconds()), "ms")
+			}
+		})
+	}
+}
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -132,6 +132,19 @@
 	return found
 }
 
+// follower returns the name of a replica that does not lead.
+func (x *trio) follower() string {
+	x.t.Helper()
+	leader := x.leader()
+	for _, name := range x.names {
+		if x.run[name] != leader {
+			return name
+		}
+	}
+	x.t.Fatal("no follower")
+	return ""
+}
+
 // add commits a command, whoever leads.
 func (x *trio) add(n uint64) {
 	x.t.Helper()
@@ -243,12 +256,7 @@
 func TestRestartAfterManyChanges(t *testing.T) {
 	x := newTrio(t)
 	x.add(1)
-	var away string
-	for _, name := range x.names {
-		if x.run[name] != x.leader() {
-			away = name
-		}
-	}
+	away := x.follower()
 	x.stop[away]()
 	g := x.leader()
 	var wg sync.WaitGroup
