Tell a target that its ranges went away although no range names it any more

Cause: found by reading: a target that checks fences and was silent for longer than its lease, but shorter than the time after which it counts as lost, could have ranges given to another after a planned move that it never confirmed; when heard again its lease was renewed without an order, since no range named it any more. It then held itself for the owner of what another owned. Change: assigning a range notes its old owner as changed, and an order is owed up to that log index.

--- a/internal/control/commands.go
+++ b/internal/control/commands.go
@@ -210,6 +210,7 @@
 		return s
 	}
 	moved := make(map[string]uint64)
+	var left []string // targets that ranges went away from
 	s = s.changeRanges(index, a.Ranges, func(i int, r keyspace.Range) (keyspace.Range, bool) {
 		t, ok := s.Target(a.Owners[i].Target)
 		if !ok || t.Owner() != a.Owners[i] || t.Status != TargetLive {
@@ -220,11 +221,24 @@
 		}
 		if r.Owner.Target != "" && r.Owner.Target != t.Name {
 			moved[t.Service]++
+			left = append(left, r.Owner.Target)
 		}
 		r.Owner, r.Phase, r.Epoch = a.Owners[i], keyspace.Assigned, index
 		return r, true
 	})
-	return s.withMoved(moved)
+	return s.withMoved(moved).withLeft(index, left)
+}
+
+// withLeft notes that targets lost ranges: a target that never confirmed it is
+// owed an order, although no range names it any more.
+func (s State) withLeft(index uint64, names []string) State {
+	for _, name := range names {
+		if t, ok := s.Target(name); ok && t.Changed != index {
+			t.Changed = index
+			s = s.withTarget(t)
+		}
+	}
+	return s
 }
 
 // withMoved counts ranges that changed hands.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -298,10 +298,13 @@
 	return out
 }
 
-// LastChange returns the highest epoch of a range that names the owner: an
+// LastChange returns the log index of the last change of what the owner owns: an
 // order with a lower fence does not tell it all.
 func LastChange(state control.State, owner keyspace.Owner) uint64 {
 	var last uint64
+	if t, ok := state.Target(owner.Target); ok {
+		last = t.Changed
+	}
 	eachRange(state, owner, func(keys keyspace.Table, i int) { last = max(last, keys.At(i).Epoch) })
 	return last
 }
--- a/test/durability_test.go
+++ b/test/durability_test.go
@@ -163,3 +163,39 @@
 		return nil
 	})
 }
+
+// TestNoMajority freezes two of three control instances. Without a majority
+// nothing is acknowledged: entries refuse with a time to come back, fail the
+// balancer's check, and serve again after the majority has returned.
+func TestNoMajority(t *testing.T) {
+	s := newSystem(t, 5)
+	s.startTargets(2, true)
+	entry := s.configs[3].caller
+	for _, name := range []string{"i1", "i2"} {
+		s.instances[name].freeze()
+	}
+	s.eventually("refusal", func() error {
+		if r := lookup(entry, "k1"); r.outcome != "not_run" || r.header.Get("Retry-After") == "" {
+			return fmt.Errorf("%+v", r)
+		}
+		return nil
+	})
+	assert.Equal(t, call("GET", "http://"+entry+"/cranberrywind/ready", "", "").status, 503)
+	for i := range 5 {
+		r := book(entry, "k1", fmt.Sprintf("n%d", i))
+		assert.Assert(t, r.outcome == "unknown" || r.outcome == "not_run", "%+v", r)
+	}
+	for _, name := range []string{"i1", "i2"} {
+		s.instances[name].thaw()
+	}
+	s.waitServed()
+	for i := range 5 {
+		s.eventually("booking after the majority returned", func() error {
+			if r := book(entry, "k1", fmt.Sprintf("n%d", i)); r.outcome != "done" {
+				return fmt.Errorf("%+v", r)
+			}
+			return nil
+		})
+	}
+	assertOneOwner(t, s.records())
+}
