--- a/cmd/cranberrywind/serve.go
+++ b/cmd/cranberrywind/serve.go
@@ -52,7 +52,6 @@
 // serve runs an instance until ctx ends, then stops it as planned.
 func serve(ctx context.Context, cfg settings.Instance) error {
 	logger := newLogger(os.Stderr, cfg.LogLevel)
-	logger.Warn("connections between instances are not encrypted: keep their addresses on a private network")
 	d, stop, err := daemon.Start(context.WithoutCancel(ctx), cfg, daemon.DefaultTiming(), logger)
 	if err != nil {
 		return err
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -34,16 +34,17 @@
 
 // Daemon is one running instance.
 type Daemon struct {
-	cfg     settings.Instance
-	log     *log.Logger
-	clock   *timer.System
-	pool    *instance.Pool
-	control *controlRole
-	entry   *entry.Entry
-	caller  *caller.Handler
-	check   *balancer.Check
-	burn    *burn.Recorder
-	metrics *metrics
+	cfg      settings.Instance
+	log      *log.Logger
+	clock    *timer.System
+	pool     *instance.Pool
+	security instance.Security
+	control  *controlRole
+	entry    *entry.Entry
+	caller   *caller.Handler
+	check    *balancer.Check
+	burn     *burn.Recorder
+	metrics  *metrics
 
 	mu       sync.Mutex
 	cleanups []func()
@@ -76,7 +77,18 @@
 	d.burn = burn.NewRecorder(func() time.Duration { return time.Duration(d.clock.Now()) })
 	d.onStop(cancel)
 	d.check = balancer.New(d.ready)
-	pool, closePool := instance.NewPool(ctx, d.metrics.traffic)
+	if cfg.TLS.Certificate != "" {
+		security, err := instance.LoadSecurity(cfg.TLS.Certificate, cfg.TLS.Key, cfg.TLS.Authority)
+		if err != nil {
+			d.stop()
+			return nil, nil, fmt.Errorf("start instance %s: %w", cfg.Name, err)
+		}
+		d.security = security
+	}
+	if !d.security.Enabled() {
+		d.log.Warn("connections between instances are not encrypted: give certificates in section [tls]")
+	}
+	pool, closePool := instance.NewPool(ctx, d.security, d.metrics.traffic)
 	d.pool = pool
 	d.onStop(closePool)
 	if err := d.start(ctx, timing); err != nil {
@@ -142,7 +154,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for instances: %w", err)
 	}
-	d.onStop(instance.Serve(l, &handler{daemon: d}, d.metrics.traffic))
+	d.onStop(instance.Serve(l, &handler{daemon: d}, d.security, d.metrics.traffic))
 	return nil
 }
 
--- a/internal/instance/client.go
+++ b/internal/instance/client.go
@@ -10,7 +10,6 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
 	"github.com/cranberrywind/cranberrywind/internal/group"
@@ -32,21 +31,23 @@
 
 // Pool keeps one connection to each instance that this one speaks to.
 type Pool struct {
-	ctx     context.Context
-	traffic *Traffic
-	mu      sync.Mutex
-	conns   map[string]*grpc.ClientConn
-	sends   map[string]chan group.Envelope
+	ctx      context.Context
+	security Security
+	traffic  *Traffic
+	mu       sync.Mutex
+	conns    map[string]*grpc.ClientConn
+	sends    map[string]chan group.Envelope
 }
 
 // NewPool returns a pool that counts its traffic, and its clean-up function.
-func NewPool(ctx context.Context, traffic *Traffic) (*Pool, func()) {
+func NewPool(ctx context.Context, security Security, traffic *Traffic) (*Pool, func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	p := &Pool{
-		ctx:     ctx,
-		traffic: traffic,
-		conns:   make(map[string]*grpc.ClientConn),
-		sends:   make(map[string]chan group.Envelope),
+		ctx:      ctx,
+		security: security,
+		traffic:  traffic,
+		conns:    make(map[string]*grpc.ClientConn),
+		sends:    make(map[string]chan group.Envelope),
 	}
 	return p, func() {
 		cancel()
@@ -67,7 +68,7 @@
 	}
 	wait := backoff.Config{BaseDelay: redialPause, Multiplier: 2, MaxDelay: maxReconnect}
 	c, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithTransportCredentials(p.security.clientCredentials()),
 		grpc.WithStatsHandler(p.traffic),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -58,8 +58,9 @@
 
 // Serve answers other instances on the listener until the clean-up function is
 // called, and counts their traffic.
-func Serve(l net.Listener, h Handler, traffic *Traffic) func() {
+func Serve(l net.Listener, h Handler, security Security, traffic *Traffic) func() {
 	s := grpc.NewServer(
+		grpc.Creds(security.serverCredentials()),
 		grpc.StatsHandler(traffic),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxSendMsgSize(maxMessageBytes),
--- a/internal/settings/instance.go
+++ b/internal/settings/instance.go
@@ -22,11 +22,20 @@
 	OperatorAddress  string   // for operators and metrics
 	DataDir          string   // of a control instance
 	Bootstrap        []Peer   // the first control instances
+	TLS              TLS      // between instances
 	LogLevel         string   // debug, info, warn or error
 	Capacity         int      // requests in flight that this instance takes on
 	Drain            Duration // wait for the balancer after readiness is withdrawn
 }
 
+// TLS names the PEM files by which instances prove themselves to each other;
+// all are empty where they don't.
+type TLS struct {
+	Certificate string
+	Key         string
+	Authority   string
+}
+
 // Duration is a span of time in the settings.
 type Duration = time.Duration
 
@@ -70,7 +79,8 @@
 	out.readRoles(s)
 	out.readAddresses(s)
 	out.readBootstrap(f.Section("control"))
-	return out, f.Finish("instance", "control")
+	out.readTLS(f)
+	return out, f.Finish("instance", "control", "tls")
 }
 
 func (i *Instance) readRoles(s *Section) {
@@ -112,6 +122,14 @@
 	return value
 }
 
+func (i *Instance) readTLS(f *File) {
+	if !f.Has("tls") {
+		return
+	}
+	s := f.Section("tls")
+	i.TLS = TLS{Certificate: s.Required("certificate"), Key: s.Required("key"), Authority: s.Required("authority")}
+}
+
 func (i *Instance) readBootstrap(s *Section) {
 	for _, item := range s.List("bootstrap") {
 		name, addr, ok := strings.Cut(item, "@")
