Tell all entries of a target's death before control has agreed on it

Ruled out: holding the answer back until all entries know (the users refuse that); a shorter renewal (answers and views leave the leader at the same time). Change: an entry that sees a death tells all others directly, while control agrees on it; a request that was in flight at two deaths is held for 2 s on their word. A booking waits for a target until shortly before its deadline, so that its refusal is looked up in time. Large files split by concern; a stand-in tries an address that does not answer last. Copies sent to several entries before the first death are still not covered.

--- a/internal/caller/booking.go
+++ b/internal/caller/booking.go
@@ -13,6 +13,11 @@
 )
 
 const (
+	// reserveShare and maxReserve are the part of a booking's deadline in which it
+	// waits for a target no more, so that a refusal still finds out whether an
+	// earlier sending ran.
+	reserveShare = 10
+	maxReserve   = 100 * time.Millisecond
 	// lateGrace is how long after the deadline an answer still completes its
 	// booking's record.
 	lateGrace = 5 * time.Second
@@ -42,6 +47,7 @@
 // take longer.
 func (h *Handler) book(ctx context.Context, w http.ResponseWriter, c *call) {
 	c.want.Grace = lateGrace
+	c.want.Deadline = c.deadline.Add(-min(c.service.Deadline/reserveShare, maxReserve))
 	x := &run{handler: h, call: c, key: c.bookingKey(), attempt: uuid.NewString()}
 	ended := make(chan ending, 1)
 	go func() { ended <- x.do() }()
--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -68,6 +68,14 @@
 	return atControl(h, func(c *controlRole) (*instance.BlameResponse, error) { return c.controller.Blame(ctx, req) })
 }
 
+// Notice takes another entry's word on a target's death.
+func (h *handler) Notice(_ context.Context, req *instance.NoticeRequest) (*instance.Empty, error) {
+	if h.daemon.entry != nil {
+		h.daemon.entry.Notice(req.Owner, req.Fingerprints)
+	}
+	return &instance.Empty{}, nil
+}
+
 // Status returns the agreed state and this instance's view of its groups.
 func (h *handler) Status(ctx context.Context, _ *instance.StatusRequest) (*instance.StatusResponse, error) {
 	c, err := h.role()
--- a/internal/entry/deaths.go
+++ b/internal/entry/deaths.go
@@ -18,6 +18,8 @@
 	probeTimeout = 50 * time.Millisecond
 	blameWait    = 100 * time.Millisecond // longest wait of a request for its report
 	blameTimeout = 2 * time.Second
+
+	noticeTimeout = 200 * time.Millisecond
 )
 
 // deaths gathers the requests whose connections broke, by target.
@@ -73,6 +75,7 @@
 		x.taken = true
 		return
 	}
+	d.entry.notify(owner, x.fingerprints)
 	x.taken = d.entry.blame(control.Blame{Owner: owner, Fingerprints: x.fingerprints})
 }
 
@@ -88,6 +91,32 @@
 	return e.cfg.Refuses(ctx, t.Address)
 }
 
+// notify tells this entry's router and all other entries of a death at once. A
+// caller may send its request again through any of them as soon as it has its
+// answer, which may be sooner than the next view arrives there.
+func (e *Entry) notify(owner keyspace.Owner, fingerprints []string) {
+	e.Notice(owner, fingerprints)
+	req := &instance.NoticeRequest{Owner: owner, Fingerprints: fingerprints}
+	for _, i := range e.View().Text.Instances {
+		if i.Entry && i.Name != e.cfg.Name {
+			go e.notifyOne(i.Address, req)
+		}
+	}
+}
+
+func (e *Entry) notifyOne(address string, req *instance.NoticeRequest) {
+	ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
+	defer cancel()
+	if _, err := instance.Call[instance.NoticeRequest, instance.Empty](ctx, e.cfg.Pool, address, "Notice", req); err != nil {
+		e.cfg.Log.Debug("notice of a target's death not taken", "target", req.Owner.Target, "address", address, "error", err)
+	}
+}
+
+// Notice takes the word on a target's death, from this entry or another one.
+func (e *Entry) Notice(owner keyspace.Owner, fingerprints []string) {
+	_ = e.loop.Send(router.Noticed{Owner: owner, Fingerprints: fingerprints, Now: e.cfg.Clock.Now()})
+}
+
 // ReportAnswered clears a suspected request that a target answered.
 func (e *Entry) ReportAnswered(fingerprint string) {
 	if !e.View().Suspected[fingerprint] {
--- a/internal/instance/messages.go
+++ b/internal/instance/messages.go
@@ -83,6 +83,13 @@
 // BlameRequest reports what was in flight at a target that died.
 type BlameRequest struct{ Blame control.Blame }
 
+// NoticeRequest tells another entry at once what was in flight at a target that
+// died, before control has agreed on it.
+type NoticeRequest struct {
+	Owner        keyspace.Owner `msgpack:"owner"`
+	Fingerprints []string       `msgpack:"fingerprints"`
+}
+
 // BlameResponse lists the kinds of requests that are suspected now.
 type BlameResponse struct {
 	Suspects []control.Suspect `msgpack:"suspects"`
--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -27,6 +27,7 @@
 	Propose(ctx context.Context, req *ProposeRequest) (*ChangeResponse, error)
 	Vote(ctx context.Context, req *VoteRequest) (*ChangeResponse, error)
 	Blame(ctx context.Context, req *BlameRequest) (*BlameResponse, error)
+	Notice(ctx context.Context, req *NoticeRequest) (*Empty, error)
 	Status(ctx context.Context, req *StatusRequest) (*StatusResponse, error)
 	Booking(ctx context.Context, req *BookingRequest) (*BookingResponse, error)
 	Probe(ctx context.Context, req *ProbeRequest) (*ProbeResponse, error)
@@ -82,6 +83,7 @@
 			unary("Propose", Handler.Propose),
 			unary("Vote", Handler.Vote),
 			unary("Blame", Handler.Blame),
+			unary("Notice", Handler.Notice),
 			unary("Status", Handler.Status),
 			unary("Booking", Handler.Booking),
 			unary("Probe", Handler.Probe),
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -23,7 +23,6 @@
 	"github.com/cranberrywind/cranberrywind/internal/settings"
 	"github.com/cranberrywind/cranberrywind/internal/standin"
 	"github.com/cranberrywind/cranberrywind/internal/text"
-	"github.com/cranberrywind/cranberrywind/pkg/keyspace"
 )
 
 // ErrNotReady reports a deployment that did not begin to serve in time.
@@ -307,74 +306,6 @@
 	return t, nil
 }
 
-// WaitReady waits until every running instance may route and every key has an
-// owner that serves it.
-func (d *Deployment) WaitReady(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, startTimeout)
-	defer cancel()
-	for ctx.Err() == nil {
-		if d.ready(ctx) {
-			return nil
-		}
-		time.Sleep(pollPeriod)
-	}
-	return ErrNotReady
-}
-
-// WaitTargets waits until every target is known to every running instance.
-func (d *Deployment) WaitTargets(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, startTimeout)
-	defer cancel()
-	for ctx.Err() == nil {
-		if state, err := d.State(ctx); err == nil && liveTargets(state) >= len(d.Targets) && d.Routes(state) {
-			return nil
-		}
-		time.Sleep(pollPeriod)
-	}
-	return ErrNotReady
-}
-
-// Owner returns the target that owns a key.
-func (d *Deployment) Owner(ctx context.Context, service, key string) (keyspace.Owner, error) {
-	state, err := d.State(ctx)
-	if err != nil {
-		return keyspace.Owner{}, err
-	}
-	keys, ok := state.Table(service)
-	if !ok {
-		return keyspace.Owner{}, fmt.Errorf("service %q has no keys", service)
-	}
-	return keys.Lookup(keyspace.PointOf(service + "/" + key)).Owner, nil
-}
-
-func (d *Deployment) ready(ctx context.Context) bool {
-	state, err := d.State(ctx)
-	if err != nil {
-		return false
-	}
-	return liveTargets(state) >= len(d.Targets) && allActive(state) && d.Routes(state)
-}
-
-func liveTargets(state control.State) int {
-	live := 0
-	for _, t := range state.Targets() {
-		if t.Status == control.TargetLive {
-			live++
-		}
-	}
-	return live
-}
-
-// Routes reports whether every running instance routes by the state.
-func (d *Deployment) Routes(state control.State) bool {
-	for _, x := range d.Instances {
-		if x.Daemon != nil && !x.Daemon.Routes(state.Version()) {
-			return false
-		}
-	}
-	return true
-}
-
 // newLogger is used where no other is given.
 func newLogger() *log.Logger { return log.New(discard{}) }
 
--- a/internal/local/options.go
+++ b/internal/local/options.go
@@ -5,9 +5,7 @@
 
 	"github.com/charmbracelet/log"
 
-	"github.com/cranberrywind/cranberrywind/internal/control"
 	"github.com/cranberrywind/cranberrywind/internal/daemon"
-	"github.com/cranberrywind/cranberrywind/pkg/keyspace"
 )
 
 type options struct {
@@ -88,20 +86,3 @@
 
 // WithLog sets the logger of all instances.
 func WithLog(l *log.Logger) Option { return func(o *options) { o.log = l } }
-
-// allActive reports whether every range of every service is served.
-func allActive(state control.State) bool {
-	_, parsed := state.Text()
-	for _, s := range parsed.Services {
-		keys, ok := state.Table(s.Name)
-		if !ok {
-			continue
-		}
-		for _, r := range keys.Ranges() {
-			if r.Phase != keyspace.Active {
-				return false
-			}
-		}
-	}
-	return true
-}
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -56,7 +56,7 @@
 	if !ok {
 		return service, ReasonNoService
 	}
-	if r.view.Held[e.Fingerprint] {
+	if r.view.Held[e.Fingerprint] || r.notices[e.Fingerprint].holds(e.Now) {
 		return service, ReasonPoison
 	}
 	if !r.dependenciesUp(service) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -102,6 +102,15 @@
 	Suspected map[string]bool
 }
 
+// Noticed says what was in flight at a target that died, before control has
+// agreed on it.
+type Noticed struct {
+	Owner        keyspace.Owner
+	Fingerprints []string
+	Now          timer.Instant
+}
+
+func (Noticed) isEvent()   {}
 func (Accused) isEvent()   {}
 func (Arrived) isEvent()   {}
 func (Ended) isEvent()     {}
@@ -166,6 +175,7 @@
 	waiting  map[string]*queue // by service
 	budgets  map[string]limit.Budget
 	demands  map[string]*demand // by service
+	notices  map[string]notice  // by fingerprint
 	acked    uint64
 	draws    uint64
 }
@@ -186,6 +196,7 @@
 		waiting:  make(map[string]*queue),
 		budgets:  make(map[string]limit.Budget),
 		demands:  make(map[string]*demand),
+		notices:  make(map[string]notice),
 	}
 }
 
@@ -204,6 +215,9 @@
 		return r, r.expire(e.Now)
 	case LoadAsked:
 		return r, r.reportLoad()
+	case Noticed:
+		r.notice(e)
+		return r, nil
 	case Accused:
 		r.accuse(e)
 		return r, nil
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -132,6 +132,12 @@
 			b.send(router.Accused{Held: map[string]bool{"bad": true}})
 			b.arrive("stock", func(e *router.Arrived) { e.Fingerprint = "bad" })
 		}, router.ReasonPoison},
+		{"noticed at two deaths", func(b *bench) {
+			for _, name := range []string{"x", "y"} {
+				b.send(router.Noticed{Owner: keyspace.Owner{Target: name}, Fingerprints: []string{"bad"}, Now: b.now})
+			}
+			b.arrive("stock", func(e *router.Arrived) { e.Fingerprint = "bad" })
+		}, router.ReasonPoison},
 		{"deadline over", func(b *bench) { b.arrive("stock", func(e *router.Arrived) { e.Deadline = b.now }) }, router.ReasonDeadline},
 		{"deadline over while it waits", func(b *bench) {
 			for range 3 {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -66,6 +67,7 @@
 	cancel      context.CancelFunc
 	slots       chan struct{}
 	records     *recorder
+	addresses   []string // that take announcements; only announceLoop uses it
 	crashed     atomic.Bool
 
 	mu       sync.Mutex
@@ -103,6 +105,7 @@
 		cancel:      cancel,
 		slots:       make(chan struct{}, max(cfg.Slots, 1)),
 		records:     records,
+		addresses:   slices.Clone(cfg.Announce),
 		booked:      make(map[string]int),
 		frozen:      running,
 		wake:        make(chan struct{}, 1),
@@ -163,95 +166,6 @@
 	return t.frozen
 }
 
-func (t *Target) announceSoon() {
-	select {
-	case t.wake <- struct{}{}:
-	default:
-	}
-}
-
-func (t *Target) announceLoop(ctx context.Context) {
-	pause := time.NewTimer(0)
-	defer pause.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-pause.C:
-		case <-t.wake:
-		}
-		<-t.gate()
-		pause.Reset(t.announce(ctx))
-	}
-}
-
-// announce sends one heartbeat to the first address that answers and returns
-// the pause until the next.
-func (t *Target) announce(ctx context.Context) time.Duration {
-	for _, address := range t.cfg.Announce {
-		asked := t.clock.Now()
-		ack, err := t.announceTo(ctx, address)
-		if err != nil {
-			continue
-		}
-		t.take(asked, ack)
-		if ack.HeartbeatMS > 0 {
-			return time.Duration(ack.HeartbeatMS) * time.Millisecond
-		}
-		break
-	}
-	return defaultHeartbeat
-}
-
-func (t *Target) announcement() target.Announcement {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return target.Announcement{
-		Name:             t.cfg.Name,
-		Incarnation:      t.incarnation,
-		Service:          t.cfg.Service,
-		Address:          t.Address(),
-		AvailabilityZone: t.cfg.AvailabilityZone,
-		Slots:            t.cfg.Slots,
-		Connections:      t.cfg.Connections,
-		ChecksFence:      t.cfg.ChecksFence,
-		Draining:         t.draining,
-		Fence:            t.order.Fence,
-	}
-}
-
-func (t *Target) announceTo(ctx context.Context, address string) (target.Acknowledgement, error) {
-	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
-	defer cancel()
-	var ack target.Acknowledgement
-	err := postJSON(ctx, "http://"+address+target.AnnouncePath, t.announcement(), &ack)
-	return ack, err
-}
-
-func (t *Target) take(asked timer.Instant, ack target.Acknowledgement) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !ack.Accepted {
-		return
-	}
-	if ack.Order != nil {
-		t.takeOrder(*ack.Order)
-	}
-	t.lease = t.lease.WithRenewal(asked, time.Duration(ack.LeaseMS)*time.Millisecond, t.order.Fence)
-}
-
-// takeOrder is called with the lock held and reports whether it took the order.
-func (t *Target) takeOrder(order instance.GrantOrder) bool {
-	if order.Incarnation != t.incarnation || (t.cfg.ChecksFence && order.Fence < t.order.Fence) {
-		return false
-	}
-	if order.Fence > t.order.Fence {
-		t.announceSoon()
-	}
-	t.order = order
-	return true
-}
-
 func (t *Target) handler() http.Handler {
 	r := chi.NewRouter()
 	r.Post(target.GrantPath, t.serveGrant)
--- a/test/system_test.go
+++ b/test/system_test.go
@@ -10,7 +10,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -40,54 +39,6 @@
 	os.Exit(code)
 }
 
-// process is one child process.
-type process struct {
-	t    *testing.T
-	cmd  *exec.Cmd
-	done chan struct{}
-}
-
-func start(t *testing.T, log string, args ...string) *process {
-	t.Helper()
-	out, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	assert.NilError(t, err)
-	cmd := exec.Command(binary, args...)
-	cmd.Stdout, cmd.Stderr = out, out
-	assert.NilError(t, cmd.Start())
-	_ = out.Close()
-	p := &process{t: t, cmd: cmd, done: make(chan struct{})}
-	go func() {
-		_ = cmd.Wait()
-		close(p.done)
-	}()
-	t.Cleanup(p.kill)
-	return p
-}
-
-func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
-
-func (p *process) kill() {
-	p.signal(syscall.SIGKILL)
-	<-p.done
-}
-
-func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
-func (p *process) thaw()   { p.signal(syscall.SIGCONT) }
-
-// signalDrain makes a stand-in target announce that it is leaving.
-func (p *process) signalDrain() { p.signal(syscall.SIGUSR1) }
-
-// terminate asks for a planned stop and waits for it.
-func (p *process) terminate() {
-	p.t.Helper()
-	p.signal(syscall.SIGTERM)
-	select {
-	case <-p.done:
-	case <-time.After(30 * time.Second):
-		p.t.Fatal("planned stop took more than 30 s")
-	}
-}
-
 // instanceConfig is the addresses and roles of one instance.
 type instanceConfig struct {
 	name, address, listen, caller, target, operator string
