Show that retries keep to their budget and that failing targets attract nothing

Cause: both were only claimed. Change: a test in which half of the requests fail at their target, and one with a target that answers 500 at once beside one that works.

--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -44,6 +44,7 @@
 	Crash            func() // runs where a request asks for a crash
 	BreakAfter       int    // bytes of a download after which the connection breaks
 	StallAfter       int    // bytes of a download after which nothing more comes
+	FailStatus       int    // answered to every request at once, if not 0
 }
 
 // Record is one request that a target accepted.
@@ -254,6 +255,10 @@
 // status change what happens.
 func (t *Target) run(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
+	if t.cfg.FailStatus != 0 {
+		http.Error(w, "fails always", t.cfg.FailStatus)
+		return
+	}
 	if query.Has("crash") {
 		t.crash()
 		return
