Let requests wait for an owner that can't be reached, and spread when callers return

Cause: while a key's owner was lost, three connections refused at once used up a request's attempts and its caller was told to come back in exactly 1 s, all callers in step. Change: an attempt that is proved not to have run (refused connection, target's own word) is not counted; the request waits, within its deadline, for the owner or the next one, asking again after 20 to 60 ms. Times to come back are spread over 1 to 3 s everywhere.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -58,7 +58,7 @@
 	case t.Context.Err() != nil:
 		t.End(router.ResultAbandoned)
 	case errors.Is(err, target.ErrNotRun):
-		t.End(router.ResultFailed)
+		t.End(router.ResultUnreached)
 	default:
 		known := h.cfg.Entry.ReportBroken(t.Route.Target.Owner(), c.want.Fingerprint)
 		t.End(router.ResultBroken)
@@ -135,12 +135,12 @@
 }
 
 // again reports whether another attempt may be asked for after one that failed
-// at the target, and prepares it. A request that a target turned down waits for
-// a slot again; other failures are counted.
+// at the target, and prepares it. A request that is proved not to have run waits
+// for a target again; other failures are counted.
 func (c *call) again(ctx context.Context, err error, target string) bool {
 	c.want.Retry = true
 	c.want.Avoid = target
-	c.want.Shed = errors.Is(err, errShed)
+	c.want.Shed = notRun(err)
 	if !c.want.Shed {
 		c.failed++
 	}
--- a/internal/caller/booking.go
+++ b/internal/caller/booking.go
@@ -55,7 +55,7 @@
 	select {
 	case e = <-ended:
 	case <-ctx.Done():
-		e = ending{failure: unknown(http.StatusGatewayTimeout, "deadline", time.Second)}
+		e = ending{failure: unknown(http.StatusGatewayTimeout, "deadline", spreadReturn())}
 	}
 	if e.answer != nil {
 		h.write(w, c, e.answer)
@@ -79,7 +79,7 @@
 	if err != nil {
 		ticket.End(router.ResultAbandoned)
 		go x.finish(booking.NotRun, booking.Answer{})
-		return ending{failure: unknown(http.StatusServiceUnavailable, "booking_log_unavailable", time.Second)}
+		return ending{failure: unknown(http.StatusServiceUnavailable, "booking_log_unavailable", spreadReturn())}
 	}
 	if result.Verdict != booking.Go {
 		ticket.End(router.ResultAbandoned)
@@ -109,9 +109,9 @@
 			return x.done(ctx, a)
 		case !notRun(err):
 			go x.finish(booking.Unknown, booking.Answer{})
-			return ending{failure: unknown(http.StatusGatewayTimeout, "answer_lost", time.Second)}
+			return ending{failure: unknown(http.StatusGatewayTimeout, "answer_lost", spreadReturn())}
 		}
-		refusal := &entry.Refusal{Reason: reasonNoAnswer, After: time.Second}
+		refusal := &entry.Refusal{Reason: reasonNoAnswer, After: spreadReturn()}
 		if c.again(ctx, err, ticket.Route.Target.Name) {
 			ticket, refusal = h.cfg.Entry.Acquire(context.WithoutCancel(ctx), c.want)
 		}
@@ -209,7 +209,7 @@
 	case booking.Replay:
 		return replay(r.Record.Answer)
 	case booking.InProgress:
-		return ending{failure: unknown(http.StatusConflict, "in_progress", time.Second)}
+		return ending{failure: unknown(http.StatusConflict, "in_progress", spreadReturn())}
 	case booking.Mismatch:
 		f := invalid(http.StatusUnprocessableEntity, HeaderIdempotencyKey, "", "was used for a different request")
 		return ending{failure: f}
--- a/internal/caller/download.go
+++ b/internal/caller/download.go
@@ -45,7 +45,7 @@
 				return
 			}
 			ran = ran || !notRun(err)
-			refusal = &entry.Refusal{Reason: reasonNoAnswer, After: time.Second}
+			refusal = &entry.Refusal{Reason: reasonNoAnswer, After: spreadReturn()}
 			if c.again(ctx, err, ticket.Route.Target.Name) && t.resumable(err) {
 				continue
 			}
--- a/internal/caller/errors.go
+++ b/internal/caller/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -62,6 +63,12 @@
 	return failure{status: status, outcome: Unknown, reason: reason, after: after}
 }
 
+// Callers that can't be answered now are told to come back after at least
+// comeBack, spread over twice that time more, so that they don't return together.
+const comeBack = time.Second
+
+func spreadReturn() time.Duration { return comeBack + rand.N(2*comeBack) }
+
 const maxShownValue = 200 // bytes of a bad value in an answer
 
 // fail gives the caller a final answer of this system's own.
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -89,7 +89,7 @@
 }
 
 func (h *Handler) dispatch(ctx context.Context, w http.ResponseWriter, c *call, full bool) {
-	capacity := entry.Refusal{Reason: router.ReasonCapacity, After: time.Second}
+	capacity := entry.Refusal{Reason: router.ReasonCapacity, After: spreadReturn()}
 	switch {
 	case full && c.service.Kind == text.Booking:
 		h.refuseBooking(ctx, w, c, capacity)
@@ -114,7 +114,7 @@
 func (h *Handler) read(w http.ResponseWriter, r *http.Request, c *call) *failure {
 	view := h.cfg.Entry.View()
 	if view.TextVersion == 0 {
-		f := refused(entry.Refusal{Reason: router.ReasonNoText, After: time.Second})
+		f := refused(entry.Refusal{Reason: router.ReasonNoText, After: spreadReturn()})
 		return &f
 	}
 	service, ok := view.Text.Match(r.URL.Path)
--- a/internal/caller/lookup.go
+++ b/internal/caller/lookup.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/cranberrywind/cranberrywind/internal/entry"
 	"github.com/cranberrywind/cranberrywind/internal/router"
@@ -40,7 +39,7 @@
 			last = a
 		}
 		if !c.again(ctx, err, ticket.Route.Target.Name) {
-			h.giveUp(w, c, last, ran, entry.Refusal{Reason: reasonNoAnswer, After: time.Second})
+			h.giveUp(w, c, last, ran, entry.Refusal{Reason: reasonNoAnswer, After: spreadReturn()})
 			return
 		}
 	}
--- a/internal/entry/tickets.go
+++ b/internal/entry/tickets.go
@@ -16,7 +16,7 @@
 	Deadline    time.Time     // until which the request may wait for a target
 	Grace       time.Duration // after the deadline in which an answer still counts
 	Retry       bool
-	Shed        bool   // the target turned the earlier attempt down
+	Shed        bool   // the earlier attempt is proved not to have run
 	Avoid       string // target that just failed the request
 }
 
--- a/internal/router/limits.go
+++ b/internal/router/limits.go
@@ -30,6 +30,10 @@
 	pauseBase     = 2 * time.Millisecond
 	pauseMax      = 16 * time.Millisecond
 	pauseDoubling = 3 // times
+
+	// unreachedPause is the mean pause before a target is asked again that could
+	// not be reached. Its keys may come back with it or with another owner.
+	unreachedPause = 40 * time.Millisecond
 )
 
 // pauseAfterShed leaves a full target alone for a time that doubles with each
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -156,8 +156,11 @@
 		l.measure(e.Now.Sub(a.request.Now))
 		l.pace(e.Now, len(r.queueOf(a.request.Service).items) > 0)
 	}
-	if e.Result == ResultShed {
+	switch e.Result {
+	case ResultShed:
 		r.pauseAfterShed(l, e.Now)
+	case ResultUnreached:
+		l.fullUntil = e.Now.Add(unreachedPause/2 + r.jitter(unreachedPause))
 	}
 	effects := r.pump(a.request.Service, e.Now)
 	if a.stale > 0 {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -74,7 +74,8 @@
 const (
 	ResultAnswered  Result = iota // the target answered
 	ResultShed                    // the target said that it did not run
-	ResultFailed                  // the target could not be reached, or answered a server error
+	ResultUnreached               // no byte could be sent to the target
+	ResultFailed                  // the target answered a server error
 	ResultBroken                  // the connection broke while the request ran
 	ResultAbandoned               // the caller went away, or time ran out
 )
--- a/test/load_test.go
+++ b/test/load_test.go
@@ -214,8 +214,14 @@
 		}
 	}
 	assert.Assert(t, done > 0, "no booking was done")
-	t.Logf("%d bookings, %d done, %d lookups, %d broken connections, slowest answer %s",
-		len(l.bookings), done, len(l.lookups), len(l.broken), l.slowest)
+	refused := 0
+	for _, r := range l.lookups {
+		if r.outcome == "not_run" {
+			refused++
+		}
+	}
+	t.Logf("%d bookings, %d done, %d lookups, %d of them refused, %d broken connections, slowest answer %s",
+		len(l.bookings), done, len(l.lookups), refused, len(l.broken), l.slowest)
 }
 
 // assertOneOwner checks, from the targets' records, that each key had one owner
