Measure the cost of accepted texts by their rate

Cause: the capacity page had slopes for ranges, targets, instances and bookings, none for the change rate.

--- a/internal/capacity/estimate.go
+++ b/internal/capacity/estimate.go
@@ -115,6 +115,7 @@
 		{"control leader", "idle planning", "% of a core", 100 * controlCores, f.must("plan_us").At(l.Targets) * plans / 1e4, "planner skips unchanged states", "plan_us"},
 		{"control leader", "entries' renewals", "% of a core", 100 * controlCores, renewals, "direct to the leader", "idle_by_entries"},
 		{"control leader", "targets' heartbeats", "% of a core", 100 * controlCores, heartbeats, "direct to the leader", "idle_by_targets"},
+		{"control leader", "accepted texts, at 6 instances", "% of a core", 100 * controlCores, f.must("idle_by_changes").Slope * s.Changes / daySeconds, "one command a proposal and vote, changes to entries", "idle_by_changes"},
 		{"control leader", "traffic", "B/s", 125e6, bytes, "1 Gbit/s link", "leader_by_entries, leader_by_targets"},
 		{"control leader", "changes to all entries after one loss", "ms of a core", 1000, f.must("change_us").At(l.Targets) * l.Entries / 1e3, "one walk over the ranges for each entry", "change_us"},
 		{"control", "snapshot", "bytes", budgetHeap, f.must("snapshot_bytes").At(l.Targets), "one snapshot, not a replay", "snapshot_bytes"},
--- a/internal/local/inforce_bench_test.go
+++ b/internal/local/inforce_bench_test.go
@@ -36,3 +36,30 @@
 		})
 	}
 }
+
+// BenchmarkChangeRate accepts texts at several rates and measures the processor
+// time of the whole process and the bytes of one entry.
+func BenchmarkChangeRate(b *testing.B) {
+	const span = 4 * time.Second
+	for _, rate := range []int{0, 5, 10, 20, 40} {
+		b.Run(fmt.Sprintf("rate=%d", rate), func(b *testing.B) {
+			d := benchDeployment(b, local.WithInstances(6, 3))
+			time.Sleep(time.Second)
+			last := d.Instances[len(d.Instances)-1].Daemon
+			n := 0
+			for b.Loop() {
+				in, out := last.Traffic()
+				before, began := cpu(), time.Now()
+				for i := range rate * int(span.Seconds()) {
+					time.Sleep(time.Until(began.Add(time.Duration(i) * time.Second / time.Duration(rate))))
+					n++
+					assert.NilError(b, d.Accept(d.Text+fmt.Sprintf("; change %d\n", n)))
+				}
+				time.Sleep(time.Until(began.Add(span)))
+				b.ReportMetric(float64((cpu()-before).Microseconds())/1e4/span.Seconds(), "%core")
+				inAfter, outAfter := last.Traffic()
+				b.ReportMetric(float64(inAfter+outAfter-in-out)/span.Seconds(), "entry_B/s")
+			}
+		})
+	}
+}
