Earn retries by first attempts alone, and take over a new text's budget

Cause: found by reading: a request that its target turned down earned the service a share of a retry each time it came back, and a changed retry_budget never took effect at an entry that had used the old one. Shown failing: both new cases of internal/router TestRefusals. Change: such a request neither pays nor earns; a new text begins with new budgets.

--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -29,7 +29,7 @@
 	if reason != "" {
 		return []Effect{r.refuse(e.ID, reason)}
 	}
-	if reason := r.spend(service, e.Retry && !e.Shed); reason != "" {
+	if reason := r.spend(service, e); reason != "" {
 		return []Effect{r.refuse(e.ID, reason)}
 	}
 	if e.Deadline <= e.Now.Add(r.expected(service, e)) {
@@ -76,13 +76,17 @@
 	return true
 }
 
-// spend pays for a retry, or saves for later ones.
-func (r *Router) spend(service text.Service, retry bool) Reason {
+// spend pays for a retry, or saves for later ones. A request that is proved not
+// to have run does neither when it comes back.
+func (r *Router) spend(service text.Service, e Arrived) Reason {
+	if e.Shed {
+		return ""
+	}
 	budget, ok := r.budgets[service.Name]
 	if !ok {
 		budget = limit.NewBudget(service.RetryBudget, retryBurst)
 	}
-	if !retry {
+	if !e.Retry {
 		r.budgets[service.Name] = budget.WithRequest()
 		return ""
 	}
@@ -254,6 +258,9 @@
 	if e.View == nil || e.View.Version <= r.view.Version {
 		return nil
 	}
+	if e.View.TextVersion != r.view.TextVersion {
+		clear(r.budgets)
+	}
 	r.view = *e.View
 	r.dropLoads()
 	effects := r.markStale()
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -132,6 +133,25 @@
 			b.send(router.Accused{Held: map[string]bool{"bad": true}})
 			b.arrive("stock", func(e *router.Arrived) { e.Fingerprint = "bad" })
 		}, router.ReasonPoison},
+		{"turned-down requests earn no retries", func(b *bench) {
+			again := func(e *router.Arrived) { e.Retry = true }
+			for range 10 {
+				b.end(b.arrive("sheets", again), router.ResultAnswered)
+			}
+			for range 50 {
+				b.end(b.arrive("sheets", func(e *router.Arrived) { e.Retry, e.Shed = true, true }), router.ResultAnswered)
+			}
+			b.arrive("sheets", again)
+		}, router.ReasonBudget},
+		{"a new text's budget holds at once", func(b *bench) {
+			b.end(b.arrive("sheets"), router.ResultAnswered)
+			b.renew(keyspace.Active, func(v *router.View) {
+				v.TextVersion = 2
+				v.Text.Services = slices.Clone(v.Text.Services)
+				v.Text.Services[1].RetryBudget = 0
+			})
+			b.arrive("sheets", func(e *router.Arrived) { e.Retry = true })
+		}, router.ReasonBudget},
 		{"noticed at two deaths", func(b *bench) {
 			for _, name := range []string{"x", "y"} {
 				b.send(router.Noticed{Owner: keyspace.Owner{Target: name}, Fingerprints: []string{"bad"}, Now: b.now})
