Follow a replica that moved to another address

Cause: found by reading: a replica's peers used the address from when it joined, for ever; a control instance that came back with its disk at another address was never sent the log. Shown failing: internal/group TestMovedInstance (nothing after 10 s). Change: the address that a replica was last heard from goes before the one in the membership.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -269,11 +269,14 @@
 	return g.addressOf(g.role.Leader)
 }
 
+// addressOf returns where a replica was last heard from, or else where it was
+// when it joined: an instance may move to another address with its disk.
 func (g *Group[S]) addressOf(id replica.ID) string {
-	if m, ok := g.members.Find(id); ok {
-		return m.Address
+	if address, ok := g.addresses[id]; ok {
+		return address
 	}
-	return g.addresses[id]
+	m, _ := g.members.Find(id)
+	return m.Address
 }
 
 // Receive takes a message of another replica.
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -64,14 +64,20 @@
 	names []string
 	run   map[string]*group.Group[counter]
 	stop  map[string]func()
+	// address is where an instance listens, if not at its name.
+	address map[string]string
 }
 
 func (x *trio) start(name string, fs disk.FS) error {
 	ctx, cancel := context.WithCancel(context.Background())
+	address, ok := x.address[name]
+	if !ok {
+		address = name
+	}
 	g, stop, err := group.Open(ctx, group.Config[counter]{
 		Name:      "count",
 		Instance:  name,
-		Address:   name,
+		Address:   address,
 		Dir:       filepath.Join(x.dir, name),
 		Decode:    decodeCounter,
 		Transport: x.net,
@@ -84,9 +90,9 @@
 		return err
 	}
 	x.run[name] = g
-	x.net.set(name, g)
+	x.net.set(address, g)
 	x.stop[name] = func() {
-		x.net.set(name, nil)
+		x.net.set(address, nil)
 		stop()
 		cancel()
 	}
@@ -99,6 +105,7 @@
 	x := &trio{
 		t: t, net: &network{groups: make(map[string]*group.Group[counter])}, dir: t.TempDir(),
 		names: []string{"a", "b", "c", "d", "e"}[:replicas], run: make(map[string]*group.Group[counter]), stop: make(map[string]func()),
+		address: make(map[string]string),
 	}
 	var members replica.Members
 	for _, name := range x.names {
@@ -228,6 +235,23 @@
 	return f.File.Sync()
 }
 
+// TestMovedInstance starts a replica again at another address, with its disk.
+func TestMovedInstance(t *testing.T) {
+	x := newTrio(t)
+	x.add(1)
+	away := x.follower()
+	x.stop[away]()
+	x.add(1)
+	x.address[away] = "moved"
+	assert.NilError(t, x.start(away, nil))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if x.run[away].State().State == 2 {
+			return poll.Success()
+		}
+		return poll.Continue("at %d", x.run[away].State().State)
+	})
+}
+
 func TestFailedSyncStopsTheReplica(t *testing.T) {
 	x := newTrio(t)
 	x.add(1)
