Split and weigh by load only where load means something

Cause: found by reading: from 5 requests a second for a mean target on, a key of 1.25 a second counted as hot and was cut out, also where moves_a_minute is 0 and nothing may move. Change: load counts from 20 requests a second for a mean target (7% of a target of 3 slots and 10 ms); nothing is split where nothing may move.

--- a/internal/control/weight.go
+++ b/internal/control/weight.go
@@ -26,7 +26,7 @@
 const (
 	// minMeasured is the load of a mean target below which load counts for
 	// nothing, in requests a second.
-	minMeasured = 5.0
+	minMeasured = 20.0
 	// loadGap is the smallest difference in weight that load alone may move a
 	// range for, so that noise moves nothing.
 	loadGap = 0.3
@@ -142,7 +142,7 @@
 // planSplit cuts the hottest key of the heaviest target's busiest range out of
 // it, so that the key and its neighbours can be owned apart.
 func (w weights) planSplit(service text.Service, keys keyspace.Table, l Loads) (Split, bool) {
-	if w.mean < minMeasured || keys.Len() >= maxGrowth*service.Ranges {
+	if w.mean < minMeasured || service.MovesAMinute == 0 || keys.Len() >= maxGrowth*service.Ranges {
 		return Split{}, false
 	}
 	high, ok := w.heaviest()
