Answer the caller of a lost booking before its report is taken

Cause: found by reading: a booking whose target died was given up, and its caller still waited up to 100 ms for the report to control. The users want the final answer at once. Ruled out: the same for lookups and downloads, whose retry by this entry needs the report first. Change: the report of a booking goes out beside the answer. For bookings without a key, ever new copies that come faster than the notice between entries (about 6 ms) could reach a third target; keyed ones wait for the next owner.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/cranberrywind/cranberrywind/internal/entry"
 	"github.com/cranberrywind/cranberrywind/internal/router"
 	"github.com/cranberrywind/cranberrywind/internal/target"
+	"github.com/cranberrywind/cranberrywind/internal/text"
 )
 
 // answer is a target's whole answer.
@@ -50,15 +51,19 @@
 
 const maxShedBody = 64 << 10 // bytes of a refusal that are read
 
-// endFailed gives a ticket back after an error. A broken connection is
-// reported first, so that a request that kills its target is found out before
-// its caller can send it again.
+// endFailed gives a ticket back after an error. The broken connection of a
+// request that may be sent again is reported first, so that one that kills its
+// targets is found out in time.
 func (h *Handler) endFailed(c *call, t *entry.Ticket, err error) error {
 	switch {
 	case t.Context.Err() != nil:
 		t.End(router.ResultAbandoned)
 	case errors.Is(err, target.ErrNotRun):
 		t.End(router.ResultUnreached)
+	case c.service.Kind == text.Booking:
+		// It is never sent again, so that its caller need not wait.
+		go h.cfg.Entry.ReportBroken(t.Route.Target.Owner(), c.want.Fingerprint)
+		t.End(router.ResultBroken)
 	default:
 		known := h.cfg.Entry.ReportBroken(t.Route.Target.Owner(), c.want.Fingerprint)
 		t.End(router.ResultBroken)
