Check again that a leaving target gets nothing, without a clock

Change: once the target owns none of the load's keys, 300 more lookups are answered and it must have received none of them; it must have received some before it left. Sleeps that waited for a condition now wait for it (balancer, keys moved, answers given); the 3 s of the leader's cut stay, since its length is what is provoked. Conclusion: as strict as before, and the same verdict on a slow machine.

--- a/test/durability_test.go
+++ b/test/durability_test.go
@@ -41,7 +41,7 @@
 			took := outage(s, s.configs[3].caller, "k1")
 			time.Sleep(3 * time.Second)
 			relays[leader].heal()
-			time.Sleep(time.Second)
+			l.goOn(100)
 			l.stop()
 			t.Logf("key served again after %s", took)
 			assertOneOwner(t, s.records())
--- a/test/load_test.go
+++ b/test/load_test.go
@@ -102,6 +102,9 @@
 	broken   []string
 }
 
+// loadKeys is how many keys the load asks for.
+const loadKeys = 40
+
 // deadline of the test text's lookups and bookings.
 const deadline = 3 * time.Second
 
@@ -123,6 +126,24 @@
 	return l
 }
 
+func (l *load) answered() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.lookups)
+}
+
+// goOn waits until n more lookups have their answers.
+func (l *load) goOn(n int) {
+	l.s.t.Helper()
+	want := l.answered() + n
+	l.s.eventually("more answers", func() error {
+		if got := l.answered(); got < want {
+			return fmt.Errorf("%d of %d", got, want)
+		}
+		return nil
+	})
+}
+
 func (l *load) stop() {
 	l.cancel()
 	l.wg.Wait()
@@ -134,7 +155,7 @@
 
 func (l *load) lookupLoop(ctx context.Context, rng *rand.Rand) {
 	for ctx.Err() == nil {
-		r := lookup(l.entry(rng), fmt.Sprintf("k%d", rng.IntN(40)))
+		r := lookup(l.entry(rng), fmt.Sprintf("k%d", rng.IntN(loadKeys)))
 		l.mu.Lock()
 		l.lookups = append(l.lookups, r)
 		l.note("lookup", r)
@@ -159,7 +180,7 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		id := fmt.Sprintf("b%d-%d", n, i)
 		for range 8 {
-			r := book(l.entry(rng), fmt.Sprintf("k%d", i%40), id)
+			r := book(l.entry(rng), fmt.Sprintf("k%d", i%loadKeys), id)
 			l.keep(id, r)
 			if r.outcome == "done" || ctx.Err() != nil {
 				break
--- a/test/planned_test.go
+++ b/test/planned_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -37,6 +38,21 @@
 	}
 }
 
+// awaitReady waits until the balancer sends to the instances.
+func (b *balancer) awaitReady(configs []instanceConfig) {
+	b.s.t.Helper()
+	b.s.eventually("balancer", func() error {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		for _, c := range configs {
+			if !slices.Contains(b.ready, c.caller) {
+				return fmt.Errorf("%s is not among %v", c.name, b.ready)
+			}
+		}
+		return nil
+	})
+}
+
 func (b *balancer) pick(n int) string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -51,7 +67,7 @@
 	b := &balancer{s: s}
 	stop := make(chan struct{})
 	go b.watch(stop)
-	time.Sleep(200 * time.Millisecond)
+	b.awaitReady(s.configs)
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	var bad []string
@@ -83,7 +99,7 @@
 			}
 			return nil
 		})
-		time.Sleep(300 * time.Millisecond)
+		b.awaitReady([]instanceConfig{c})
 	}
 	close(stop)
 	wg.Wait()
@@ -124,11 +140,22 @@
 	s.t.Helper()
 	s.startTargets(3, true)
 	l := startLoad(s, 3)
-	time.Sleep(300 * time.Millisecond)
+	l.goOn(100)
 	leaving := s.owner("stock", "k1")
+	assert.Assert(s.t, s.received(leaving) > 0, "the target got nothing before it left")
 	asked := time.Now()
 	s.targets[leaving].signalDrain()
-	time.Sleep(5 * time.Second)
+	for n := range loadKeys {
+		s.eventually("the keys' move", func() error {
+			if key := fmt.Sprintf("k%d", n); s.owner("stock", key) == leaving {
+				return fmt.Errorf("%s still owns %s", leaving, key)
+			}
+			return nil
+		})
+	}
+	before := s.received(leaving)
+	l.goOn(300)
+	assert.Equal(s.t, s.received(leaving), before, "a target without keys got new work")
 	l.stop()
 	var last time.Time
 	for _, r := range s.records() {
@@ -140,6 +167,18 @@
 	return l, leaving, last.Sub(asked)
 }
 
+// received counts the requests that a target accepted.
+func (s *system) received(name string) int {
+	s.t.Helper()
+	n := 0
+	for _, r := range s.records() {
+		if r.Target == name {
+			n++
+		}
+	}
+	return n
+}
+
 func maxTime(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
