--- a/cmd/cranberrywind/main.go
+++ b/cmd/cranberrywind/main.go
@@ -62,7 +62,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(
-		newServe(), newDev(), newStandin(), newCheck(), newConfig(),
+		newServe(), newRoute(), newDev(), newStandin(), newCheck(), newConfig(),
 		newKeys(), newTargets(), newReport(), newLoad(), newCapacity(), newVersion(),
 	)
 	return root
--- /dev/null
+++ b/internal/deployment/state.go
@@ -0,0 +1,152 @@
+package deployment
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cranberrywind/cranberrywind/internal/wire"
+)
+
+// Status is what the deployment knows of a target.
+type Status string
+
+// States of a target.
+const (
+	Live     Status = "live"
+	Silent   Status = "silent"   // not heard for several heartbeats
+	Draining Status = "draining" // leaving: it gets no new work
+	Left     Status = "left"     // said that it is gone, or another life has its place
+)
+
+// Target is one life of a target, as last announced.
+type Target struct {
+	ID               string `msgpack:"id"`
+	Born             int64  `msgpack:"born"` // Unix milliseconds of its start; tells lives apart
+	Service          string `msgpack:"service"`
+	Address          string `msgpack:"address"`
+	AvailabilityZone string `msgpack:"availability_zone"`
+	Software         string `msgpack:"software"`
+	Slots            int    `msgpack:"slots"`
+	WarmUpMillis     int64  `msgpack:"warm_up_millis"` // left of its slow start when first announced
+	Status           Status `msgpack:"status"`
+	Sequence         uint64 `msgpack:"sequence"` // of the announcement that this was taken from
+	Changed          uint64 `msgpack:"changed"`  // log index
+}
+
+// Usable reports whether the target may get new work.
+func (t Target) Usable() bool { return t.Status == Live || t.Status == Silent }
+
+// maxDigests is how many accepted orders are remembered, so that a resend is
+// acknowledged again. A day has hundreds; 8,192 digests take half a megabyte.
+const maxDigests = 8192
+
+// State is the agreed state.
+type State struct {
+	version  uint64 // log index of the last change
+	document Document
+	docIndex uint64   // log index of the document
+	digests  []string // of accepted orders, oldest first
+	targets  []Target // in order of their IDs
+	tables   []KeyTable
+}
+
+// Version returns the log index of the last change.
+func (s State) Version() uint64 { return s.version }
+
+// Document returns the configuration in force and the log index at which it
+// was accepted, which is 0 before the first one.
+func (s State) Document() (Document, uint64) { return s.document, s.docIndex }
+
+// Targets returns the targets in order of their IDs. The slice is shared and
+// must not be changed.
+func (s State) Targets() []Target { return s.targets }
+
+// Target returns the target with the ID.
+func (s State) Target(id string) (Target, bool) {
+	i, ok := s.find(id)
+	if !ok {
+		return Target{}, false
+	}
+	return s.targets[i], true
+}
+
+// Tables returns who holds which keys. The slice is shared and must not be
+// changed.
+func (s State) Tables() []KeyTable { return s.tables }
+
+// Table returns who holds the keys of a service.
+func (s State) Table(service string) (KeyTable, bool) {
+	i := slices.IndexFunc(s.tables, func(t KeyTable) bool { return t.Service == service })
+	if i < 0 {
+		return KeyTable{}, false
+	}
+	return s.tables[i], true
+}
+
+func (s State) find(id string) (int, bool) {
+	return slices.BinarySearchFunc(s.targets, id, func(t Target, id string) int { return cmp.Compare(t.ID, id) })
+}
+
+func (s State) withTarget(index uint64, t Target) State {
+	t.Changed = index
+	i, ok := s.find(t.ID)
+	s.targets = slices.Clone(s.targets)
+	if ok {
+		s.targets[i] = t
+	} else {
+		s.targets = slices.Insert(s.targets, i, t)
+	}
+	s.version = index
+	return s
+}
+
+func (s State) withTable(t KeyTable) State {
+	s.tables = slices.Clone(s.tables)
+	s.version = t.Changed
+	for i := range s.tables {
+		if s.tables[i].Service == t.Service {
+			s.tables[i] = t
+			return s
+		}
+	}
+	s.tables = append(s.tables, t)
+	return s
+}
+
+// snapshot is the encoded form of a State.
+type snapshot struct {
+	Version  uint64     `msgpack:"version"`
+	Document Document   `msgpack:"document"`
+	DocIndex uint64     `msgpack:"doc_index"`
+	Digests  []string   `msgpack:"digests"`
+	Targets  []Target   `msgpack:"targets"`
+	Tables   []KeyTable `msgpack:"tables"`
+}
+
+// Encode returns the state in the form that Decode reads.
+func (s State) Encode() []byte {
+	return wire.Encode(snapshot{
+		Version:  s.version,
+		Document: s.document,
+		DocIndex: s.docIndex,
+		Digests:  s.digests,
+		Targets:  s.targets,
+		Tables:   s.tables,
+	})
+}
+
+// Decode reads what Encode returned.
+func Decode(data []byte) (State, error) {
+	var in snapshot
+	if err := wire.Decode(data, &in); err != nil {
+		return State{}, err
+	}
+	return State{
+		version:  in.Version,
+		document: in.Document,
+		docIndex: in.DocIndex,
+		digests:  in.Digests,
+		targets:  in.Targets,
+		tables:   in.Tables,
+	}, nil
+}
--- /dev/null
+++ b/internal/fleet/control.go
@@ -0,0 +1,324 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/internal/group"
+	"github.com/cranberrywind/cranberrywind/internal/instance"
+	"github.com/cranberrywind/cranberrywind/internal/leader"
+	"github.com/cranberrywind/cranberrywind/internal/membership"
+	"github.com/cranberrywind/cranberrywind/internal/view"
+	"github.com/cranberrywind/cranberrywind/internal/wire"
+	"github.com/cranberrywind/cranberrywind/pkg/replica"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
+)
+
+// Control is an instance's part in the control group. It answers other
+// instances, and the platform's adapter on behalf of operators and targets.
+type Control struct {
+	group   *group.Group[deployment.State]
+	leader  *leader.Leader
+	members *membership.Manager
+	pool    *instance.Pool
+	clock   timer.Service
+	log     *log.Logger
+	seeds   []string
+}
+
+var (
+	_ instance.DeploymentHandler = (*Control)(nil)
+	_ view.Source                = (*Control)(nil)
+)
+
+// ErrUnavailable reports that the group could not decide in time; the request
+// may take effect later.
+var ErrUnavailable = errors.New("control group is not available")
+
+const (
+	// tryTimeout bounds one call of the leader, allTimeout all of them.
+	tryTimeout = 700 * time.Millisecond
+	allTimeout = 900 * time.Millisecond
+)
+
+// Order takes an operator's change to the leader.
+func (c *Control) Order(ctx context.Context, o deployment.Order) (deployment.Result, error) {
+	res, err := toLeader[instance.OrderRequest, instance.OrderResponse](ctx, c, "Change", &instance.OrderRequest{Order: o}, c.Change)
+	if err != nil {
+		return deployment.Result{}, err
+	}
+	return res.Result, nil
+}
+
+// Announce takes a target's heartbeat to the leader and returns once what
+// changed is committed.
+func (c *Control) Announce(ctx context.Context, t deployment.Target) (*instance.AnnouncedResponse, error) {
+	req := &instance.AnnouncedRequest{Target: t}
+	return toLeader[instance.AnnouncedRequest, instance.AnnouncedResponse](ctx, c, "Announced", req, c.Announced)
+}
+
+// Withdraw takes a target's goodbye to the leader.
+func (c *Control) Withdraw(ctx context.Context, id string, born int64) (*instance.AnnouncedResponse, error) {
+	req := &instance.AnnouncedRequest{Target: deployment.Target{ID: id, Born: born}, Leaves: true}
+	return toLeader[instance.AnnouncedRequest, instance.AnnouncedResponse](ctx, c, "Announced", req, c.Announced)
+}
+
+// Document returns a configuration that covers everything acknowledged before
+// the call, and whether there is one.
+func (c *Control) Document(ctx context.Context) (deployment.Document, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, allTimeout)
+	defer cancel()
+	res, err := toLeader[instance.BarrierRequest, instance.BarrierResponse](ctx, c, "Barrier", &instance.BarrierRequest{}, c.Barrier)
+	if err != nil {
+		return deployment.Document{}, false, err
+	}
+	for {
+		changed := c.group.Watch()
+		applied := c.group.State()
+		if applied.Index >= res.Index {
+			doc, index := applied.State.Document()
+			return doc, index > 0, nil
+		}
+		select {
+		case <-ctx.Done():
+			return deployment.Document{}, false, fmt.Errorf("%w: state is at index %d, not yet at %d", ErrUnavailable, applied.Index, res.Index)
+		case <-changed:
+		}
+	}
+}
+
+// toLeader calls this instance where it leads, else the leader it knows of.
+func toLeader[Req, Res any](ctx context.Context, c *Control, method string, req *Req, local func(context.Context, *Req) (*Res, error)) (*Res, error) {
+	ctx, cancel := context.WithTimeout(ctx, allTimeout)
+	defer cancel()
+	for {
+		var res *Res
+		var err error
+		if c.group.Role().Role == replica.Leader {
+			res, err = local(ctx, req)
+		} else {
+			res, err = callLeader[Req, Res](ctx, c, method, req)
+		}
+		if err == nil || !errors.Is(err, replica.ErrNotLeader) && !errors.Is(err, group.ErrLost) {
+			return res, wrap(err)
+		}
+		if !sleep(ctx, 20*time.Millisecond) {
+			return nil, wrap(err)
+		}
+	}
+}
+
+func wrap(err error) error {
+	if err == nil {
+		return nil
+	}
+	return fmt.Errorf("%w: %w", ErrUnavailable, err)
+}
+
+func callLeader[Req, Res any](ctx context.Context, c *Control, method string, req *Req) (*Res, error) {
+	address := c.group.LeaderAddress()
+	if address == "" {
+		return nil, &instance.NotLeaderError{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	return instance.Call[Req, Res](ctx, c.pool, address, method, req)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// notLeader names the leader to another instance.
+func (c *Control) notLeader() error { return &instance.NotLeaderError{Leader: c.group.LeaderAddress()} }
+
+func (c *Control) leads() bool { return c.group.Role().Role == replica.Leader }
+
+// Change commits an operator's order.
+func (c *Control) Change(ctx context.Context, req *instance.OrderRequest) (*instance.OrderResponse, error) {
+	if !c.leads() {
+		return nil, c.notLeader()
+	}
+	result, err := c.propose(ctx, deployment.Command{Order: &req.Order})
+	if err != nil {
+		c.log.Warn("order not decided", "version", req.Order.Version, "base", req.Order.Base, "error", err)
+		return nil, err
+	}
+	c.log.Info("order decided", "version", req.Order.Version, "base", req.Order.Base, "whole", req.Order.Whole,
+		"outcome", result.Outcome, "in_force", result.Version, "reason", result.Reason)
+	return &instance.OrderResponse{Result: result}, nil
+}
+
+func (c *Control) propose(ctx context.Context, command deployment.Command) (deployment.Result, error) {
+	committed, err := c.group.Propose(ctx, wire.Encode(command))
+	if err != nil {
+		return deployment.Result{}, err
+	}
+	var result deployment.Result
+	return result, wire.Decode(committed.Value, &result)
+}
+
+// Announced takes what a target said of itself. Only what changed is committed;
+// a mere heartbeat is noted by the leader.
+func (c *Control) Announced(ctx context.Context, req *instance.AnnouncedRequest) (*instance.AnnouncedResponse, error) {
+	if !c.leads() {
+		return nil, c.notLeader()
+	}
+	t := req.Target
+	life := deployment.Life{ID: t.ID, Born: t.Born}
+	old, known := c.group.State().State.Target(t.ID)
+	switch {
+	case req.Leaves:
+		if !known || old.Status == deployment.Left {
+			break
+		}
+		if life.Born == 0 {
+			life.Born = old.Born
+		}
+		if _, err := c.propose(ctx, deployment.Command{Withdraw: &life}); err != nil {
+			return nil, err
+		}
+		c.log.Info("target withdrew", "target", t.ID, "service", old.Service, "address", old.Address)
+	case !known || differs(t, old):
+		if _, err := c.propose(ctx, deployment.Command{Announce: &t}); err != nil {
+			return nil, err
+		}
+		now, _ := c.group.State().State.Target(t.ID)
+		c.log.Info("target announced", "target", t.ID, "born", t.Born, "service", t.Service, "address", t.Address,
+			"status", t.Status, "sequence", t.Sequence, "taken", now.Born == t.Born && now.Sequence == t.Sequence)
+		c.leader.Heard(life)
+	case t.Sequence > old.Sequence && old.Status != deployment.Left:
+		c.leader.Heard(life)
+	}
+	return &instance.AnnouncedResponse{Leader: c.group.Self().Address}, nil
+}
+
+// differs reports whether an announcement says something new of a target. Late
+// ones of the same or an earlier life do not.
+func differs(t, old deployment.Target) bool {
+	if t.Born != old.Born {
+		return t.Born > old.Born
+	}
+	if old.Status == deployment.Left || t.Sequence <= old.Sequence {
+		return false
+	}
+	return t.Status != old.Status || t.Address != old.Address || t.Service != old.Service || t.Slots != old.Slots
+}
+
+// Barrier returns an index that covers everything acknowledged before the call.
+func (c *Control) Barrier(ctx context.Context, _ *instance.BarrierRequest) (*instance.BarrierResponse, error) {
+	if !c.leads() {
+		return nil, c.notLeader()
+	}
+	applied, err := c.group.Barrier(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &instance.BarrierResponse{Index: applied.Index}, nil
+}
+
+// Report takes an entry's measurements.
+func (c *Control) Report(_ context.Context, req *instance.ReportRequest) (*instance.ReportResponse, error) {
+	if !c.leads() {
+		return nil, c.notLeader()
+	}
+	c.leader.Report(*req)
+	return &instance.ReportResponse{}, nil
+}
+
+// Watch streams the view to an entry.
+func (c *Control) Watch(ctx context.Context, req *instance.WatchRequest, send func(*instance.ViewUpdate) error) error {
+	c.log.Info("entry watches", "entry", req.Instance)
+	return view.Publish(ctx, c, c.clock, send)
+}
+
+// State returns the state as far as it is applied here.
+func (c *Control) State() deployment.State { return c.group.State().State }
+
+// Changed returns a channel that is closed at the next change.
+func (c *Control) Changed() <-chan struct{} { return c.group.Watch() }
+
+// Current reports whether this replica leads or hears its leader.
+func (c *Control) Current() bool { return c.group.Role().Leader != "" }
+
+// Control returns the addresses of the control instances.
+func (c *Control) Control() []string {
+	var out []string
+	for _, m := range c.group.Members().All() {
+		out = append(out, m.Address)
+	}
+	if len(out) == 0 {
+		return c.seeds
+	}
+	return out
+}
+
+// Deliver hands a message to the replica.
+func (c *Control) Deliver(e group.Envelope) {
+	if e.Group == groupName {
+		c.group.Receive(e)
+	}
+}
+
+// Probe describes the replica.
+func (c *Control) Probe(context.Context, *instance.ProbeRequest) (*instance.ProbeResponse, error) {
+	return &instance.ProbeResponse{Self: c.group.Self(), Formed: c.group.Formed()}, nil
+}
+
+// Form gives the replica its group's first membership.
+func (c *Control) Form(_ context.Context, req *instance.FormRequest) (*instance.Empty, error) {
+	return &instance.Empty{}, c.group.Form(req.Members)
+}
+
+// Join notes a replica that wants to be let in.
+func (c *Control) Join(_ context.Context, req *instance.JoinRequest) (*instance.Empty, error) {
+	if !c.leads() {
+		return nil, c.notLeader()
+	}
+	c.members.Join(req.Member)
+	return &instance.Empty{}, nil
+}
+
+const handOverWait = 600 * time.Millisecond
+
+// handOver gives leadership to the voter that holds most of the log.
+func (c *Control) handOver(ctx context.Context) {
+	if !c.leads() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOverWait)
+	defer cancel()
+	status, err := c.group.Status(ctx)
+	if err != nil {
+		c.log.Warn("leadership not handed over", "error", err)
+		return
+	}
+	best := replica.PeerStatus{}
+	for _, v := range status.Members.Voters {
+		if p := status.Peer(v.ID); v.ID != status.ID && p.Alive && p.Match >= best.Match {
+			best = p
+		}
+	}
+	if best.ID == "" {
+		return
+	}
+	if err := c.group.Transfer(best.ID); err != nil {
+		c.log.Warn("leadership not handed over", "to", best.ID, "error", err)
+		return
+	}
+	for c.leads() && sleep(ctx, 10*time.Millisecond) {
+	}
+	c.log.Info("leadership handed over", "to", best.ID, "leads", c.leads())
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,285 @@
+// Package fleet puts the parts of one instance of a routed deployment together:
+// the replicated state and the leader's duties where it has the control role,
+// the edge towards callers where it has the entry role.
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/internal/forward"
+	"github.com/cranberrywind/cranberrywind/internal/group"
+	"github.com/cranberrywind/cranberrywind/internal/instance"
+	"github.com/cranberrywind/cranberrywind/internal/leader"
+	"github.com/cranberrywind/cranberrywind/internal/membership"
+	"github.com/cranberrywind/cranberrywind/internal/settings"
+	"github.com/cranberrywind/cranberrywind/internal/targethttp"
+	"github.com/cranberrywind/cranberrywind/internal/view"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
+)
+
+// Adapter is what a platform brings: its dialect towards callers and targets
+// and its HTTP interfaces.
+type Adapter struct {
+	Dialect forward.Dialect
+	Targets leader.Targets
+	// Operator returns the handler on a control instance's operator address.
+	Operator func(c *Control) http.Handler
+	// Balancer returns the handler on an entry's balancer address.
+	Balancer func(ready func() error) http.Handler
+}
+
+// Fleet is one running instance.
+type Fleet struct {
+	cfg     settings.Routed
+	adapter Adapter
+	log     *log.Logger
+	clock   *timer.System
+	pool    *instance.Pool
+	traffic *instance.Traffic
+	metrics *metrics
+	control *Control
+	entry   *forward.Server
+	follow  *view.Follower
+
+	mu       sync.Mutex
+	cleanups []func()
+	stopping bool
+	failed   chan error
+}
+
+// groupTiming elects a leader within about a second of a loss.
+func groupTiming() group.Timing {
+	return group.Timing{Tick: 25 * time.Millisecond, ElectionTicks: 16, HeartbeatTicks: 3}
+}
+
+const groupName = "deployment"
+
+// retryMargin is the share of the retry budget that entries use: each knows only
+// its own requests.
+const retryMargin = 0.75
+
+// Start starts an instance and returns it with its clean-up function, which
+// ends it at once. Use Shutdown first for a planned stop.
+func Start(ctx context.Context, cfg settings.Routed, adapter Adapter, logger *log.Logger) (*Fleet, func(), error) {
+	ctx, cancel := context.WithCancel(ctx)
+	f := &Fleet{
+		cfg:     cfg,
+		adapter: adapter,
+		log:     logger.With("instance", cfg.Name),
+		clock:   timer.NewSystem(ctx),
+		traffic: &instance.Traffic{},
+		metrics: newMetrics(),
+		failed:  make(chan error, 1),
+	}
+	f.onStop(cancel)
+	pool, closePool := instance.NewPool(ctx, instance.Security{}, f.traffic)
+	f.pool = pool
+	f.onStop(closePool)
+	if err := f.start(ctx); err != nil {
+		f.stop()
+		return nil, nil, fmt.Errorf("start instance %s: %w", cfg.Name, err)
+	}
+	f.log.Info("instance started", "availability_zone", cfg.AvailabilityZone, "entry", cfg.Entry, "control", cfg.Control,
+		"bootstrap", cfg.Bootstrap, "seeds", cfg.Seeds)
+	return f, f.stop, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	if f.cfg.Control {
+		if err := f.startControl(ctx); err != nil {
+			return err
+		}
+	}
+	if f.cfg.Entry {
+		if err := f.startEntry(ctx); err != nil {
+			return err
+		}
+	}
+	if f.cfg.MetricsAddress != "" {
+		return f.listenHTTP(f.cfg.MetricsAddress, f.metrics)
+	}
+	return nil
+}
+
+func (f *Fleet) startControl(ctx context.Context) error {
+	g, stopGroup, err := group.Open(ctx, group.Config[deployment.State]{
+		Name:      groupName,
+		Instance:  f.cfg.Address,
+		Address:   f.cfg.Address,
+		Dir:       filepath.Join(f.cfg.DataDir, groupName),
+		Decode:    deployment.Decode,
+		Transport: f.pool,
+		Clock:     f.clock,
+		Timing:    groupTiming(),
+	})
+	if err != nil {
+		return err
+	}
+	f.onStop(stopGroup)
+	go func() {
+		<-g.Done()
+		if err := g.Err(); err != nil {
+			f.fail(fmt.Errorf("group %s: %w", groupName, err))
+		}
+	}()
+	lead, stopLead := leader.Start(ctx, g, f.adapter.Targets, f.clock, leader.DefaultTiming(), f.log)
+	f.onStop(stopLead)
+	var peers []settings.Peer
+	for _, address := range f.cfg.Seeds {
+		peers = append(peers, settings.Peer{Name: address, Address: address})
+	}
+	m := membership.New(g, f.pool, f.clock, f.log, nil).
+		Seeded(membership.Seeds{Peers: peers, Bootstrap: f.cfg.Bootstrap})
+	go m.Run(ctx)
+	f.control = &Control{group: g, leader: lead, members: m, pool: f.pool, clock: f.clock, log: f.log, seeds: f.cfg.Seeds}
+	l, err := net.Listen("tcp", f.cfg.Address)
+	if err != nil {
+		return fmt.Errorf("listen for instances: %w", err)
+	}
+	f.onStop(instance.ServeDeployment(l, f.control, instance.Security{}, f.traffic))
+	return f.listenHTTP(f.cfg.OperatorAddress, f.adapter.Operator(f.control))
+}
+
+func (f *Fleet) startEntry(ctx context.Context) error {
+	f.follow = view.Follow(ctx, view.FollowerConfig{Name: f.cfg.Name, Seeds: f.cfg.Seeds, Pool: f.pool, Log: f.log})
+	targets, closeTargets := targethttp.NewPool(f.clock)
+	f.onStop(closeTargets)
+	l, err := net.Listen("tcp", f.cfg.CallerAddress)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	finder := instance.NewLeader(f.pool, f.cfg.Seeds, reportTimeout)
+	server, stopServer := forward.Serve(ctx, l, forward.Config{
+		Name:        f.cfg.Name,
+		Dialect:     f.adapter.Dialect,
+		View:        f.follow,
+		Pool:        targets,
+		Clock:       f.clock,
+		Log:         f.log,
+		Observer:    f.metrics,
+		Report:      func(r instance.ReportRequest) { f.report(ctx, finder, r) },
+		RetryRatio:  f.cfg.RetryRatio,
+		RetryBurst:  f.cfg.RetryBurst,
+		RetryMargin: retryMargin,
+	})
+	f.entry = server
+	f.onStop(stopServer)
+	return f.listenHTTP(f.cfg.BalancerAddress, f.adapter.Balancer(f.ready))
+}
+
+// reportTimeout bounds one try to bring measurements to the leader.
+const reportTimeout = 300 * time.Millisecond
+
+// report brings measurements to the leader. They are lost where it can't be
+// reached: the next ones follow soon.
+func (f *Fleet) report(ctx context.Context, finder *instance.Leader, r instance.ReportRequest) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	finder.SetAddresses(f.follow.View().Control)
+	if _, err := instance.CallLeader[instance.ReportRequest, instance.ReportResponse](ctx, finder, "Report", &r); err != nil {
+		f.log.Debug("measurements not delivered", "error", err)
+	}
+}
+
+// errStopping fails the balancer's check during a planned stop.
+var errStopping = errors.New("instance is stopping")
+
+// errNoConfiguration fails it until a configuration is known.
+var errNoConfiguration = errors.New("no configuration is known yet")
+
+// ready tells the balancer whether this entry should get new connections.
+func (f *Fleet) ready() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.stopping:
+		return errStopping
+	case f.follow.View().DocIndex == 0:
+		return errNoConfiguration
+	}
+	return nil
+}
+
+func (f *Fleet) onStop(cleanup func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cleanups = append(f.cleanups, cleanup)
+}
+
+func (f *Fleet) stop() {
+	f.mu.Lock()
+	cleanups := slices.Clone(f.cleanups)
+	f.cleanups = nil
+	f.mu.Unlock()
+	for _, cleanup := range slices.Backward(cleanups) {
+		cleanup()
+	}
+}
+
+// Failed delivers the error that makes the instance unable to go on.
+func (f *Fleet) Failed() <-chan error { return f.failed }
+
+func (f *Fleet) fail(err error) {
+	select {
+	case f.failed <- err:
+	default:
+	}
+}
+
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 30 * time.Second
+)
+
+func (f *Fleet) listenHTTP(address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	f.onStop(func() { _ = s.Close() })
+	go func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			f.fail(fmt.Errorf("serve %s: %w", address, err))
+		}
+	}()
+	return nil
+}
+
+// finishMargin is kept from the grace for the exit itself.
+const finishMargin = 400 * time.Millisecond
+
+// Shutdown stops as planned: the balancer is told, kept connections end between
+// requests, what was read is answered, and leadership is handed over.
+func (f *Fleet) Shutdown(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.Grace-finishMargin)
+	defer cancel()
+	f.log.Info("planned stop began", "drain", f.cfg.Drain, "grace", f.cfg.Grace)
+	f.mu.Lock()
+	f.stopping = true
+	f.mu.Unlock()
+	if f.control != nil {
+		f.control.handOver(ctx)
+	}
+	if f.entry != nil {
+		select {
+		case <-ctx.Done():
+		case <-time.After(f.cfg.Drain):
+		}
+		if err := f.entry.Stop(ctx); err != nil {
+			f.log.Warn("planned stop ran out of time", "error", err)
+		}
+	}
+	f.log.Info("planned stop ended")
+}
--- /dev/null
+++ b/internal/forward/handle.go
@@ -0,0 +1,409 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/internal/targethttp"
+)
+
+const (
+	// answerMargin is taken off the time that a target gets, for the way back.
+	answerMargin = 10 * time.Millisecond
+	// leastTime is the shortest time that is worth sending a request for.
+	leastTime = 15 * time.Millisecond
+	// holderWait is the share of the time left for which a request waits for
+	// keys that are on the move.
+	holderWait = 0.5
+	// comeBack is when a caller may come back after a refusal without a better
+	// estimate.
+	comeBack = 150 * time.Millisecond
+	// attemptShare is the share of the time left that one target gets while
+	// another may be asked afterwards.
+	attemptShare = 0.6
+	// connectionShare is the share of a target's connections that one entry may
+	// open: entries don't see each other's.
+	connectionShare = 0.09
+	leastConns      = 3
+)
+
+// refuse returns an answer of the router's own.
+func refuse(status int, reason string) response {
+	body := []byte(fmt.Sprintf("{\"error\":%q}\n", reason))
+	return response{status: status, header: http.Header{"Content-Type": {"application/json"}}, body: body}
+}
+
+// notRun refuses a request that has not run and tells when to come back.
+func notRun(reason string, after time.Duration) response {
+	r := refuse(http.StatusServiceUnavailable, reason)
+	// Callers that were refused together come back spread out.
+	after += time.Duration(rand.Float64() * 0.5 * float64(after))
+	r.header["Retry-After"] = []string{strconv.FormatFloat(after.Seconds(), 'f', 3, 64)}
+	return r
+}
+
+// call is one request on its way to a target.
+type call struct {
+	*request
+	route    *deployment.Route
+	service  deployment.Service
+	id       string
+	deadline time.Time
+	key      deployment.Key
+	tried    []string
+	sent     int  // times that a target got the request
+	mayRun   bool // a target may have run it
+	last     string
+}
+
+// handle returns the final answer to one request.
+func (s *Server) handle(r *request) response {
+	c, refusal := s.admit(r)
+	if refusal != nil {
+		return s.finish(r, c, *refusal)
+	}
+	ctx, cancel := context.WithDeadline(s.ctx, c.deadline)
+	defer cancel()
+	if c.route.Kind.Idempotent() {
+		// A caller that leaves ends the work for it.
+		defer context.AfterFunc(r.ctx, cancel)()
+	}
+	return s.finish(r, c, s.attempts(ctx, c))
+}
+
+func (s *Server) finish(r *request, c *call, out response) response {
+	if _, ok := out.header[s.cfg.Dialect.RequestID]; !ok && out.header != nil {
+		if id := r.header.Get(s.cfg.Dialect.RequestID); id != "" {
+			out.header[s.cfg.Dialect.RequestID] = []string{id}
+		}
+	}
+	out.head = r.method == http.MethodHead
+	out.closing = out.closing || r.closing
+	took := time.Since(r.began)
+	service := ""
+	if c != nil {
+		service = c.service.Name
+	}
+	s.cfg.Observer.Answered(service, outcomeOf(out, c), out.status, took)
+	if out.status >= http.StatusBadRequest {
+		s.logFailure(r, c, out, took)
+	}
+	return out
+}
+
+func outcomeOf(out response, c *call) string {
+	switch {
+	case out.status < http.StatusBadRequest:
+		return "done"
+	case c != nil && c.mayRun:
+		return "unknown"
+	default:
+		return "not_run"
+	}
+}
+
+func (s *Server) logFailure(r *request, c *call, out response, took time.Duration) {
+	fields := []any{
+		"request_id", r.header.Get(s.cfg.Dialect.RequestID), "status", out.status,
+		"took_ms", took.Milliseconds(), "view_version", s.cfg.View.View().Version,
+	}
+	if c != nil {
+		fields = append(fields, "route", c.route.Name, "service", c.service.Name, "sent", c.sent,
+			"may_have_run", c.mayRun, "targets", c.tried, "reason", c.last)
+	} else {
+		fields = append(fields, "path", r.path, "reason", strings.TrimSpace(string(out.body)))
+	}
+	s.log.Info("request failed", fields...)
+}
+
+// admit finds the route and service of a request and its deadline.
+func (s *Server) admit(r *request) (*call, *response) {
+	fail := func(out response) (*call, *response) { return nil, &out }
+	v := s.cfg.View.View()
+	if v.DocIndex == 0 {
+		return fail(notRun("no configuration is known yet", comeBack))
+	}
+	route, ok := v.Routes.Find(r.host, r.path)
+	if !ok {
+		return fail(refuse(http.StatusNotFound, "no route for this host and path"))
+	}
+	id := r.header.Get(s.cfg.Dialect.RequestID)
+	if id == "" {
+		return fail(refuse(http.StatusBadRequest, s.cfg.Dialect.RequestID+" is missing"))
+	}
+	name, ok := s.split.next(route)
+	if !ok {
+		return fail(notRun("no service of this route has a weight", comeBack))
+	}
+	service, _ := v.Document.Service(name)
+	c := &call{request: r, route: route, service: service, id: id, deadline: r.began.Add(route.Timeout)}
+	if ms, err := strconv.ParseInt(r.header.Get(s.cfg.Dialect.Deadline), 10, 64); err == nil && ms >= 0 {
+		if own := r.began.Add(time.Duration(ms) * time.Millisecond); own.Before(c.deadline) {
+			c.deadline = own
+		}
+	}
+	if service.Keyed {
+		key, err := strconv.ParseUint(r.header.Get(s.cfg.Dialect.Key), 10, 16)
+		if err != nil {
+			return fail(refuse(http.StatusBadRequest, s.cfg.Dialect.Key+" must be a whole number from 0 to 65535"))
+		}
+		c.key = deployment.Key(key)
+		s.keys.add(name, c.key)
+	}
+	s.earn(name)
+	return c, nil
+}
+
+// attempts sends the request to one target after another until there is an
+// answer, or none can be expected any more.
+func (s *Server) attempts(ctx context.Context, c *call) response {
+	for {
+		t, refusal := s.target(ctx, c)
+		if refusal != nil {
+			return *refusal
+		}
+		if c.sent > 0 && !s.spend(c.service.Name) {
+			c.last += "; the retry budget is used up"
+			return s.give(ctx, c)
+		}
+		out, again := s.attempt(ctx, c, t)
+		if out != nil {
+			return *out
+		}
+		if !again {
+			return s.give(ctx, c)
+		}
+	}
+}
+
+// give returns the final answer to a request that got none from a target.
+func (s *Server) give(ctx context.Context, c *call) response {
+	switch {
+	case !c.mayRun:
+		return notRun(c.last, comeBack)
+	case ctx.Err() != nil:
+		return refuse(http.StatusGatewayTimeout, c.last)
+	default:
+		return refuse(http.StatusBadGateway, c.last)
+	}
+}
+
+// target chooses whom to send a request to, or refuses it.
+func (s *Server) target(ctx context.Context, c *call) (deployment.Target, *response) {
+	fail := func(reason string, after time.Duration) (deployment.Target, *response) {
+		if c.last != "" {
+			reason = c.last + "; " + reason
+		}
+		c.last = reason
+		out := s.give(ctx, c)
+		if !c.mayRun {
+			out = notRun(reason, after)
+		}
+		return deployment.Target{}, &out
+	}
+	left := time.Until(c.deadline)
+	if left < leastTime || ctx.Err() != nil {
+		return fail("no time is left", comeBack)
+	}
+	if c.service.Keyed {
+		t, after, reason := s.holder(ctx, c)
+		if reason != "" {
+			return fail(reason, after)
+		}
+		return t, nil
+	}
+	t, ok := s.targets.choose(s.cfg.View.View().Usable(c.service.Name), c.tried)
+	if !ok {
+		return fail("no target takes requests", comeBack)
+	}
+	if expected := s.targets.expected(t); expected > left {
+		return fail("all targets are busy for longer than the caller waits", expected/2)
+	}
+	return t, nil
+}
+
+// holder returns the target that holds the request's key. It waits a while for
+// keys that are on the move, and after a target said that it does not hold the
+// key.
+func (s *Server) holder(ctx context.Context, c *call) (deployment.Target, time.Duration, string) {
+	wait, cancel := context.WithTimeout(ctx, time.Duration(holderWait*float64(time.Until(c.deadline))))
+	defer cancel()
+	for {
+		changed := s.cfg.View.Changed()
+		v := s.cfg.View.View()
+		p, _ := v.Holder(c.service.Name, c.key)
+		t, known := v.Target(p.Target)
+		switch {
+		case p.Phase == deployment.Free || !known || t.Born != p.Born:
+			return t, comeBack, "nobody holds the key"
+		case p.Phase == deployment.Held && !c.triedPiece(p):
+			return s.heldBy(c, t, p)
+		}
+		select {
+		case <-wait.Done():
+			return t, comeBack, "the key is on its way to another target"
+		case <-changed:
+		}
+	}
+}
+
+// heldBy checks whether a key's holder can answer in time.
+func (s *Server) heldBy(c *call, t deployment.Target, p deployment.Piece) (deployment.Target, time.Duration, string) {
+	if !t.Usable() {
+		return t, comeBack, "the key's holder is leaving"
+	}
+	if after, ok := s.targets.available(t); !ok {
+		return t, after, "the key's holder does not answer"
+	}
+	if expected := s.targets.expected(t); expected > time.Until(c.deadline) {
+		return t, expected / 2, "the key's holder is busy for longer than the caller waits"
+	}
+	c.tried = append(c.tried, pieceName(p))
+	return t, 0, ""
+}
+
+func pieceName(p deployment.Piece) string { return p.Target + "/" + strconv.FormatUint(p.Fence, 10) }
+
+func (c *call) triedPiece(p deployment.Piece) bool { return slices.Contains(c.tried, pieceName(p)) }
+
+// attempt sends the request to one target. It returns the final answer, or
+// whether another attempt may help.
+func (s *Server) attempt(ctx context.Context, c *call, t deployment.Target) (*response, bool) {
+	if !c.service.Keyed {
+		c.tried = append(c.tried, t.ID)
+	}
+	attempt, cancel := s.attemptContext(ctx, c)
+	defer cancel()
+	most := max(leastConns, int(connectionShare*float64(c.service.Connections)))
+	began := time.Now()
+	s.targets.began(t)
+	a, err := s.cfg.Pool.Do(attempt, t.Address, most, s.cfg.Dialect.RequestID, targethttp.Request{
+		Method:  c.method,
+		Head:    s.head(c, t, began),
+		Body:    c.body,
+		ID:      c.id,
+		Careful: !c.route.Kind.Idempotent(),
+	})
+	took := time.Since(began)
+	if err != nil {
+		return s.failed(ctx, c, t, err, took)
+	}
+	e := ending{took: took}
+	if s.cfg.Dialect.ParseLoad != nil {
+		e.load, e.loadKnown = s.cfg.Dialect.ParseLoad(a.Header.Get(s.cfg.Dialect.Load))
+	}
+	if s.isNotRun(a) {
+		c.sent++
+		c.last = fmt.Sprintf("target %s did not run it: status %d", t.ID, a.Status)
+		s.targets.ended(t, e)
+		return nil, !c.mayRun && len(c.tried) < max(c.route.Attempts, 2)
+	}
+	c.sent++
+	c.mayRun = true
+	if fault := s.fault(a); fault != "" {
+		e.failed = true
+		s.targets.ended(t, e)
+		c.last = fmt.Sprintf("target %s: %s", t.ID, fault)
+		return nil, s.mayRepeat(c)
+	}
+	e.ran = true
+	s.targets.ended(t, e)
+	if a.Status >= http.StatusInternalServerError {
+		c.last = fmt.Sprintf("target %s answered with status %d", t.ID, a.Status)
+	}
+	out := response{status: a.Status, header: passedHeaders(a.Header), body: a.Body}
+	return &out, false
+}
+
+// attemptContext leaves time for another target where one may be asked.
+func (s *Server) attemptContext(ctx context.Context, c *call) (context.Context, context.CancelFunc) {
+	if !c.route.Kind.Idempotent() || c.service.Keyed || len(c.tried) >= c.route.Attempts {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Duration(attemptShare*float64(time.Until(c.deadline))))
+}
+
+// mayRepeat reports whether a request that may have run can be sent again.
+func (s *Server) mayRepeat(c *call) bool {
+	return c.route.Kind.Idempotent() && len(c.tried) < c.route.Attempts
+}
+
+// failed takes an exchange without a whole answer.
+func (s *Server) failed(ctx context.Context, c *call, t deployment.Target, err error, took time.Duration) (*response, bool) {
+	left := c.ctx.Err() != nil
+	s.targets.ended(t, ending{failed: !left && !errors.Is(err, targethttp.ErrFull), took: took})
+	c.last = fmt.Sprintf("target %s: %v", t.ID, err)
+	if errors.Is(err, targethttp.ErrNotSent) {
+		return nil, !left && len(c.tried) < max(c.route.Attempts, 3) && !c.service.Keyed
+	}
+	c.sent++
+	c.mayRun = true
+	return nil, !left && ctx.Err() == nil && s.mayRepeat(c)
+}
+
+// isNotRun reports whether the target says that it did not run the request.
+func (s *Server) isNotRun(a *targethttp.Answer) bool {
+	return a.Header.Get(s.cfg.Dialect.NotRun) != "" || a.Status == http.StatusMisdirectedRequest
+}
+
+// fault tells why an answer can't be the target's whole answer.
+func (s *Server) fault(a *targethttp.Answer) string {
+	switch {
+	case a.Header.Get("Content-Encoding") != "":
+		return "answer is encoded although nobody asked for it"
+	case a.Status < http.StatusMultipleChoices && a.Header.Get(s.cfg.Dialect.Signature) == "":
+		return "answer is not signed"
+	}
+	return ""
+}
+
+func passedHeaders(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+	for name, values := range h {
+		if passes(name, h) {
+			out[name] = values
+		}
+	}
+	return out
+}
+
+// head returns the request line and headers as the target gets them.
+func (s *Server) head(c *call, t deployment.Target, now time.Time) []byte {
+	d := s.cfg.Dialect
+	out := make([]byte, 0, 512)
+	out = append(out, c.method...)
+	out = append(out, ' ')
+	out = append(out, c.uri...)
+	out = append(out, " HTTP/1.1\r\n"...)
+	out = header(out, "Host", c.host)
+	for name, values := range c.header {
+		if name == d.Deadline || name == d.Target || name == "Expect" || !passes(name, c.header) {
+			continue
+		}
+		for _, v := range values {
+			out = header(out, name, v)
+		}
+	}
+	left := max(c.deadline.Sub(now)-answerMargin, time.Millisecond)
+	out = header(out, d.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
+	out = header(out, d.Target, t.ID)
+	if len(c.body) > 0 || c.method == http.MethodPost || c.method == http.MethodPut || c.method == http.MethodPatch {
+		out = header(out, "Content-Length", strconv.Itoa(len(c.body)))
+	}
+	return append(out, "\r\n"...)
+}
+
+func header(out []byte, name, value string) []byte {
+	out = append(out, name...)
+	out = append(out, ": "...)
+	out = append(out, value...)
+	return append(out, "\r\n"...)
+}
--- a/internal/instance/client.go
+++ b/internal/instance/client.go
@@ -98,3 +98,30 @@
 	}
 	return res, nil
 }
+
+// Watch reads an entry's view from one control instance and hands each update
+// to receive until the stream or ctx ends, or receive returns an error.
+func (p *Pool) Watch(ctx context.Context, address string, req *WatchRequest, receive func(*ViewUpdate) error) error {
+	c, err := p.conn(address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s, err := c.NewStream(ctx, &grpc.StreamDesc{StreamName: "Watch", ServerStreams: true}, "/"+serviceName+"/Watch")
+	if err != nil {
+		return fromStatus(err)
+	}
+	if err := errors.Join(s.SendMsg(req), s.CloseSend()); err != nil {
+		return fromStatus(err)
+	}
+	for {
+		u := new(ViewUpdate)
+		if err := s.RecvMsg(u); err != nil {
+			return fromStatus(err)
+		}
+		if err := receive(u); err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/instance/deployment.go
@@ -0,0 +1,83 @@
+package instance
+
+import (
+	"time"
+
+	"github.com/cranberrywind/cranberrywind/internal/deployment"
+)
+
+// OrderRequest is an operator's change for the leader.
+type OrderRequest struct {
+	Order deployment.Order `msgpack:"order"`
+}
+
+// OrderResponse tells what became of it.
+type OrderResponse struct {
+	Result deployment.Result `msgpack:"result"`
+}
+
+// AnnouncedRequest passes on what a target said of itself.
+type AnnouncedRequest struct {
+	Target deployment.Target `msgpack:"target"` // as announced; ID alone for a withdrawal
+	Leaves bool              `msgpack:"leaves"` // the target withdraws
+}
+
+// AnnouncedResponse acknowledges it: what changed is committed.
+type AnnouncedResponse struct {
+	Leader string `msgpack:"leader"` // instance where later heartbeats are best sent
+}
+
+// BarrierRequest asks the leader for an index that covers everything
+// acknowledged before the call.
+type BarrierRequest struct{}
+
+// BarrierResponse answers it.
+type BarrierResponse struct {
+	Index uint64 `msgpack:"index"`
+}
+
+// ReportRequest tells the leader what an entry measured since its last report.
+type ReportRequest struct {
+	Instance string        `msgpack:"instance"`
+	Span     time.Duration `msgpack:"span"`
+	Keys     []KeyLoad     `msgpack:"keys"`
+	Targets  []TargetLoad  `msgpack:"targets"`
+}
+
+// KeyLoad counts the requests for one bucket of a service's keys.
+type KeyLoad struct {
+	Service string         `msgpack:"service"`
+	Bucket  deployment.Key `msgpack:"bucket"` // first key of the bucket
+	Count   uint32         `msgpack:"count"`
+}
+
+// TargetLoad is what an entry saw of one target.
+type TargetLoad struct {
+	ID       string        `msgpack:"id"`
+	Answers  uint32        `msgpack:"answers"`
+	Unqueued uint32        `msgpack:"unqueued"` // answers that did not wait for a slot
+	Busy     time.Duration `msgpack:"busy"`     // time that the unqueued answers took in all
+}
+
+// ReportResponse answers a report.
+type ReportResponse struct{}
+
+// WatchRequest asks for an entry's view and all its changes.
+type WatchRequest struct {
+	Instance string `msgpack:"instance"`
+}
+
+// ViewUpdate is what changed in an entry's view. The first one of a stream
+// brings all of it.
+type ViewUpdate struct {
+	Whole    bool                  `msgpack:"whole"`
+	Version  uint64                `msgpack:"version"` // log index that the view is complete to
+	DocIndex uint64                `msgpack:"doc_index"`
+	Document *deployment.Document  `msgpack:"document"` // nil where it did not change
+	Targets  []deployment.Target   `msgpack:"targets"`
+	Gone     []string              `msgpack:"gone"` // IDs that were forgotten
+	Tables   []deployment.KeyTable `msgpack:"tables"`
+	Control  []string              `msgpack:"control"` // addresses of control instances
+	// Current reports that the sender is in touch with the leader.
+	Current bool `msgpack:"current"`
+}
--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -19,9 +19,17 @@
 	"github.com/cranberrywind/cranberrywind/pkg/replica"
 )
 
-// Handler is what an instance answers to others.
-type Handler interface {
+// GroupHandler is what an instance answers for its replicas.
+type GroupHandler interface {
 	Deliver(e group.Envelope)
+	Probe(ctx context.Context, req *ProbeRequest) (*ProbeResponse, error)
+	Form(ctx context.Context, req *FormRequest) (*Empty, error)
+	Join(ctx context.Context, req *JoinRequest) (*Empty, error)
+}
+
+// Handler is what an instance that is driven by a text answers to others.
+type Handler interface {
+	GroupHandler
 	Sync(ctx context.Context, req *SyncRequest) (*SyncResponse, error)
 	Announce(ctx context.Context, req *AnnounceRequest) (*AnnounceResponse, error)
 	Propose(ctx context.Context, req *ProposeRequest) (*ChangeResponse, error)
@@ -30,9 +38,18 @@
 	Notice(ctx context.Context, req *NoticeRequest) (*Empty, error)
 	Status(ctx context.Context, req *StatusRequest) (*StatusResponse, error)
 	Booking(ctx context.Context, req *BookingRequest) (*BookingResponse, error)
-	Probe(ctx context.Context, req *ProbeRequest) (*ProbeResponse, error)
-	Form(ctx context.Context, req *FormRequest) (*Empty, error)
-	Join(ctx context.Context, req *JoinRequest) (*Empty, error)
+}
+
+// DeploymentHandler is what an instance of a routed deployment answers to
+// others.
+type DeploymentHandler interface {
+	GroupHandler
+	Change(ctx context.Context, req *OrderRequest) (*OrderResponse, error)
+	Announced(ctx context.Context, req *AnnouncedRequest) (*AnnouncedResponse, error)
+	Barrier(ctx context.Context, req *BarrierRequest) (*BarrierResponse, error)
+	Report(ctx context.Context, req *ReportRequest) (*ReportResponse, error)
+	// Watch sends updates until send fails or ctx ends.
+	Watch(ctx context.Context, req *WatchRequest, send func(*ViewUpdate) error) error
 }
 
 const (
@@ -60,6 +77,15 @@
 // Serve answers other instances on the listener until the clean-up function is
 // called, and counts their traffic.
 func Serve(l net.Listener, h Handler, security Security, traffic *Traffic) func() {
+	return serve(l, description(), h, security, traffic)
+}
+
+// ServeDeployment does the same for an instance of a routed deployment.
+func ServeDeployment(l net.Listener, h DeploymentHandler, security Security, traffic *Traffic) func() {
+	return serve(l, deploymentDescription(), h, security, traffic)
+}
+
+func serve(l net.Listener, d *grpc.ServiceDesc, h any, security Security, traffic *Traffic) func() {
 	s := grpc.NewServer(
 		grpc.Creds(security.serverCredentials()),
 		grpc.StatsHandler(traffic),
@@ -68,7 +94,7 @@
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveWait}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}),
 	)
-	s.RegisterService(description(), h)
+	s.RegisterService(d, h)
 	go func() { _ = s.Serve(l) }()
 	return s.Stop
 }
@@ -77,7 +103,7 @@
 	return &grpc.ServiceDesc{
 		ServiceName: serviceName,
 		HandlerType: (*Handler)(nil),
-		Methods: []grpc.MethodDesc{
+		Methods: append(groupMethods(),
 			unary("Sync", Handler.Sync),
 			unary("Announce", Handler.Announce),
 			unary("Propose", Handler.Propose),
@@ -86,22 +112,45 @@
 			unary("Notice", Handler.Notice),
 			unary("Status", Handler.Status),
 			unary("Booking", Handler.Booking),
-			unary("Probe", Handler.Probe),
-			unary("Form", Handler.Form),
-			unary("Join", Handler.Join),
-		},
-		Streams: []grpc.StreamDesc{{StreamName: "Deliver", Handler: deliver, ClientStreams: true, ServerStreams: true}},
+		),
+		Streams: []grpc.StreamDesc{deliverStream()},
 	}
 }
 
+func deploymentDescription() *grpc.ServiceDesc {
+	return &grpc.ServiceDesc{
+		ServiceName: serviceName,
+		HandlerType: (*DeploymentHandler)(nil),
+		Methods: append(groupMethods(),
+			unary("Change", DeploymentHandler.Change),
+			unary("Announced", DeploymentHandler.Announced),
+			unary("Barrier", DeploymentHandler.Barrier),
+			unary("Report", DeploymentHandler.Report),
+		),
+		Streams: []grpc.StreamDesc{deliverStream(), {StreamName: "Watch", Handler: watch, ServerStreams: true}},
+	}
+}
+
+func groupMethods() []grpc.MethodDesc {
+	return []grpc.MethodDesc{
+		unary("Probe", GroupHandler.Probe),
+		unary("Form", GroupHandler.Form),
+		unary("Join", GroupHandler.Join),
+	}
+}
+
+func deliverStream() grpc.StreamDesc {
+	return grpc.StreamDesc{StreamName: "Deliver", Handler: deliver, ClientStreams: true, ServerStreams: true}
+}
+
 // unary describes a method with one request and one response.
-func unary[Req, Res any](name string, call func(Handler, context.Context, *Req) (*Res, error)) grpc.MethodDesc {
+func unary[H, Req, Res any](name string, call func(H, context.Context, *Req) (*Res, error)) grpc.MethodDesc {
 	handler := func(srv any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
 		req := new(Req)
 		if err := decode(req); err != nil {
 			return nil, err
 		}
-		res, err := call(srv.(Handler), ctx, req)
+		res, err := call(srv.(H), ctx, req)
 		if err != nil {
 			return nil, toStatus(err)
 		}
@@ -110,6 +159,16 @@
 	return grpc.MethodDesc{MethodName: name, Handler: handler}
 }
 
+// watch streams a view to one entry.
+func watch(srv any, stream grpc.ServerStream) error {
+	req := new(WatchRequest)
+	if err := stream.RecvMsg(req); err != nil {
+		return err
+	}
+	send := func(u *ViewUpdate) error { return stream.SendMsg(u) }
+	return toStatus(srv.(DeploymentHandler).Watch(stream.Context(), req, send))
+}
+
 // deliver reads the messages of one peer's replicas and answers its pings,
 // which are empty messages.
 func deliver(srv any, stream grpc.ServerStream) error {
@@ -124,7 +183,7 @@
 			}
 			continue
 		}
-		srv.(Handler).Deliver(e)
+		srv.(GroupHandler).Deliver(e)
 	}
 }
 
@@ -144,6 +203,9 @@
 
 // toStatus gives an error the gRPC code that fromStatus turns back.
 func toStatus(err error) error {
+	if err == nil {
+		return nil
+	}
 	var notLeader *NotLeaderError
 	switch {
 	case errors.As(err, &notLeader):
--- /dev/null
+++ b/internal/leader/balance.go
@@ -0,0 +1,341 @@
+package leader
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
+)
+
+const (
+	buckets = (int(deployment.MaxKey) + 1) / deployment.BucketKeys
+	// loadHalfLife is the time after which a measurement counts half.
+	loadHalfLife = 1500 * time.Millisecond
+	// defaultWork is assumed of a target until its answers are measured.
+	defaultWork = 50 * time.Millisecond
+	// minGap is the difference of utilization between two targets that is worth
+	// a move, and minUtilization that of the busier one.
+	minGap         = 0.25
+	minUtilization = 0.5
+	// movesPerLook bounds the pieces that are moved at once.
+	movesPerLook = 6
+	// freedParts is into how many parts the keys of a lost target are shared out.
+	freedParts = 4
+)
+
+// load is what entries measured of one service.
+type load struct {
+	at    timer.Instant
+	rates [buckets]float64 // requests a second
+	work  map[string]float64
+}
+
+func (m *Model) loadOf(service string) *load {
+	l, ok := m.loads[service]
+	if !ok {
+		l = &load{at: m.now, work: make(map[string]float64)}
+		m.loads[service] = l
+	}
+	return l
+}
+
+// decay lets older measurements fade.
+func (l *load) decay(now timer.Instant) {
+	dt := now.Sub(l.at)
+	if dt < 100*time.Millisecond {
+		return
+	}
+	l.at = now
+	f := 1 / (1 + float64(dt)/float64(loadHalfLife))
+	for i := range l.rates {
+		l.rates[i] *= f
+	}
+}
+
+// workWeight is the weight of one report in the moving average of a target's
+// time for one request.
+const workWeight = 0.3
+
+func (m *Model) report(e Reported) {
+	m.now = max(m.now, e.At)
+	for _, k := range e.Report.Keys {
+		l := m.loadOf(k.Service)
+		l.decay(m.now)
+		l.rates[int(k.Bucket)/deployment.BucketKeys] += float64(k.Count) / loadHalfLife.Seconds()
+	}
+	for _, x := range e.Report.Targets {
+		t, ok := m.state.Target(x.ID)
+		if !ok || x.Unqueued == 0 {
+			continue
+		}
+		l := m.loadOf(t.Service)
+		measured := x.Busy.Seconds() / float64(x.Unqueued)
+		if old, ok := l.work[x.ID]; ok {
+			weight := min(workWeight, 0.03*float64(x.Unqueued))
+			measured = old + weight*(measured-old)
+		}
+		l.work[x.ID] = measured
+	}
+}
+
+// share is one target's part of a service.
+type share struct {
+	target deployment.Target
+	work   float64 // seconds for one request
+	rate   float64 // requests a second
+	pieces []deployment.Piece
+}
+
+func (s share) utilization() float64 {
+	return s.rate * s.work / float64(max(s.target.Slots, 1))
+}
+
+// shares returns the usable targets of a service with what they hold.
+func (m *Model) shares(service string) []share {
+	l := m.loadOf(service)
+	mean, n := 0.0, 0
+	for _, w := range l.work {
+		mean += w
+		n++
+	}
+	if n == 0 {
+		mean, n = defaultWork.Seconds(), 1
+	}
+	var out []share
+	for _, t := range m.state.Targets() {
+		if t.Service != service || t.Status != deployment.Live || !m.recentlyHeard(t) {
+			continue
+		}
+		w, ok := l.work[t.ID]
+		if !ok {
+			w = mean / float64(n)
+		}
+		out = append(out, share{target: t, work: w})
+	}
+	table, _ := m.state.Table(service)
+	for _, p := range table.Pieces {
+		i := slices.IndexFunc(out, func(s share) bool { return s.target.ID == p.Target && s.target.Born == p.Born })
+		if p.Phase != deployment.Held || i < 0 {
+			continue
+		}
+		out[i].pieces = append(out[i].pieces, p)
+		out[i].rate += l.rateOf(p.From, p.To)
+	}
+	return out
+}
+
+func (l *load) rateOf(from, to deployment.Key) float64 {
+	sum := 0.0
+	for b := int(from) / deployment.BucketKeys; b <= int(to)/deployment.BucketKeys; b++ {
+		lo, hi := max(b*deployment.BucketKeys, int(from)), min(b*deployment.BucketKeys+deployment.BucketKeys-1, int(to))
+		sum += l.rates[b] * float64(hi-lo+1) / deployment.BucketKeys
+	}
+	return sum
+}
+
+// placeFree chooses holders for keys that nobody holds.
+func (m *Model) placeFree(freed []deployment.Assignment) []deployment.Assignment {
+	var out []deployment.Assignment
+	for _, table := range m.state.Tables() {
+		if len(table.Pieces) == 1 && table.Pieces[0].Phase == deployment.Free {
+			out = append(out, m.firstShares(table)...)
+		}
+	}
+	planned := make(map[string]float64) // rate already planned for a target
+	for _, a := range freed {
+		out = append(out, m.placeOne(a, planned)...)
+	}
+	return out
+}
+
+// placeOne shares out the keys of one freed piece: to the planned target, or in
+// parts to those with most room.
+func (m *Model) placeOne(a deployment.Assignment, planned map[string]float64) []deployment.Assignment {
+	shares := m.shares(a.Piece.Service)
+	if len(shares) == 0 {
+		return nil
+	}
+	if slices.ContainsFunc(shares, func(s share) bool { return lifeOf(s.target) == a.To }) {
+		return []deployment.Assignment{a}
+	}
+	l := m.loadOf(a.Piece.Service)
+	parts := []deployment.PieceRef{a.Piece}
+	if int(a.Piece.To)-int(a.Piece.From) >= freedParts*deployment.BucketKeys {
+		parts = cut(a.Piece, min(freedParts, len(shares)))
+	}
+	var out []deployment.Assignment
+	for _, part := range parts {
+		best := slices.MinFunc(shares, func(x, y share) int {
+			ux := x.utilization() + planned[x.target.ID]
+			uy := y.utilization() + planned[y.target.ID]
+			switch {
+			case ux < uy:
+				return -1
+			case ux > uy:
+				return 1
+			}
+			return width(x.pieces) - width(y.pieces)
+		})
+		rate := l.rateOf(part.From, part.To)
+		planned[best.target.ID] += rate*best.work/float64(max(best.target.Slots, 1)) + 0.01
+		out = append(out, deployment.Assignment{Piece: part, To: lifeOf(best.target), Handover: a.Handover})
+	}
+	return out
+}
+
+func width(pieces []deployment.Piece) int {
+	n := 0
+	for _, p := range pieces {
+		n += p.Width()
+	}
+	return n
+}
+
+// cut divides a piece into n parts of about the same width.
+func cut(ref deployment.PieceRef, n int) []deployment.PieceRef {
+	total := int(ref.To) - int(ref.From) + 1
+	var out []deployment.PieceRef
+	for i := range n {
+		part := ref
+		part.From = ref.From + deployment.Key(total*i/n)
+		part.To = ref.From + deployment.Key(total*(i+1)/n-1)
+		out = append(out, part)
+	}
+	return out
+}
+
+// firstShares gives each target an equal part, once no further target comes.
+func (m *Model) firstShares(table deployment.KeyTable) []deployment.Assignment {
+	shares := m.shares(table.Service)
+	seen := m.seen[table.Service]
+	if len(shares) != seen.count {
+		if seen.count == 0 {
+			seen.first = m.now
+		}
+		seen.count, seen.last = len(shares), m.now
+		m.seen[table.Service] = seen
+	}
+	if len(shares) == 0 || m.now.Sub(seen.last) < m.timing.Settle && m.now.Sub(seen.first) < m.timing.SettleMost {
+		return nil
+	}
+	var out []deployment.Assignment
+	all := deployment.PieceRef{Service: table.Service, From: 0, To: deployment.MaxKey}
+	for i, part := range cut(all, len(shares)) {
+		out = append(out, deployment.Assignment{Piece: part, To: lifeOf(shares[i].target)})
+	}
+	return out
+}
+
+// rebalance moves keys from the busiest targets to those with most room, and to
+// targets that hold nothing yet.
+func (m *Model) rebalance() []deployment.PieceRef {
+	if m.now.Sub(m.looked) < m.timing.Balance || m.now < m.since.Add(2*m.timing.Quiet) {
+		return nil
+	}
+	m.looked = m.now
+	var out []deployment.PieceRef
+	for _, table := range m.state.Tables() {
+		if slices.ContainsFunc(table.Pieces, func(p deployment.Piece) bool { return p.Phase == deployment.Moving }) {
+			continue
+		}
+		m.loadOf(table.Service).decay(m.now)
+		out = append(out, m.rebalanceService(table)...)
+	}
+	return out
+}
+
+func (m *Model) rebalanceService(table deployment.KeyTable) []deployment.PieceRef {
+	shares := m.shares(table.Service)
+	l := m.loadOf(table.Service)
+	var out []deployment.PieceRef
+	for len(out) < movesPerLook && len(shares) > 1 {
+		slices.SortFunc(shares, func(a, b share) int {
+			if a.utilization() < b.utilization() {
+				return -1
+			}
+			return 1
+		})
+		low := slices.IndexFunc(shares, func(s share) bool { return len(s.pieces) == 0 && s.rate == 0 })
+		empty := low >= 0
+		low = max(low, 0)
+		high := len(shares) - 1
+		gap := shares[high].utilization() - shares[low].utilization()
+		if !empty && (gap < minGap || shares[high].utilization() < minUtilization) || low == high {
+			break
+		}
+		ref, rate, ok := l.slice(table.Service, shares[high], shares[low])
+		if !ok {
+			break
+		}
+		out = append(out, ref)
+		m.plannedMove(ref, lifeOf(shares[low].target))
+		shares[high].rate -= rate
+		shares[low].rate += rate
+		shares[low].pieces = append(shares[low].pieces, deployment.Piece{From: ref.From, To: ref.To})
+		shares[high].pieces = nil // one piece of a target at a time
+		shares = slices.DeleteFunc(shares, func(s share) bool { return s.rate > 0 && len(s.pieces) == 0 })
+	}
+	return out
+}
+
+// plannedMove remembers whom moved keys are meant for.
+func (m *Model) plannedMove(ref deployment.PieceRef, to deployment.Life) {
+	table, _ := m.state.Table(ref.Service)
+	whole := m.holdOf(table, table.Find(ref.From))
+	part := *whole
+	part.to = to
+	part.calling = false
+	part.next = m.now
+	m.holds[idOf(ref)] = &part
+}
+
+// slice chooses the end of one of the busier target's pieces whose load brings
+// the two closest to each other.
+func (l *load) slice(service string, high, low share) (deployment.PieceRef, float64, bool) {
+	perRequest := high.work/float64(max(high.target.Slots, 1)) + low.work/float64(max(low.target.Slots, 1))
+	want := (high.utilization() - low.utilization()) / perRequest
+	piece := slices.MaxFunc(high.pieces, func(a, b deployment.Piece) int {
+		if l.rateOf(a.From, a.To) < l.rateOf(b.From, b.To) {
+			return -1
+		}
+		return 1
+	})
+	ref := deployment.PieceRef{Service: service, From: piece.From, To: piece.To, Fence: piece.Fence}
+	if piece.Width() < 2 {
+		return ref, 0, false
+	}
+	if l.rateOf(piece.From, piece.To) == 0 {
+		ref.From = piece.From + deployment.Key(piece.Width()/2)
+		return ref, 0, true
+	}
+	return l.cutByRate(ref, want)
+}
+
+// cutByRate takes keys from the end of a piece until they carry the wanted
+// rate, or from its beginning, whichever comes closer with fewer keys.
+func (l *load) cutByRate(ref deployment.PieceRef, want float64) (deployment.PieceRef, float64, bool) {
+	total := l.rateOf(ref.From, ref.To)
+	want = min(want, total)
+	best, bestRate, bestCost := ref, 0.0, -1.0
+	consider := func(part deployment.PieceRef) {
+		rate := l.rateOf(part.From, part.To)
+		miss := rate - want
+		if miss < 0 {
+			miss = -miss
+		}
+		cost := miss + 0.2*want*float64(part.To-part.From)/float64(ref.To-ref.From)
+		if bestCost < 0 || cost < bestCost {
+			best, bestRate, bestCost = part, rate, cost
+		}
+	}
+	step := max(1, min(deployment.BucketKeys, int(ref.To-ref.From)/8))
+	for at := int(ref.From) + step; at <= int(ref.To); at += step {
+		tail, head := ref, ref
+		tail.From = deployment.Key(at)
+		head.To = deployment.Key(at - 1)
+		consider(tail)
+		consider(head)
+	}
+	return best, bestRate, bestCost >= 0 && bestRate > 0
+}
--- /dev/null
+++ b/internal/leader/model.go
@@ -0,0 +1,340 @@
+package leader
+
+import (
+	"errors"
+	"slices"
+
+	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
+)
+
+// ErrFenced reports a target that has seen a higher fence on the keys.
+var ErrFenced = errors.New("target has seen a higher fence")
+
+// Model decides what the leader does next. It belongs to its loop alone and
+// changes in place: a copy for each heartbeat would cost more than all decisions.
+type Model struct {
+	timing  Timing
+	leading bool
+	since   timer.Instant
+	index   uint64 // last log index of earlier leaders
+	now     timer.Instant
+	state   deployment.State
+	heard   map[deployment.Life]timer.Instant
+	left    map[deployment.Life]timer.Instant // when a target was first seen to have left
+	holds   map[pieceID]*hold
+	loads   map[string]*load // by service
+	pending bool             // a command is being committed
+	looked  timer.Instant    // last look at the load
+	seen    map[string]arrivals
+}
+
+// arrivals tells when a service's targets came, before its keys are shared out.
+type arrivals struct {
+	count       int
+	first, last timer.Instant
+}
+
+// pieceID names keys under one fence.
+type pieceID struct {
+	service string
+	from    deployment.Key
+	fence   uint64
+}
+
+// hold is what this leader knows of a piece under its fence.
+type hold struct {
+	calling    bool          // a grant or release is under way
+	next       timer.Instant // next grant
+	nextAsk    timer.Instant // next try of a release
+	end        timer.Instant // every grant that may have arrived is over by then
+	unanswered timer.Instant // grants that may still be applied late are over by then
+	failures   int           // grants in a row that were not answered
+	fenced     bool          // the target has seen a higher fence
+	released   bool
+	handover   string
+	to         deployment.Life // planned holder, where one was chosen
+}
+
+// NewModel returns a model that does not lead.
+func NewModel(timing Timing) *Model { return &Model{timing: timing} }
+
+// Update takes an event and returns the effects to carry out.
+func (m *Model) Update(event Event) (*Model, []Effect) {
+	if e, ok := event.(LeadershipTaken); ok {
+		m.lead(e)
+		return m, nil
+	}
+	if !m.leading {
+		return m, nil
+	}
+	switch e := event.(type) {
+	case LeadershipLost:
+		m.leading = false
+	case Heard:
+		m.heard[e.Life] = e.At
+	case Reported:
+		m.report(e)
+	case Granted:
+		m.granted(e)
+	case Released:
+		m.released(e)
+	case Committed:
+		m.pending = false
+	case Ticked:
+		m.now, m.state = e.At, e.State
+		return m, m.plan()
+	}
+	return m, nil
+}
+
+func (m *Model) lead(e LeadershipTaken) {
+	*m = Model{
+		timing:  m.timing,
+		leading: true,
+		since:   e.At,
+		now:     e.At,
+		index:   e.Index,
+		heard:   make(map[deployment.Life]timer.Instant),
+		left:    make(map[deployment.Life]timer.Instant),
+		holds:   make(map[pieceID]*hold),
+		loads:   make(map[string]*load),
+		seen:    make(map[string]arrivals),
+	}
+}
+
+func idOf(ref deployment.PieceRef) pieceID {
+	return pieceID{service: ref.Service, from: ref.From, fence: ref.Fence}
+}
+
+// holdOf returns what is known of a piece. What an earlier leader granted may
+// last from this leader's start on. A part that was cut off a piece inherits
+// what is known of the whole.
+func (m *Model) holdOf(table deployment.KeyTable, p deployment.Piece) *hold {
+	id := pieceID{service: table.Service, from: p.From, fence: p.Fence}
+	if h, ok := m.holds[id]; ok {
+		return h
+	}
+	h := &hold{next: m.now}
+	if p.Fence <= m.index {
+		h.end = m.timing.outlasts(m.since)
+		h.unanswered = h.end
+	}
+	for other, known := range m.holds {
+		if other.service == id.service && other.fence == id.fence {
+			h.end = max(h.end, known.end)
+			h.unanswered = max(h.unanswered, known.unanswered)
+		}
+	}
+	m.holds[id] = h
+	return h
+}
+
+func (m *Model) granted(e Granted) {
+	h, ok := m.holds[idOf(e.Piece)]
+	if !ok {
+		return
+	}
+	h.calling = false
+	if e.Sent {
+		h.end = max(h.end, m.timing.outlasts(e.At))
+	}
+	switch {
+	case e.Err == nil:
+		h.failures = 0
+		h.next = e.At.Add(m.timing.Renewal)
+	case errors.Is(e.Err, ErrFenced):
+		h.fenced = true
+	default:
+		h.failures++
+		h.next = e.At.Add(m.timing.Renewal / 4)
+		if e.Sent {
+			h.unanswered = max(h.unanswered, m.timing.outlasts(e.At))
+		}
+	}
+}
+
+func (m *Model) released(e Released) {
+	h, ok := m.holds[idOf(e.Piece)]
+	if !ok {
+		return
+	}
+	h.calling = false
+	h.nextAsk = e.At.Add(m.timing.Renewal / 4)
+	if e.Err == nil {
+		h.released = true
+		h.handover = e.Handover
+	}
+}
+
+// plan returns the calls that are due and at most one command.
+func (m *Model) plan() []Effect {
+	effects := m.targetEffects()
+	live := make(map[pieceID]bool)
+	var free []deployment.Assignment
+	var moves []deployment.PieceRef
+	for _, table := range m.state.Tables() {
+		for _, p := range table.Pieces {
+			if p.Phase == deployment.Free {
+				continue
+			}
+			live[pieceID{service: table.Service, from: p.From, fence: p.Fence}] = true
+			step := m.planPiece(table, p)
+			effects = append(effects, step.effects...)
+			free = append(free, step.free...)
+			moves = append(moves, step.moves...)
+		}
+	}
+	for id := range m.holds {
+		if !live[id] {
+			delete(m.holds, id)
+		}
+	}
+	return append(effects, m.commands(free, moves)...)
+}
+
+// commands returns the one command that is to be committed next.
+func (m *Model) commands(free []deployment.Assignment, moves []deployment.PieceRef) []Effect {
+	if m.pending {
+		return nil
+	}
+	if assign := m.placeFree(free); len(assign) > 0 {
+		return m.propose(deployment.Command{Assign: &deployment.Assign{Pieces: assign}}, "keys without a holder")
+	}
+	if len(moves) > 0 {
+		return m.propose(deployment.Command{Move: moves}, "holder is leaving")
+	}
+	if moves := m.rebalance(); len(moves) > 0 {
+		return m.propose(deployment.Command{Move: moves}, "load differs")
+	}
+	return nil
+}
+
+func (m *Model) propose(c deployment.Command, reason string) []Effect {
+	m.pending = true
+	return []Effect{Propose{Command: c, Reason: reason}}
+}
+
+// pieceStep is what one piece needs.
+type pieceStep struct {
+	effects []Effect
+	free    []deployment.Assignment // nobody holds the keys any more
+	moves   []deployment.PieceRef   // the holder is to give them back
+}
+
+// planPiece decides what a held piece needs: a renewal, its release, or a new
+// holder.
+func (m *Model) planPiece(table deployment.KeyTable, p deployment.Piece) pieceStep {
+	ref := deployment.PieceRef{Service: table.Service, From: p.From, To: p.To, Fence: p.Fence}
+	h := m.holdOf(table, p)
+	t, known := m.state.Target(p.Target)
+	freed := pieceStep{free: []deployment.Assignment{{Piece: ref, To: h.to, Handover: h.handover}}}
+	switch {
+	case !known || t.Born != p.Born || m.addressTaken(t):
+		// Another life proves that this one has ended.
+		return freed
+	case h.released && m.now > h.unanswered:
+		return freed
+	case h.fenced, m.now > h.end && !h.calling && (p.Phase == deployment.Moving || !m.answers(t, h)):
+		freed.free[0].Handover = ""
+		return freed
+	case p.Phase == deployment.Moving && h.released:
+		return pieceStep{}
+	case p.Phase == deployment.Moving:
+		return m.release(t, ref, h)
+	case !t.Usable() && m.calm():
+		return pieceStep{moves: []deployment.PieceRef{ref}}
+	case !m.answers(t, h):
+		return pieceStep{}
+	}
+	return m.renew(t, ref, h, p.Handover)
+}
+
+// calm reports whether this leader has been in office long enough to move keys:
+// calls of its predecessor have ended.
+func (m *Model) calm() bool { return m.now > m.since.Add(m.timing.Quiet) }
+
+func (m *Model) renew(t deployment.Target, ref deployment.PieceRef, h *hold, handover string) pieceStep {
+	if h.calling || m.now < h.next {
+		return pieceStep{}
+	}
+	h.calling = true
+	grant := SendGrant{Target: t, Piece: ref, Hold: m.timing.Hold, Handover: handover}
+	return pieceStep{effects: []Effect{grant}}
+}
+
+func (m *Model) release(t deployment.Target, ref deployment.PieceRef, h *hold) pieceStep {
+	if h.calling || m.now < h.nextAsk || !m.calm() {
+		return pieceStep{}
+	}
+	h.calling = true
+	return pieceStep{effects: []Effect{SendRelease{Target: t, Piece: ref}}}
+}
+
+// unansweredGrants is after how many grants in a row without an answer a target
+// that sends no heartbeat either counts as unreachable.
+const unansweredGrants = 2
+
+// answers reports whether the target still answers grants or sends heartbeats.
+func (m *Model) answers(t deployment.Target, h *hold) bool {
+	return h.failures < unansweredGrants || m.recentlyHeard(t)
+}
+
+func (m *Model) recentlyHeard(t deployment.Target) bool {
+	at, ok := m.heard[lifeOf(t)]
+	if !ok {
+		at = m.since
+	}
+	return m.now.Sub(at) <= m.timing.Silence
+}
+
+func lifeOf(t deployment.Target) deployment.Life { return deployment.Life{ID: t.ID, Born: t.Born} }
+
+// addressTaken reports whether a later life has the target's address.
+func (m *Model) addressTaken(t deployment.Target) bool {
+	return slices.ContainsFunc(m.state.Targets(), func(x deployment.Target) bool {
+		return x.Address == t.Address && x.ID != t.ID && x.Born > t.Born
+	})
+}
+
+// targetEffects marks silent targets and forgets those that left long ago.
+func (m *Model) targetEffects() []Effect {
+	if m.pending {
+		return nil
+	}
+	var forget []deployment.Life
+	for _, t := range m.state.Targets() {
+		life := lifeOf(t)
+		if t.Status == deployment.Live && !m.recentlyHeard(t) {
+			return m.propose(deployment.Command{Silence: &life}, "no heartbeat")
+		}
+		if t.Status != deployment.Left {
+			continue
+		}
+		if _, ok := m.left[life]; !ok {
+			m.left[life] = m.now
+		}
+		if m.now.Sub(m.left[life]) > m.timing.Forget && !m.holdsKeys(life) {
+			forget = append(forget, life)
+		}
+	}
+	if len(forget) == 0 {
+		return nil
+	}
+	for _, life := range forget {
+		delete(m.left, life)
+		delete(m.heard, life)
+	}
+	return m.propose(deployment.Command{Forget: forget}, "left long ago")
+}
+
+func (m *Model) holdsKeys(life deployment.Life) bool {
+	for _, table := range m.state.Tables() {
+		for _, p := range table.Pieces {
+			if p.Phase != deployment.Free && p.Target == life.ID && p.Born == life.Born {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/membership/manager.go
+++ b/internal/membership/manager.go
@@ -42,6 +42,10 @@
 	log     *log.Logger
 	wanted  func() []settings.Peer
 
+	seeds  *Seeds // nil where the instances are listed
+	silent map[replica.ID]timer.Instant
+	ledAt  timer.Instant // when a leader was last known
+
 	mu      sync.Mutex
 	joining map[string]request // by instance
 }
@@ -82,6 +86,8 @@
 		m.lead(ctx)
 	case m.left():
 		m.askToJoin(ctx, m.wanted())
+	case m.stray():
+		m.joinAgain(ctx)
 	}
 }
 
@@ -119,11 +125,8 @@
 	if err != nil {
 		return
 	}
-	var names []string
-	for _, p := range m.wanted() {
-		names = append(names, p.Name)
-	}
-	step, ok := Next(status, names, m.requests())
+	joining := m.requests()
+	step, ok := Next(status, m.instances(status, joining), joining)
 	if !ok {
 		return
 	}
@@ -161,7 +164,7 @@
 		}
 		found = append(found, res.Self)
 	}
-	if len(found) != len(peers) || len(peers) == 0 || !m.first(peers) {
+	if len(found) != len(peers) || len(peers) == 0 || !m.mayForm() || !m.first(peers) {
 		return
 	}
 	m.form(ctx, found)
--- /dev/null
+++ b/internal/view/view.go
@@ -0,0 +1,143 @@
+// Package view is what an entry of a routed deployment routes by: the
+// configuration, the targets and the holders of keys, as streamed by a control
+// instance.
+package view
+
+import (
+	"slices"
+
+	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/internal/instance"
+)
+
+// View is an entry's copy of the agreed state. It is immutable.
+type View struct {
+	Version  uint64 // log index that it is complete to
+	DocIndex uint64 // log index of the configuration; 0 before the first one
+	Document deployment.Document
+	Routes   deployment.Table
+	Control  []string // addresses of control instances
+
+	targets  map[string]deployment.Target
+	services map[string][]deployment.Target // usable targets, in order of their IDs
+	tables   map[string]deployment.KeyTable
+}
+
+// Target returns the target with the ID.
+func (v *View) Target(id string) (deployment.Target, bool) {
+	t, ok := v.targets[id]
+	return t, ok
+}
+
+// Usable returns the targets of a service that may get new work. The slice is
+// shared and must not be changed.
+func (v *View) Usable(service string) []deployment.Target { return v.services[service] }
+
+// Holder returns the piece of a keyed service's keys that has the key.
+func (v *View) Holder(service string, key deployment.Key) (deployment.Piece, bool) {
+	t, ok := v.tables[service]
+	if !ok {
+		return deployment.Piece{}, false
+	}
+	return t.Find(key), true
+}
+
+// With returns the view after an update.
+func (v *View) With(u *instance.ViewUpdate) *View {
+	next := &View{
+		Version:  u.Version,
+		DocIndex: u.DocIndex,
+		Document: v.Document,
+		Routes:   v.Routes,
+		Control:  v.Control,
+		targets:  v.targets,
+		services: v.services,
+		tables:   v.tables,
+	}
+	if len(u.Control) > 0 {
+		next.Control = u.Control
+	}
+	if u.Document != nil {
+		next.Document = *u.Document
+		next.Routes = deployment.NewTable(*u.Document)
+	}
+	if u.Whole || len(u.Targets) > 0 || len(u.Gone) > 0 {
+		next.withTargets(u)
+	}
+	if u.Whole || len(u.Tables) > 0 {
+		next.withTables(u)
+	}
+	return next
+}
+
+func (v *View) withTargets(u *instance.ViewUpdate) {
+	targets := make(map[string]deployment.Target, len(v.targets)+len(u.Targets))
+	if !u.Whole {
+		for id, t := range v.targets {
+			targets[id] = t
+		}
+	}
+	for _, id := range u.Gone {
+		delete(targets, id)
+	}
+	for _, t := range u.Targets {
+		targets[t.ID] = t
+	}
+	v.targets = targets
+	v.services = make(map[string][]deployment.Target)
+	for _, t := range targets {
+		if t.Usable() {
+			v.services[t.Service] = append(v.services[t.Service], t)
+		}
+	}
+	for _, list := range v.services {
+		slices.SortFunc(list, func(a, b deployment.Target) int {
+			if a.ID < b.ID {
+				return -1
+			}
+			return 1
+		})
+	}
+}
+
+func (v *View) withTables(u *instance.ViewUpdate) {
+	tables := make(map[string]deployment.KeyTable, len(v.tables))
+	if !u.Whole {
+		for name, t := range v.tables {
+			tables[name] = t
+		}
+	}
+	for _, t := range u.Tables {
+		tables[t.Service] = t
+	}
+	v.tables = tables
+}
+
+// Since returns what changed between two states. A nil older state gives all.
+func Since(old *deployment.State, now deployment.State) *instance.ViewUpdate {
+	doc, docIndex := now.Document()
+	u := &instance.ViewUpdate{Version: now.Version(), DocIndex: docIndex}
+	if old == nil {
+		u.Whole, u.Document, u.Targets, u.Tables = true, &doc, now.Targets(), now.Tables()
+		return u
+	}
+	if _, index := old.Document(); index != docIndex {
+		u.Document = &doc
+	}
+	for _, t := range now.Targets() {
+		if t.Changed > old.Version() {
+			u.Targets = append(u.Targets, t)
+		}
+	}
+	for _, t := range old.Targets() {
+		if _, ok := now.Target(t.ID); !ok {
+			u.Gone = append(u.Gone, t.ID)
+		}
+	}
+	for _, t := range now.Tables() {
+		if t.Changed > old.Version() {
+			u.Tables = append(u.Tables, t)
+		}
+	}
+	return u
+}
