Wait for grants under way before keys are released, and reload settings

The renewal of a whole range was still on its way when a part of it was released and given on; it arrived afterwards and gave the part back to its old holder. A panic in rebalance: the busiest target had no range that could be moved. Change: grants under way are kept by key range; a release waits for all that overlap it, and what an unanswered one may have given counts for every part. SIGHUP and a changed file reload the settings. Only ranges whose holder has confirmed them for a while are moved. First shares wait for slower targets.

--- a/cmd/cranberrywind/route.go
+++ b/cmd/cranberrywind/route.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"os"
+	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/spf13/cobra"
 
 	"github.com/cranberrywind/cranberrywind/internal/fleet"
@@ -23,7 +25,7 @@
 			if err != nil {
 				return withCode(exitInvalid, err)
 			}
-			return route(cmd.Context(), cfg)
+			return route(cmd.Context(), cfg, path)
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", "", "INI file with the instance's settings")
@@ -32,7 +34,7 @@
 }
 
 // route runs an instance until ctx ends, then stops it as planned.
-func route(ctx context.Context, cfg settings.Routed) error {
+func route(ctx context.Context, cfg settings.Routed, path string) error {
 	logger := newLogger(os.Stdout, cfg.LogLevel)
 	adapter, closeAdapter := platform.Adapter()
 	defer closeAdapter()
@@ -41,6 +43,9 @@
 		return err
 	}
 	defer stop()
+	watching, stopWatching := context.WithCancel(ctx)
+	defer stopWatching()
+	go watchSettings(watching, path, logger, f.Reload)
 	select {
 	case err := <-f.Failed():
 		logger.Error("instance failed", "error", err)
@@ -50,3 +55,45 @@
 	f.Shutdown(context.WithoutCancel(ctx))
 	return nil
 }
+
+// settingsPeriod is the time between two looks at the settings file, which may
+// change without a signal.
+const settingsPeriod = 2 * time.Second
+
+// watchSettings reloads the settings at a hang-up signal and whenever the file
+// has changed. Settings that can't be read are logged, and the old ones stay.
+func watchSettings(ctx context.Context, path string, logger *log.Logger, reload func(settings.Routed)) {
+	hangUp, stopSignals := reloadSignal()
+	defer stopSignals()
+	ticks := time.NewTicker(settingsPeriod)
+	defer ticks.Stop()
+	last := modified(path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangUp:
+		case <-ticks.C:
+			if now := modified(path); now.Equal(last) {
+				continue
+			}
+		}
+		last = modified(path)
+		cfg, err := platform.LoadSettings(path)
+		if err != nil {
+			logger.Error("settings not reloaded; the old ones stay", "error", err)
+			continue
+		}
+		reload(cfg)
+	}
+}
+
+// modified returns when the file was last changed, or zero where it can't be
+// looked at: the next look decides.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/cmd/cranberrywind/signals_unix.go
+++ b/cmd/cranberrywind/signals_unix.go
@@ -30,3 +30,10 @@
 	signal.Notify(signals, syscall.SIGUSR1)
 	return signals, func() { signal.Stop(signals) }
 }
+
+// reloadSignal delivers the signals that ask for the settings to be read again.
+func reloadSignal() (<-chan os.Signal, func()) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	return signals, func() { signal.Stop(signals) }
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -135,12 +135,8 @@
 	}()
 	lead, stopLead := leader.Start(ctx, g, f.adapter.Targets, f.clock, leader.DefaultTiming(), f.log)
 	f.onStop(stopLead)
-	var peers []settings.Peer
-	for _, address := range f.cfg.Seeds {
-		peers = append(peers, settings.Peer{Name: address, Address: address})
-	}
 	m := membership.New(g, f.pool, f.clock, f.log, nil).
-		Seeded(membership.Seeds{Peers: peers, Bootstrap: f.cfg.Bootstrap})
+		Seeded(membership.Seeds{Peers: peersOf(f.cfg.Seeds), Bootstrap: f.cfg.Bootstrap})
 	go m.Run(ctx)
 	f.control = &Control{group: g, leader: lead, members: m, pool: f.pool, clock: f.clock, log: f.log, seeds: f.cfg.Seeds}
 	l, err := net.Listen("tcp", f.cfg.Address)
@@ -151,6 +147,26 @@
 	return f.listenHTTP(f.cfg.OperatorAddress, f.adapter.Operator(f.control))
 }
 
+func peersOf(addresses []string) []settings.Peer {
+	var peers []settings.Peer
+	for _, address := range addresses {
+		peers = append(peers, settings.Peer{Name: address, Address: address})
+	}
+	return peers
+}
+
+// Reload takes changed settings over: other seeds take effect at once, all else
+// at the next start.
+func (f *Fleet) Reload(cfg settings.Routed) {
+	f.log.Info("settings reloaded", "seeds", cfg.Seeds)
+	if f.control != nil {
+		f.control.members.SetSeeds(peersOf(cfg.Seeds))
+	}
+	if f.follow != nil {
+		f.follow.SetSeeds(cfg.Seeds)
+	}
+}
+
 func (f *Fleet) startEntry(ctx context.Context) error {
 	f.follow = view.Follow(ctx, view.FollowerConfig{Name: f.cfg.Name, Seeds: f.cfg.Seeds, Pool: f.pool, Log: f.log})
 	targets, closeTargets := targethttp.NewPool(f.clock)
--- a/internal/leader/balance.go
+++ b/internal/leader/balance.go
@@ -82,9 +82,10 @@
 // share is one target's part of a service.
 type share struct {
 	target deployment.Target
-	work   float64 // seconds for one request
-	rate   float64 // requests a second
-	pieces []deployment.Piece
+	work   float64            // seconds for one request
+	rate   float64            // requests a second
+	width  int                // keys held
+	pieces []deployment.Piece // that may be moved
 }
 
 func (s share) utilization() float64 {
@@ -119,12 +120,21 @@
 		if p.Phase != deployment.Held || i < 0 {
 			continue
 		}
-		out[i].pieces = append(out[i].pieces, p)
 		out[i].rate += l.rateOf(p.From, p.To)
+		out[i].width += p.Width()
+		if m.movable(service, p) {
+			out[i].pieces = append(out[i].pieces, p)
+		}
 	}
 	return out
 }
 
+// movable reports whether a piece has been with its holder for a while.
+func (m *Model) movable(service string, p deployment.Piece) bool {
+	h, ok := m.holds[pieceID{service: service, from: p.From, fence: p.Fence}]
+	return ok && h.confirmed != 0 && m.now.Sub(h.confirmed) > m.timing.Balance
+}
+
 func (l *load) rateOf(from, to deployment.Key) float64 {
 	sum := 0.0
 	for b := int(from) / deployment.BucketKeys; b <= int(to)/deployment.BucketKeys; b++ {
@@ -175,7 +185,7 @@
 			case ux > uy:
 				return 1
 			}
-			return width(x.pieces) - width(y.pieces)
+			return x.width - y.width
 		})
 		rate := l.rateOf(part.From, part.To)
 		planned[best.target.ID] += rate*best.work/float64(max(best.target.Slots, 1)) + 0.01
@@ -184,14 +194,6 @@
 	return out
 }
 
-func width(pieces []deployment.Piece) int {
-	n := 0
-	for _, p := range pieces {
-		n += p.Width()
-	}
-	return n
-}
-
 // cut divides a piece into n parts of about the same width.
 func cut(ref deployment.PieceRef, n int) []deployment.PieceRef {
 	total := int(ref.To) - int(ref.From) + 1
@@ -256,12 +258,18 @@
 			}
 			return 1
 		})
-		low := slices.IndexFunc(shares, func(s share) bool { return len(s.pieces) == 0 && s.rate == 0 })
+		low := slices.IndexFunc(shares, func(s share) bool { return s.width == 0 })
 		empty := low >= 0
 		low = max(low, 0)
 		high := len(shares) - 1
+		for high > low && len(shares[high].pieces) == 0 {
+			high--
+		}
+		if high <= low {
+			break
+		}
 		gap := shares[high].utilization() - shares[low].utilization()
-		if !empty && (gap < minGap || shares[high].utilization() < minUtilization) || low == high {
+		if !empty && (gap < minGap || shares[high].utilization() < minUtilization) {
 			break
 		}
 		ref, rate, ok := l.slice(table.Service, shares[high], shares[low])
@@ -272,9 +280,9 @@
 		m.plannedMove(ref, lifeOf(shares[low].target))
 		shares[high].rate -= rate
 		shares[low].rate += rate
-		shares[low].pieces = append(shares[low].pieces, deployment.Piece{From: ref.From, To: ref.To})
+		shares[low].width += int(ref.To-ref.From) + 1
+		shares[low].pieces = nil
 		shares[high].pieces = nil // one piece of a target at a time
-		shares = slices.DeleteFunc(shares, func(s share) bool { return s.rate > 0 && len(s.pieces) == 0 })
 	}
 	return out
 }
--- a/internal/leader/messages.go
+++ b/internal/leader/messages.go
@@ -42,8 +42,8 @@
 	return Timing{
 		Hold:       4 * time.Second,
 		Renewal:    time.Second,
-		Settle:     400 * time.Millisecond,
-		SettleMost: 2 * time.Second,
+		Settle:     1200 * time.Millisecond,
+		SettleMost: 4 * time.Second,
 		Silence:    2500 * time.Millisecond,
 		Quiet:      1500 * time.Millisecond,
 		Forget:     30 * time.Second,
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -27,6 +27,7 @@
 	pending bool             // a command is being committed
 	looked  timer.Instant    // last look at the load
 	seen    map[string]arrivals
+	flights []deployment.PieceRef // grants that are under way
 }
 
 // arrivals tells when a service's targets came, before its keys are shared out.
@@ -49,6 +50,7 @@
 	nextAsk    timer.Instant // next try of a release
 	end        timer.Instant // every grant that may have arrived is over by then
 	unanswered timer.Instant // grants that may still be applied late are over by then
+	confirmed  timer.Instant // first answer to a grant
 	failures   int           // grants in a row that were not answered
 	fenced     bool          // the target has seen a higher fence
 	released   bool
@@ -131,29 +133,53 @@
 }
 
 func (m *Model) granted(e Granted) {
+	if i := slices.Index(m.flights, e.Piece); i >= 0 {
+		m.flights = slices.Delete(m.flights, i, i+1)
+	}
+	if e.Sent {
+		m.noteSent(e)
+	}
 	h, ok := m.holds[idOf(e.Piece)]
 	if !ok {
 		return
 	}
 	h.calling = false
-	if e.Sent {
-		h.end = max(h.end, m.timing.outlasts(e.At))
-	}
 	switch {
 	case e.Err == nil:
 		h.failures = 0
 		h.next = e.At.Add(m.timing.Renewal)
+		if h.confirmed == 0 {
+			h.confirmed = e.At
+		}
 	case errors.Is(e.Err, ErrFenced):
 		h.fenced = true
 	default:
 		h.failures++
 		h.next = e.At.Add(m.timing.Renewal / 4)
-		if e.Sent {
+	}
+}
+
+// noteSent extends what a grant may have given. It may have been sent for keys
+// that were cut into several pieces since.
+func (m *Model) noteSent(e Granted) {
+	for id, h := range m.holds {
+		if id.service != e.Piece.Service || id.fence != e.Piece.Fence || id.from < e.Piece.From || id.from > e.Piece.To {
+			continue
+		}
+		h.end = max(h.end, m.timing.outlasts(e.At))
+		if e.Err != nil && !errors.Is(e.Err, ErrFenced) {
 			h.unanswered = max(h.unanswered, m.timing.outlasts(e.At))
 		}
 	}
 }
 
+// granting reports whether a grant of any of the keys is under way.
+func (m *Model) granting(ref deployment.PieceRef) bool {
+	return slices.ContainsFunc(m.flights, func(x deployment.PieceRef) bool {
+		return x.Service == ref.Service && x.Fence == ref.Fence && x.From <= ref.To && ref.From <= x.To
+	})
+}
+
 func (m *Model) released(e Released) {
 	h, ok := m.holds[idOf(e.Piece)]
 	if !ok {
@@ -233,9 +259,15 @@
 	case !known || t.Born != p.Born || m.addressTaken(t):
 		// Another life proves that this one has ended.
 		return freed
+	case m.granting(ref):
+		return pieceStep{}
 	case h.released && m.now > h.unanswered:
 		return freed
-	case h.fenced, m.now > h.end && !h.calling && (p.Phase == deployment.Moving || !m.answers(t, h)):
+	case h.fenced && t.Usable():
+		// Only the target itself may be granted the keys under a newer fence.
+		freed.free[0].To = lifeOf(t)
+		return freed
+	case m.now > h.end && !h.calling && (p.Phase == deployment.Moving || !m.answers(t, h)):
 		freed.free[0].Handover = ""
 		return freed
 	case p.Phase == deployment.Moving && h.released:
@@ -259,6 +291,7 @@
 		return pieceStep{}
 	}
 	h.calling = true
+	m.flights = append(m.flights, ref)
 	grant := SendGrant{Target: t, Piece: ref, Hold: m.timing.Hold, Handover: handover}
 	return pieceStep{effects: []Effect{grant}}
 }
--- a/internal/membership/seeded.go
+++ b/internal/membership/seeded.go
@@ -38,9 +38,22 @@
 	return m
 }
 
+// SetSeeds replaces the seeds of a seeded group.
+func (m *Manager) SetSeeds(peers []settings.Peer) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.seeds.Peers = peers
+}
+
+func (m *Manager) seedPeers() []settings.Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.seeds.Peers)
+}
+
 // known returns the seeds and the members as far as they are known.
 func (m *Manager) known() []settings.Peer {
-	out := slices.Clone(m.seeds.Peers)
+	out := m.seedPeers()
 	for _, x := range m.replica.Members().All() {
 		if !slices.ContainsFunc(out, func(p settings.Peer) bool { return p.Name == x.Instance }) {
 			out = append(out, settings.Peer{Name: x.Instance, Address: x.Address})
@@ -55,7 +68,7 @@
 		return true
 	}
 	self := m.replica.Self().Instance
-	return m.seeds.Bootstrap && slices.ContainsFunc(m.seeds.Peers, func(p settings.Peer) bool { return p.Name == self })
+	return m.seeds.Bootstrap && slices.ContainsFunc(m.seedPeers(), func(p settings.Peer) bool { return p.Name == self })
 }
 
 // stray reports whether this replica has had no leader for a while.
--- a/internal/view/follow.go
+++ b/internal/view/follow.go
@@ -19,6 +19,7 @@
 type Follower struct {
 	cfg     FollowerConfig
 	view    atomic.Pointer[View]
+	seeds   atomic.Pointer[[]string]
 	mu      sync.Mutex
 	changed chan struct{}
 }
@@ -45,10 +46,14 @@
 func Follow(ctx context.Context, cfg FollowerConfig) *Follower {
 	f := &Follower{cfg: cfg, changed: make(chan struct{})}
 	f.view.Store(&View{Control: cfg.Seeds})
+	f.SetSeeds(cfg.Seeds)
 	go f.run(ctx)
 	return f
 }
 
+// SetSeeds replaces the addresses that are asked besides those of the view.
+func (f *Follower) SetSeeds(seeds []string) { f.seeds.Store(&seeds) }
+
 // View returns the latest view.
 func (f *Follower) View() *View { return f.view.Load() }
 
@@ -66,7 +71,7 @@
 	_, _ = h.Write([]byte(f.cfg.Name))
 	for n := int(h.Sum32() >> 1); ctx.Err() == nil; n++ {
 		control := slices.Sorted(slices.Values(f.View().Control))
-		for _, seed := range f.cfg.Seeds {
+		for _, seed := range *f.seeds.Load() {
 			if !slices.Contains(control, seed) {
 				control = append(control, seed)
 			}
