Keep queues at targets short, choose the own zone first, cut hot ranges into many

Cause: a hot key's target was filled past its queue (it then never answers), and moving it took several rounds, as each round took one slice of a range. Ruled out: control's latency (a move takes two round trips and a commit).

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -177,17 +177,18 @@
 	}
 	finder := instance.NewLeader(f.pool, f.cfg.Seeds, reportTimeout)
 	server, stopServer := forward.Serve(ctx, l, forward.Config{
-		Name:        f.cfg.Name,
-		Dialect:     f.adapter.Dialect,
-		View:        f.follow,
-		Pool:        targets,
-		Clock:       f.clock,
-		Log:         f.log,
-		Observer:    f.metrics,
-		Report:      func(r instance.ReportRequest) { f.report(ctx, finder, r) },
-		RetryRatio:  f.cfg.RetryRatio,
-		RetryBurst:  f.cfg.RetryBurst,
-		RetryMargin: retryMargin,
+		Name:             f.cfg.Name,
+		AvailabilityZone: f.cfg.AvailabilityZone,
+		Dialect:          f.adapter.Dialect,
+		View:             f.follow,
+		Pool:             targets,
+		Clock:            f.clock,
+		Log:              f.log,
+		Observer:         f.metrics,
+		Report:           func(r instance.ReportRequest) { f.report(ctx, finder, r) },
+		RetryRatio:       f.cfg.RetryRatio,
+		RetryBurst:       f.cfg.RetryBurst,
+		RetryMargin:      retryMargin,
 	})
 	f.entry = server
 	f.onStop(stopServer)
--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -196,6 +196,20 @@
 	}
 }
 
+// lateShare is the share of the time between a route's objective and its timeout
+// that a request may be expected to be late. A longer queue serves nobody more:
+// it makes everyone late.
+const lateShare = 0.25
+
+// patience returns the longest time that a target may be expected to take.
+func (c *call) patience() time.Duration {
+	longest := c.route.Objective
+	if late := c.route.Timeout - c.route.Objective; late > 0 {
+		longest += time.Duration(lateShare * float64(late))
+	}
+	return min(longest, time.Until(c.deadline))
+}
+
 // target chooses whom to send a request to, or refuses it.
 func (s *Server) target(ctx context.Context, c *call) (deployment.Target, *response) {
 	fail := func(reason string, after time.Duration) (deployment.Target, *response) {
@@ -220,12 +234,12 @@
 		}
 		return t, nil
 	}
-	t, ok := s.targets.choose(s.cfg.View.View().Usable(c.service.Name), c.tried)
+	t, ok := s.targets.choose(s.cfg.View.View().Usable(c.service.Name), c.tried, s.cfg.AvailabilityZone, c.route.Kind)
 	if !ok {
 		return fail("no target takes requests", comeBack)
 	}
-	if expected := s.targets.expected(t); expected > left {
-		return fail("all targets are busy for longer than the caller waits", expected/2)
+	if expected, _ := s.targets.expected(t); expected > c.patience() {
+		return fail("all targets are busy for too long", expected/2)
 	}
 	return t, nil
 }
@@ -263,8 +277,9 @@
 	if after, ok := s.targets.available(t); !ok {
 		return t, after, "the key's holder does not answer"
 	}
-	if expected := s.targets.expected(t); expected > time.Until(c.deadline) {
-		return t, expected / 2, "the key's holder is busy for longer than the caller waits"
+	expected, room := s.targets.expected(t)
+	if !room || expected > c.patience() {
+		return t, expected / 2, "the key's holder is busy for too long"
 	}
 	c.tried = append(c.tried, pieceName(p))
 	return t, 0, ""
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -20,17 +20,19 @@
 
 // Config is what an entry is told at start.
 type Config struct {
-	Name        string
-	Dialect     Dialect
-	View        *view.Follower
-	Pool        *targethttp.Pool
-	Clock       timer.Service
-	Log         *log.Logger
-	Observer    Observer
-	Report      Reporter
-	RetryRatio  float64 // retries of all entries together, as a share of requests
-	RetryBurst  float64 // retries that one entry may save up
-	RetryMargin float64 // share of RetryRatio that is used
+	Name string
+	// AvailabilityZone is where the entry runs; targets there cost least.
+	AvailabilityZone string
+	Dialect          Dialect
+	View             *view.Follower
+	Pool             *targethttp.Pool
+	Clock            timer.Service
+	Log              *log.Logger
+	Observer         Observer
+	Report           Reporter
+	RetryRatio       float64 // retries of all entries together, as a share of requests
+	RetryBurst       float64 // retries that one entry may save up
+	RetryMargin      float64 // share of RetryRatio that is used
 }
 
 // Server is an entry's edge towards callers.
@@ -49,7 +51,7 @@
 }
 
 // reportPeriod is the time between two reports to the leader.
-const reportPeriod = 500 * time.Millisecond
+const reportPeriod = 250 * time.Millisecond
 
 // Serve answers callers on the listener until the clean-up function is called,
 // which cuts all connections. Use Stop first for a planned stop.
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -16,16 +16,32 @@
 	startWork = 60 * time.Millisecond
 	// workWeight is the weight of one answer in the moving average of that time.
 	workWeight = 0.1
-	// loadLife is the time in which a target's own count of its work loses half
-	// of its meaning: about two requests' work.
-	loadLife = 150 * time.Millisecond
+	// drainRate is how much of a target's queue is taken to be gone after a
+	// second without news of it, in seconds of work.
+	drainRate = 0.7
 	// failuresToOpen is after how many failures in a row a target gets no
 	// requests for a while.
 	failuresToOpen = 2
 	firstPause     = 250 * time.Millisecond
 	longestPause   = 2 * time.Second
-	// warmUpShare is how much slower a target is taken to be while it warms up.
-	warmUpShare = 2.0
+	// warmUpFactor is how much slower a target is taken to be while it warms up.
+	warmUpFactor = 2.0
+	// otherZone is what a target in another availability zone costs, as a share
+	// of its work; downloads weigh more than their work.
+	otherZone         = 0.25
+	otherZoneDownload = 1.0
+	// Bounds of a window: how many requests of this entry one target may hold.
+	// Even many entries with the least window together stay within a target's
+	// queue, of which they see only what its answers say.
+	leastWindow = 1.0
+	// lotShare is the part of a choice that is by lot, as a share of the work.
+	lotShare = 0.5
+	// silentCost is what a target that sends no heartbeat costs.
+	silentCost  = 2.0
+	startWindow = 4.0
+	windowCut   = 0.7 // factor when a target's queue grows past its slots
+	windowRise  = 0.5 // added for each answer that found no queue
+	windowSlots = 3.0 // largest window in multiples of a target's slots
 )
 
 // targets is what an entry knows of the targets it sends to.
@@ -41,9 +57,11 @@
 	first    timer.Instant // when this entry first saw it
 	inflight int
 	work     float64 // seconds for one request that does not wait
-	load     Load
-	loadAt   timer.Instant
-	sent     int // requests sent since the target's own count
+	queue    float64 // seconds that a request waited for a slot, at queueAt
+	queueAt  timer.Instant
+	sent     int // requests sent since queueAt
+	window   float64
+	cutAt    timer.Instant
 	failures int
 	openTill timer.Instant
 	answers  uint32
@@ -58,58 +76,77 @@
 func (ts *targets) state(t deployment.Target) *targetState {
 	s, ok := ts.byID[t.ID]
 	if !ok || s.born != t.Born {
-		s = &targetState{born: t.Born, first: ts.clock.Now(), work: startWork.Seconds(), loadAt: -timer.Instant(time.Hour)}
+		s = &targetState{born: t.Born, first: ts.clock.Now(), work: startWork.Seconds(), window: startWindow}
 		ts.byID[t.ID] = s
 	}
 	return s
 }
 
-// backlog estimates how many requests the target runs or holds.
-func (s *targetState) backlog(now timer.Instant) float64 {
-	age := float64(now.Sub(s.loadAt)) / float64(loadLife)
-	reported := float64(s.load.Running+s.load.Waiting) / (1 + age*age)
-	return max(reported+float64(s.sent), float64(s.inflight))
-}
-
-// wait estimates how long a request sent now takes, in seconds.
-func (s *targetState) wait(t deployment.Target, now timer.Instant) float64 {
+// expected estimates how many seconds a request sent now takes.
+func (s *targetState) expected(t deployment.Target, now timer.Instant) float64 {
 	work := s.work
 	if now.Sub(s.first) < time.Duration(t.WarmUpMillis)*time.Millisecond {
-		work *= warmUpShare
+		work *= warmUpFactor
 	}
 	slots := float64(max(t.Slots, 1))
-	queue := max(0, s.backlog(now)+1-slots)
-	return work * (1 + queue/slots)
+	queue := max(0, s.queue-drainRate*now.Sub(s.queueAt).Seconds())
+	ahead := max(0, float64(max(s.sent, s.inflight))+1-slots)
+	return work*(1+ahead/slots) + queue
+}
+
+// full reports whether this entry has as many requests at the target as it may.
+func (s *targetState) full() bool { return float64(s.inflight) >= s.window }
+
+// noteQueue takes what an answer tells of the target's queue.
+func (s *targetState) noteQueue(slots int, e ending, now timer.Instant) {
+	width := float64(max(slots, 1))
+	waiting := max(0, e.took.Seconds()-s.work) / s.work * width
+	if e.loadKnown {
+		waiting = float64(e.load.Waiting)
+	}
+	s.queue, s.queueAt, s.sent = waiting/width*s.work, now, 0
+	switch {
+	case waiting > width && now.Sub(s.cutAt).Seconds() > s.work:
+		s.window = max(leastWindow, s.window*windowCut)
+		s.cutAt = now
+	case waiting == 0:
+		s.window = min(s.window+windowRise, windowSlots*width)
+	}
 }
 
 // open reports whether the target gets no requests at present.
 func (s *targetState) open(now timer.Instant) bool { return now < s.openTill }
 
-// choose returns the target with the shortest expected time among two drawn by
-// lot, leaving out those already tried and those that fail.
-func (ts *targets) choose(list []deployment.Target, tried []string) (deployment.Target, bool) {
+// choose returns the target with the shortest expected time, leaving out those
+// already tried, those that fail and those that hold enough of this entry.
+func (ts *targets) choose(list []deployment.Target, tried []string, zone string, kind deployment.Kind) (deployment.Target, bool) {
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
 	now := ts.clock.Now()
-	var candidates []deployment.Target
-	for _, t := range list {
-		if slices.Contains(tried, t.ID) || ts.state(t).open(now) {
-			continue
-		}
-		candidates = append(candidates, t)
-	}
-	if len(candidates) == 0 {
-		return deployment.Target{}, false
+	away := otherZone
+	if kind == deployment.Download {
+		away = otherZoneDownload
 	}
 	best, bestCost := deployment.Target{}, -1.0
-	for _, t := range candidates {
+	for _, t := range list {
 		s := ts.state(t)
-		cost := s.wait(t, now) + s.work*s.backlog(now)*0.3/float64(max(t.Slots, 1)) + rand.Float64()*0.3*s.work
+		if slices.Contains(tried, t.ID) || s.open(now) || s.full() {
+			continue
+		}
+		// Entries don't see each other's requests: a part by lot keeps them from
+		// choosing the same target.
+		cost := s.expected(t, now) + s.work*(float64(s.inflight)/float64(max(t.Slots, 1))+rand.Float64()*lotShare)
+		if t.AvailabilityZone != zone {
+			cost += away * s.work
+		}
+		if t.Status == deployment.Silent {
+			cost += silentCost * s.work
+		}
 		if bestCost < 0 || cost < bestCost {
 			best, bestCost = t, cost
 		}
 	}
-	return best, true
+	return best, bestCost >= 0
 }
 
 // available reports whether a target takes requests, and when to come back.
@@ -124,11 +161,13 @@
 	return 0, true
 }
 
-// expected returns how long a request to the target is expected to take.
-func (ts *targets) expected(t deployment.Target) time.Duration {
+// expected returns how long a request to the target is expected to take, and
+// whether it may get one more of this entry.
+func (ts *targets) expected(t deployment.Target) (time.Duration, bool) {
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
-	return time.Duration(ts.state(t).wait(t, ts.clock.Now()) * float64(time.Second))
+	s := ts.state(t)
+	return time.Duration(s.expected(t, ts.clock.Now()) * float64(time.Second)), !s.full()
 }
 
 // began counts a request that is sent to the target.
@@ -147,8 +186,8 @@
 	s := ts.state(t)
 	now := ts.clock.Now()
 	s.inflight = max(0, s.inflight-1)
-	if e.loadKnown {
-		s.load, s.loadAt, s.sent = e.load, now, 0
+	if e.loadKnown || e.ran {
+		s.noteQueue(t.Slots, e, now)
 	} else {
 		s.sent = max(0, s.sent-1)
 	}
--- a/internal/leader/balance.go
+++ b/internal/leader/balance.go
@@ -11,7 +11,7 @@
 const (
 	buckets = (int(deployment.MaxKey) + 1) / deployment.BucketKeys
 	// loadHalfLife is the time after which a measurement counts half.
-	loadHalfLife = 1500 * time.Millisecond
+	loadHalfLife = time.Second
 	// defaultWork is assumed of a target until its answers are measured.
 	defaultWork = 50 * time.Millisecond
 	// minGap is the difference of utilization between two targets that is worth
@@ -19,7 +19,9 @@
 	minGap         = 0.25
 	minUtilization = 0.5
 	// movesPerLook bounds the pieces that are moved at once.
-	movesPerLook = 6
+	movesPerLook = 12
+	// leastRate is the rate below which a piece counts as idle.
+	leastRate = 0.01
 	// freedParts is into how many parts the keys of a lost target are shared out.
 	freedParts = 4
 )
@@ -27,7 +29,9 @@
 // load is what entries measured of one service.
 type load struct {
 	at    timer.Instant
-	rates [buckets]float64 // requests a second
+	rates [buckets]float64     // requests a second
+	sums  [buckets + 1]float64 // of the rates of all buckets before
+	stale bool                 // sums are older than rates
 	work  map[string]float64
 }
 
@@ -51,6 +55,7 @@
 	for i := range l.rates {
 		l.rates[i] *= f
 	}
+	l.stale = true
 }
 
 // workWeight is the weight of one report in the moving average of a target's
@@ -63,6 +68,7 @@
 		l := m.loadOf(k.Service)
 		l.decay(m.now)
 		l.rates[int(k.Bucket)/deployment.BucketKeys] += float64(k.Count) / loadHalfLife.Seconds()
+		l.stale = true
 	}
 	for _, x := range e.Report.Targets {
 		t, ok := m.state.Target(x.ID)
@@ -135,13 +141,24 @@
 	return ok && h.confirmed != 0 && m.now.Sub(h.confirmed) > m.timing.Balance
 }
 
+// rateOf returns the requests a second for the keys, both ends included.
 func (l *load) rateOf(from, to deployment.Key) float64 {
-	sum := 0.0
-	for b := int(from) / deployment.BucketKeys; b <= int(to)/deployment.BucketKeys; b++ {
-		lo, hi := max(b*deployment.BucketKeys, int(from)), min(b*deployment.BucketKeys+deployment.BucketKeys-1, int(to))
-		sum += l.rates[b] * float64(hi-lo+1) / deployment.BucketKeys
+	return l.before(int(to)+1) - l.before(int(from))
+}
+
+// before returns the requests a second for all keys below the given one.
+func (l *load) before(key int) float64 {
+	if l.stale {
+		for i, r := range l.rates {
+			l.sums[i+1] = l.sums[i] + r
+		}
+		l.stale = false
+	}
+	b := key / deployment.BucketKeys
+	if b >= buckets {
+		return l.sums[buckets]
 	}
-	return sum
+	return l.sums[b] + l.rates[b]*float64(key%deployment.BucketKeys)/deployment.BucketKeys
 }
 
 // placeFree chooses holders for keys that nobody holds.
@@ -251,42 +268,53 @@
 	shares := m.shares(table.Service)
 	l := m.loadOf(table.Service)
 	var out []deployment.PieceRef
-	for len(out) < movesPerLook && len(shares) > 1 {
-		slices.SortFunc(shares, func(a, b share) int {
-			if a.utilization() < b.utilization() {
-				return -1
-			}
-			return 1
-		})
-		low := slices.IndexFunc(shares, func(s share) bool { return s.width == 0 })
-		empty := low >= 0
-		low = max(low, 0)
-		high := len(shares) - 1
-		for high > low && len(shares[high].pieces) == 0 {
-			high--
-		}
-		if high <= low {
-			break
-		}
-		gap := shares[high].utilization() - shares[low].utilization()
-		if !empty && (gap < minGap || shares[high].utilization() < minUtilization) {
+	for len(out) < movesPerLook {
+		low, high := extremes(shares)
+		if low < 0 || high < 0 || !worthMove(shares[high], shares[low]) {
 			break
 		}
-		ref, rate, ok := l.slice(table.Service, shares[high], shares[low])
+		i, ref, rate, ok := l.slice(table.Service, shares[high], shares[low])
 		if !ok {
 			break
 		}
 		out = append(out, ref)
 		m.plannedMove(ref, lifeOf(shares[low].target))
-		shares[high].rate -= rate
+		shares[high].give(i, ref, rate)
 		shares[low].rate += rate
 		shares[low].width += int(ref.To-ref.From) + 1
-		shares[low].pieces = nil
-		shares[high].pieces = nil // one piece of a target at a time
 	}
 	return out
 }
 
+// extremes returns the target with most room, where one that holds nothing goes
+// first, and the busiest other one that has something to give; -1 for none.
+func extremes(shares []share) (low, high int) {
+	low, high = -1, -1
+	for i, s := range shares {
+		if low < 0 || s.width == 0 && shares[low].width > 0 ||
+			(s.width == 0) == (shares[low].width == 0) && s.utilization() < shares[low].utilization() {
+			low = i
+		}
+	}
+	for i, s := range shares {
+		if i == low || len(s.pieces) == 0 {
+			continue
+		}
+		if high < 0 || s.utilization() > shares[high].utilization() {
+			high = i
+		}
+	}
+	return low, high
+}
+
+// worthMove reports whether keys should go from one target to another.
+func worthMove(from, to share) bool {
+	if to.width == 0 {
+		return true
+	}
+	return from.utilization() >= minUtilization && from.utilization()-to.utilization() >= minGap
+}
+
 // plannedMove remembers whom moved keys are meant for.
 func (m *Model) plannedMove(ref deployment.PieceRef, to deployment.Life) {
 	table, _ := m.state.Table(ref.Service)
@@ -298,26 +326,41 @@
 	m.holds[idOf(ref)] = &part
 }
 
+// give takes the keys, an end of the i-th piece, from what may be moved.
+func (s *share) give(i int, ref deployment.PieceRef, rate float64) {
+	s.rate -= rate
+	s.width -= int(ref.To-ref.From) + 1
+	s.pieces = slices.Clone(s.pieces)
+	p := &s.pieces[i]
+	switch {
+	case p.From == ref.From && p.To == ref.To:
+		s.pieces = slices.Delete(s.pieces, i, i+1)
+	case p.From == ref.From:
+		p.From = ref.To + 1
+	default:
+		p.To = ref.From - 1
+	}
+}
+
 // slice chooses the end of one of the busier target's pieces whose load brings
-// the two closest to each other.
-func (l *load) slice(service string, high, low share) (deployment.PieceRef, float64, bool) {
+// the two closest to each other, and returns that piece's index.
+func (l *load) slice(service string, high, low share) (int, deployment.PieceRef, float64, bool) {
 	perRequest := high.work/float64(max(high.target.Slots, 1)) + low.work/float64(max(low.target.Slots, 1))
 	want := (high.utilization() - low.utilization()) / perRequest
-	piece := slices.MaxFunc(high.pieces, func(a, b deployment.Piece) int {
-		if l.rateOf(a.From, a.To) < l.rateOf(b.From, b.To) {
-			return -1
+	best := 0
+	for i, p := range high.pieces {
+		if l.rateOf(p.From, p.To) > l.rateOf(high.pieces[best].From, high.pieces[best].To) {
+			best = i
 		}
-		return 1
-	})
-	ref := deployment.PieceRef{Service: service, From: piece.From, To: piece.To, Fence: piece.Fence}
-	if piece.Width() < 2 {
-		return ref, 0, false
 	}
-	if l.rateOf(piece.From, piece.To) == 0 {
+	piece := high.pieces[best]
+	ref := deployment.PieceRef{Service: service, From: piece.From, To: piece.To, Fence: piece.Fence}
+	if l.rateOf(piece.From, piece.To) < leastRate {
 		ref.From = piece.From + deployment.Key(piece.Width()/2)
-		return ref, 0, true
+		return best, ref, 0, piece.Width() > 1
 	}
-	return l.cutByRate(ref, want)
+	ref, rate, ok := l.cutByRate(ref, want)
+	return best, ref, rate, ok
 }
 
 // cutByRate takes keys from the end of a piece until they carry the wanted
@@ -337,13 +380,13 @@
 			best, bestRate, bestCost = part, rate, cost
 		}
 	}
-	step := max(1, min(deployment.BucketKeys, int(ref.To-ref.From)/8))
-	for at := int(ref.From) + step; at <= int(ref.To); at += step {
+	for at := int(ref.From) + 1; at <= int(ref.To); at++ {
 		tail, head := ref, ref
 		tail.From = deployment.Key(at)
 		head.To = deployment.Key(at - 1)
 		consider(tail)
 		consider(head)
 	}
+	consider(ref)
 	return best, bestRate, bestCost >= 0 && bestRate > 0
 }
--- a/internal/leader/messages.go
+++ b/internal/leader/messages.go
@@ -47,7 +47,7 @@
 		Silence:    2500 * time.Millisecond,
 		Quiet:      1500 * time.Millisecond,
 		Forget:     30 * time.Second,
-		Balance:    500 * time.Millisecond,
+		Balance:    250 * time.Millisecond,
 	}
 }
 
--- /dev/null
+++ b/internal/leader/model_test.go
@@ -0,0 +1,332 @@
+package leader
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/internal/instance"
+	"github.com/cranberrywind/cranberrywind/internal/wire"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
+)
+
+// play runs a model against an agreed state, with a clock of its own.
+type play struct {
+	t     *testing.T
+	model *Model
+	state deployment.State
+	index uint64
+	now   timer.Instant
+}
+
+const testService = "catalog"
+
+// newPlay starts a leader of a deployment with one keyed service.
+func newPlay(t *testing.T) *play {
+	p := &play{t: t, model: NewModel(DefaultTiming())}
+	p.commit(deployment.Command{Order: &deployment.Order{
+		Version:  1,
+		Whole:    true,
+		Services: []deployment.Service{{Name: testService, Keyed: true}},
+	}})
+	p.lead()
+	return p
+}
+
+func (p *play) lead() {
+	p.send(LeadershipTaken{At: p.now, Index: p.index})
+}
+
+func (p *play) send(e Event) []Effect {
+	_, effects := p.model.Update(e)
+	return effects
+}
+
+func (p *play) commit(c deployment.Command) {
+	p.index++
+	p.state, _ = p.state.Apply(p.index, wire.Encode(c))
+}
+
+func life(n int) deployment.Life {
+	return deployment.Life{ID: fmt.Sprintf("t%d", n), Born: int64(1000 + n)}
+}
+
+func (p *play) announce(n int, change func(t *deployment.Target)) {
+	t := deployment.Target{
+		ID: life(n).ID, Born: life(n).Born, Service: testService, Slots: 3,
+		Address: fmt.Sprintf("10.0.0.%d:80", n), Status: deployment.Live, Sequence: 1,
+	}
+	if change != nil {
+		change(&t)
+	}
+	p.commit(deployment.Command{Announce: &t})
+	p.heard(n)
+}
+
+func (p *play) heard(n int) { p.send(Heard{At: p.now, Life: life(n)}) }
+
+// tick lets time pass and returns the calls that fall due. Commands are
+// committed at once.
+func (p *play) tick(d time.Duration) []Effect {
+	p.now = p.now.Add(d)
+	var calls []Effect
+	for range 8 {
+		again := false
+		for _, e := range p.send(Ticked{At: p.now, State: p.state}) {
+			if c, ok := e.(Propose); ok {
+				p.commit(c.Command)
+				p.send(Committed{})
+				again = true
+				continue
+			}
+			calls = append(calls, e)
+		}
+		if !again {
+			break
+		}
+	}
+	return calls
+}
+
+// answer answers the grants and releases among the calls.
+func (p *play) answer(calls []Effect) {
+	for _, e := range calls {
+		switch c := e.(type) {
+		case SendGrant:
+			p.send(Granted{At: p.now, Piece: c.Piece, Sent: true})
+		case SendRelease:
+			p.send(Released{At: p.now, Piece: c.Piece, Handover: "warm"})
+		}
+	}
+}
+
+// settle shares out the keys over the targets and confirms all grants.
+func (p *play) settle(targets ...int) {
+	for range 40 {
+		for _, n := range targets {
+			p.heard(n)
+		}
+		p.answer(p.tick(100 * time.Millisecond))
+	}
+	p.assertHeld()
+}
+
+// assertHeld checks that all keys are held.
+func (p *play) assertHeld() {
+	p.t.Helper()
+	for _, piece := range p.pieces() {
+		assert.Equal(p.t, piece.Phase, deployment.Held)
+	}
+}
+
+func (p *play) pieces() []deployment.Piece {
+	table, ok := p.state.Table(testService)
+	assert.Assert(p.t, ok)
+	return table.Pieces
+}
+
+func (p *play) holderOf(key deployment.Key) string {
+	table, _ := p.state.Table(testService)
+	return table.Find(key).Target
+}
+
+func releases(calls []Effect) int {
+	n := 0
+	for _, e := range calls {
+		if _, ok := e.(SendRelease); ok {
+			n++
+		}
+	}
+	return n
+}
+
+func TestFirstShares(t *testing.T) {
+	t.Run("wait for targets that start together and are equal", func(t *testing.T) {
+		p := newPlay(t)
+		p.announce(1, nil)
+		p.tick(300 * time.Millisecond)
+		p.announce(2, nil)
+		p.announce(3, nil)
+		p.settle(1, 2, 3)
+		assert.Equal(t, len(p.pieces()), 3)
+	})
+	t.Run("a target that came first holds all until another comes", func(t *testing.T) {
+		p := newPlay(t)
+		p.announce(1, nil)
+		p.settle(1)
+		p.announce(2, nil)
+		p.settle(1, 2)
+		assert.Equal(t, p.holderOf(0) != p.holderOf(deployment.MaxKey), true)
+	})
+}
+
+func TestReleaseWaits(t *testing.T) {
+	t.Run("for a renewal that is under way", func(t *testing.T) {
+		p := newPlay(t)
+		p.announce(1, nil)
+		p.announce(2, nil)
+		p.settle(1, 2)
+		var underWay []Effect
+		for len(underWay) == 0 {
+			p.heard(1)
+			p.heard(2)
+			underWay = p.tick(50 * time.Millisecond)
+		}
+		p.announce(1, func(t *deployment.Target) { t.Status, t.Sequence = deployment.Draining, 2 })
+		assert.Equal(t, releases(p.tick(50*time.Millisecond)), 0)
+		p.answer(underWay)
+		assert.Assert(t, releases(p.tick(50*time.Millisecond)) > 0)
+	})
+	t.Run("after an election", func(t *testing.T) {
+		p := newPlay(t)
+		p.announce(1, nil)
+		p.announce(2, nil)
+		p.settle(1, 2)
+		p.announce(1, func(t *deployment.Target) { t.Status, t.Sequence = deployment.Draining, 2 })
+		p.lead()
+		calls := p.tick(50 * time.Millisecond)
+		assert.Equal(t, releases(calls), 0)
+		p.answer(calls)
+		p.now = p.now.Add(DefaultTiming().Quiet)
+		assert.Assert(t, releases(p.tick(50*time.Millisecond)) > 0)
+	})
+}
+
+func TestLeavingTargetHandsOver(t *testing.T) {
+	p := newPlay(t)
+	p.announce(1, nil)
+	p.announce(2, nil)
+	p.settle(1, 2)
+	p.announce(1, func(t *deployment.Target) { t.Status, t.Sequence = deployment.Draining, 2 })
+	p.settle(1, 2)
+	for _, piece := range p.pieces() {
+		assert.Equal(t, piece.Target, life(2).ID)
+	}
+	assert.Equal(t, p.pieces()[0].Handover, "warm")
+}
+
+// errLost stands for a call without an answer.
+var errLost = errors.New("no answer")
+
+func TestUnansweredGrantOutlastsRelease(t *testing.T) {
+	p := newPlay(t)
+	p.announce(1, nil)
+	p.announce(2, nil)
+	p.settle(1, 2)
+	// A renewal gets no answer: it may be applied later.
+	for done := false; !done; {
+		p.heard(1)
+		p.heard(2)
+		for _, e := range p.tick(50 * time.Millisecond) {
+			g, ok := e.(SendGrant)
+			if ok && g.Target.ID == life(1).ID {
+				p.send(Granted{At: p.now, Piece: g.Piece, Sent: true, Err: errLost})
+				done = true
+				continue
+			}
+			p.answer([]Effect{e})
+		}
+	}
+	lost := p.now
+	p.announce(1, func(t *deployment.Target) { t.Status, t.Sequence = deployment.Draining, 2 })
+	for p.holderOf(0) == life(1).ID || p.holderOf(deployment.MaxKey) == life(1).ID {
+		p.heard(1)
+		p.heard(2)
+		p.answer(p.tick(50 * time.Millisecond))
+	}
+	assert.Assert(t, p.now.Sub(lost) > DefaultTiming().Hold, "given on after %s", p.now.Sub(lost))
+}
+
+func TestLostTarget(t *testing.T) {
+	t.Run("keeps its keys until its last grant is over", func(t *testing.T) {
+		p := newPlay(t)
+		p.announce(1, nil)
+		p.announce(2, nil)
+		p.settle(1, 2)
+		lastAnswer := p.now
+		for range 200 {
+			p.heard(2)
+			for _, e := range p.tick(50 * time.Millisecond) {
+				g, ok := e.(SendGrant)
+				if ok && g.Target.ID == life(1).ID {
+					p.now = p.now.Add(grantTimeout)
+					lastAnswer = p.now
+					p.send(Granted{At: p.now, Piece: g.Piece, Sent: true, Err: errLost})
+					continue
+				}
+				p.answer([]Effect{e})
+			}
+			if p.holderOf(0) == p.holderOf(deployment.MaxKey) {
+				break
+			}
+		}
+		assert.Equal(t, p.holderOf(0), life(2).ID)
+		assert.Equal(t, p.holderOf(deployment.MaxKey), life(2).ID)
+		assert.Assert(t, p.now.Sub(lastAnswer) > DefaultTiming().Hold)
+	})
+	t.Run("loses its keys at once to a later life", func(t *testing.T) {
+		p := newPlay(t)
+		p.announce(1, nil)
+		p.announce(2, nil)
+		p.settle(1, 2)
+		p.announce(1, func(t *deployment.Target) { t.Born += 500 })
+		p.tick(50 * time.Millisecond)
+		for _, piece := range p.pieces() {
+			assert.Assert(t, piece.Born != life(1).Born)
+		}
+	})
+	t.Run("loses its keys at once to a later life at its address", func(t *testing.T) {
+		p := newPlay(t)
+		p.announce(1, nil)
+		p.announce(2, nil)
+		p.settle(1, 2)
+		p.announce(3, func(t *deployment.Target) { t.Address = "10.0.0.1:80" })
+		p.tick(50 * time.Millisecond)
+		for _, piece := range p.pieces() {
+			assert.Assert(t, piece.Target != life(1).ID)
+		}
+	})
+}
+
+func TestFencedTargetIsGrantedAnew(t *testing.T) {
+	p := newPlay(t)
+	p.announce(1, nil)
+	p.announce(2, nil)
+	p.settle(1, 2)
+	before := p.pieces()[0]
+	ref := deployment.PieceRef{Service: testService, From: before.From, To: before.To, Fence: before.Fence}
+	p.send(Granted{At: p.now, Piece: ref, Sent: true, Err: ErrFenced})
+	p.tick(50 * time.Millisecond)
+	after := p.pieces()[0]
+	assert.Equal(t, after.Target, before.Target)
+	assert.Assert(t, after.Fence > before.Fence)
+}
+
+func TestHotKeysMove(t *testing.T) {
+	p := newPlay(t)
+	for n := 1; n <= 4; n++ {
+		p.announce(n, nil)
+	}
+	p.settle(1, 2, 3, 4)
+	for range 60 {
+		for n := 1; n <= 4; n++ {
+			p.heard(n)
+		}
+		// 80 requests a second for 256 neighbouring keys of one target.
+		var keys []instance.KeyLoad
+		for b := range 16 {
+			keys = append(keys, instance.KeyLoad{Service: testService, Bucket: deployment.Key(b * deployment.BucketKeys), Count: 1})
+		}
+		p.send(Reported{At: p.now, Report: instance.ReportRequest{Keys: keys}})
+		p.answer(p.tick(200 * time.Millisecond))
+	}
+	holders := make(map[string]bool)
+	for b := range 16 {
+		holders[p.holderOf(deployment.Key(b*deployment.BucketKeys))] = true
+	}
+	assert.Assert(t, len(holders) >= 3, "hot keys are with %d targets", len(holders))
+}
