Measure a target's work from its successes, without the time they waited

The leader's log of shares showed one target with 206 of 540 requests a second and a work time of 6 ms: its only measured answers were fast failures, and a target with a queue was never measured again, as only answers that found no queue counted. Ruled out: slow moves (no move was planned at all). Change: only successes count, each divided by the queue that it left behind; a report's weight grows with its answers, from the mean of all targets on. The leader logs each target's share every two seconds.

--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -329,7 +329,7 @@
 		c.last = fmt.Sprintf("target %s: %s", t.ID, fault)
 		return nil, s.mayRepeat(c)
 	}
-	e.ran = true
+	e.ran, e.good = true, a.Status < http.StatusMultipleChoices
 	s.targets.ended(t, e)
 	if a.Status >= http.StatusInternalServerError {
 		c.last = fmt.Sprintf("target %s answered with status %d", t.ID, a.Status)
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -65,8 +65,7 @@
 	failures int
 	openTill timer.Instant
 	answers  uint32
-	unqueued uint32
-	busy     time.Duration
+	busy     time.Duration // work of these answers without the time they waited
 }
 
 func newTargets(clock timer.Service) *targets {
@@ -201,19 +200,30 @@
 	case e.ran:
 		s.failures = 0
 		s.openTill = 0
+	}
+	if e.ran && e.good {
+		// What fails fast says nothing of the work.
+		took := s.unqueued(t.Slots, e)
 		s.answers++
-		if !e.loadKnown || e.load.Waiting == 0 {
-			s.unqueued++
-			s.busy += e.took
-			s.work += workWeight * (e.took.Seconds() - s.work)
-		}
+		s.busy += took
+		s.work += workWeight * (took.Seconds() - s.work)
+	}
+}
+
+// unqueued returns the part of an answer's time that the target worked on it,
+// taking the queue that it left behind for the one that it had waited in.
+func (s *targetState) unqueued(slots int, e ending) time.Duration {
+	if !e.loadKnown {
+		return e.took
 	}
+	return time.Duration(float64(e.took) / (1 + float64(e.load.Waiting)/float64(max(slots, 1))))
 }
 
 // ending is what became of one request to a target.
 type ending struct {
 	failed    bool // no answer although one was due
-	ran       bool // the target answered with its work
+	ran       bool // the target answered
+	good      bool // with a success
 	took      time.Duration
 	load      Load
 	loadKnown bool
@@ -227,8 +237,8 @@
 	var out []instance.TargetLoad
 	for id, s := range ts.byID {
 		if s.answers > 0 {
-			out = append(out, instance.TargetLoad{ID: id, Answers: s.answers, Unqueued: s.unqueued, Busy: s.busy})
-			s.answers, s.unqueued, s.busy = 0, 0, 0
+			out = append(out, instance.TargetLoad{ID: id, Answers: s.answers, Busy: s.busy})
+			s.answers, s.busy = 0, 0
 		}
 		if s.inflight == 0 && !known(id) {
 			delete(ts.byID, id)
--- a/internal/instance/deployment.go
+++ b/internal/instance/deployment.go
@@ -53,10 +53,9 @@
 
 // TargetLoad is what an entry saw of one target.
 type TargetLoad struct {
-	ID       string        `msgpack:"id"`
-	Answers  uint32        `msgpack:"answers"`
-	Unqueued uint32        `msgpack:"unqueued"` // answers that did not wait for a slot
-	Busy     time.Duration `msgpack:"busy"`     // time that the unqueued answers took in all
+	ID      string        `msgpack:"id"`
+	Answers uint32        `msgpack:"answers"` // that were successes
+	Busy    time.Duration `msgpack:"busy"`    // their work in all, without waiting for a slot
 }
 
 // ReportResponse answers a report.
--- a/internal/leader/balance.go
+++ b/internal/leader/balance.go
@@ -58,9 +58,13 @@
 	l.stale = true
 }
 
-// workWeight is the weight of one report in the moving average of a target's
-// time for one request.
-const workWeight = 0.3
+const (
+	// workWeight is the largest weight of one report in the moving average of a
+	// target's time for one request.
+	workWeight = 0.3
+	// workAnswers is how many answers have that weight at least.
+	workAnswers = 6
+)
 
 func (m *Model) report(e Reported) {
 	m.now = max(m.now, e.At)
@@ -72,19 +76,31 @@
 	}
 	for _, x := range e.Report.Targets {
 		t, ok := m.state.Target(x.ID)
-		if !ok || x.Unqueued == 0 {
+		if !ok || x.Answers == 0 {
 			continue
 		}
 		l := m.loadOf(t.Service)
-		measured := x.Busy.Seconds() / float64(x.Unqueued)
-		if old, ok := l.work[x.ID]; ok {
-			weight := min(workWeight, 0.03*float64(x.Unqueued))
-			measured = old + weight*(measured-old)
+		old, ok := l.work[x.ID]
+		if !ok {
+			old = l.meanWork()
 		}
-		l.work[x.ID] = measured
+		weight := workWeight * min(1, float64(x.Answers)/workAnswers)
+		l.work[x.ID] = old + weight*(x.Busy.Seconds()/float64(x.Answers)-old)
 	}
 }
 
+// meanWork returns the mean time of all targets for one request, in seconds.
+func (l *load) meanWork() float64 {
+	if len(l.work) == 0 {
+		return defaultWork.Seconds()
+	}
+	sum := 0.0
+	for _, w := range l.work {
+		sum += w
+	}
+	return sum / float64(len(l.work))
+}
+
 // share is one target's part of a service.
 type share struct {
 	target deployment.Target
@@ -101,14 +117,6 @@
 // shares returns the usable targets of a service with what they hold.
 func (m *Model) shares(service string) []share {
 	l := m.loadOf(service)
-	mean, n := 0.0, 0
-	for _, w := range l.work {
-		mean += w
-		n++
-	}
-	if n == 0 {
-		mean, n = defaultWork.Seconds(), 1
-	}
 	var out []share
 	for _, t := range m.state.Targets() {
 		if t.Service != service || t.Status != deployment.Live || !m.recentlyHeard(t) {
@@ -116,7 +124,7 @@
 		}
 		w, ok := l.work[t.ID]
 		if !ok {
-			w = mean / float64(n)
+			w = l.meanWork()
 		}
 		out = append(out, share{target: t, work: w})
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -159,6 +159,8 @@
 			go l.release(e)
 		case Propose:
 			go l.propose(e)
+		case NoteShares:
+			l.log.Info("load of keyed service", "service", e.Service, "shares", e.Shares)
 		}
 	}
 	return nil
--- a/internal/leader/messages.go
+++ b/internal/leader/messages.go
@@ -132,6 +132,22 @@
 	Reason  string
 }
 
+// NoteShares reports how a keyed service's load falls on its targets.
+type NoteShares struct {
+	Service string
+	Shares  []TargetShare
+}
+
+// TargetShare is one target's part of a service's load.
+type TargetShare struct {
+	Target      string  `json:"target"`
+	Keys        int     `json:"keys"`
+	Rate        float64 `json:"rate"`        // requests a second
+	WorkMillis  float64 `json:"work_ms"`     // time for one request that does not wait
+	Utilization float64 `json:"utilization"` // of the target's slots
+}
+
+func (NoteShares) isEffect()  {}
 func (SendGrant) isEffect()   {}
 func (SendRelease) isEffect() {}
 func (Propose) isEffect()     {}
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"slices"
+	"time"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
@@ -26,6 +27,7 @@
 	loads   map[string]*load // by service
 	pending bool             // a command is being committed
 	looked  timer.Instant    // last look at the load
+	noted   timer.Instant    // last report of the load
 	seen    map[string]arrivals
 	flights []deployment.PieceRef // grants that are under way
 }
@@ -58,6 +60,9 @@
 	to         deployment.Life // planned holder, where one was chosen
 }
 
+// notePeriod is the time between two reports of the load in the log.
+const notePeriod = 2 * time.Second
+
 // NewModel returns a model that does not lead.
 func NewModel(timing Timing) *Model { return &Model{timing: timing} }
 
@@ -216,9 +221,29 @@
 			delete(m.holds, id)
 		}
 	}
+	effects = append(effects, m.noteShares()...)
 	return append(effects, m.commands(free, moves)...)
 }
 
+// noteShares reports the load of all keyed services from time to time.
+func (m *Model) noteShares() []Effect {
+	if m.now.Sub(m.noted) < notePeriod {
+		return nil
+	}
+	m.noted = m.now
+	var out []Effect
+	for _, table := range m.state.Tables() {
+		note := NoteShares{Service: table.Service}
+		for _, s := range m.shares(table.Service) {
+			note.Shares = append(note.Shares, TargetShare{
+				Target: s.target.ID, Keys: s.width, Rate: s.rate, WorkMillis: 1000 * s.work, Utilization: s.utilization(),
+			})
+		}
+		out = append(out, note)
+	}
+	return out
+}
+
 // commands returns the one command that is to be committed next.
 func (m *Model) commands(free []deployment.Assignment, moves []deployment.PieceRef) []Effect {
 	if m.pending {
