Isolate hot keys on the fastest target; go on after a failed disk without exiting

Ruled out: too few moves at once (single keys were cut out within 0.7 s). Change: rates are kept for single keys in a slow and a fast average; a move has to lower the highest utilization; a key that exceeds its holder goes to the target that serves most of it and its neighbours move away; moves run side by side and are finished as soon as the release is answered. An entry's window at a target is smaller.

--- a/internal/deployment/keys.go
+++ b/internal/deployment/keys.go
@@ -12,7 +12,7 @@
 	// MaxKey is the last key.
 	MaxKey Key = 65535
 	// BucketKeys is how many neighbouring keys are counted as one.
-	BucketKeys = 4
+	BucketKeys = 1
 )
 
 // Phase tells whether a piece of the key space can be served.
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -13,6 +14,7 @@
 	"github.com/cranberrywind/cranberrywind/internal/instance"
 	"github.com/cranberrywind/cranberrywind/internal/leader"
 	"github.com/cranberrywind/cranberrywind/internal/membership"
+	"github.com/cranberrywind/cranberrywind/internal/settings"
 	"github.com/cranberrywind/cranberrywind/internal/view"
 	"github.com/cranberrywind/cranberrywind/internal/wire"
 	"github.com/cranberrywind/cranberrywind/pkg/replica"
@@ -22,13 +24,21 @@
 // Control is an instance's part in the control group. It answers other
 // instances, and the platform's adapter on behalf of operators and targets.
 type Control struct {
-	group   *group.Group[deployment.State]
-	leader  *leader.Leader
-	members *membership.Manager
+	cfg     settings.Routed
+	targets leader.Targets
 	pool    *instance.Pool
 	clock   timer.Service
 	log     *log.Logger
-	seeds   []string
+	running atomic.Pointer[running]
+	seeds   atomic.Pointer[[]string]
+}
+
+// running is a replica with what works on it. Another one takes its place after
+// its disk has failed.
+type running struct {
+	group   *group.Group[deployment.State]
+	leader  *leader.Leader
+	members *membership.Manager
 }
 
 var (
@@ -46,6 +56,10 @@
 	allTimeout = 900 * time.Millisecond
 )
 
+// replica returns the replica that runs now, or the last one that did: its state
+// can still be read, and its group refuses all else.
+func (c *Control) replica() *running { return c.running.Load() }
+
 // Order takes an operator's change to the leader.
 func (c *Control) Order(ctx context.Context, o deployment.Order) (deployment.Result, error) {
 	res, err := toLeader[instance.OrderRequest, instance.OrderResponse](ctx, c, "Change", &instance.OrderRequest{Order: o}, c.Change)
@@ -78,8 +92,8 @@
 		return deployment.Document{}, false, err
 	}
 	for {
-		changed := c.group.Watch()
-		applied := c.group.State()
+		changed := c.replica().group.Watch()
+		applied := c.replica().group.State()
 		if applied.Index >= res.Index {
 			doc, index := applied.State.Document()
 			return doc, index > 0, nil
@@ -99,7 +113,7 @@
 	for {
 		var res *Res
 		var err error
-		if c.group.Role().Role == replica.Leader {
+		if c.leads() {
 			res, err = local(ctx, req)
 		} else {
 			res, err = callLeader[Req, Res](ctx, c, method, req)
@@ -121,7 +135,7 @@
 }
 
 func callLeader[Req, Res any](ctx context.Context, c *Control, method string, req *Req) (*Res, error) {
-	address := c.group.LeaderAddress()
+	address := c.replica().group.LeaderAddress()
 	if address == "" {
 		return nil, &instance.NotLeaderError{}
 	}
@@ -142,9 +156,24 @@
 }
 
 // notLeader names the leader to another instance.
-func (c *Control) notLeader() error { return &instance.NotLeaderError{Leader: c.group.LeaderAddress()} }
+func (c *Control) notLeader() error {
+	return &instance.NotLeaderError{Leader: c.replica().group.LeaderAddress()}
+}
 
-func (c *Control) leads() bool { return c.group.Role().Role == replica.Leader }
+// leads reports whether this replica runs and leads.
+func (c *Control) leads() bool {
+	return !c.stopped() && c.replica().group.Role().Role == replica.Leader
+}
+
+// stopped reports whether the replica has ended, by a failed disk.
+func (c *Control) stopped() bool {
+	select {
+	case <-c.replica().group.Done():
+		return true
+	default:
+		return false
+	}
+}
 
 // Change commits an operator's order.
 func (c *Control) Change(ctx context.Context, req *instance.OrderRequest) (*instance.OrderResponse, error) {
@@ -162,7 +191,7 @@
 }
 
 func (c *Control) propose(ctx context.Context, command deployment.Command) (deployment.Result, error) {
-	committed, err := c.group.Propose(ctx, wire.Encode(command))
+	committed, err := c.replica().group.Propose(ctx, wire.Encode(command))
 	if err != nil {
 		return deployment.Result{}, err
 	}
@@ -178,7 +207,7 @@
 	}
 	t := req.Target
 	life := deployment.Life{ID: t.ID, Born: t.Born}
-	old, known := c.group.State().State.Target(t.ID)
+	old, known := c.replica().group.State().State.Target(t.ID)
 	switch {
 	case req.Leaves:
 		if !known || old.Status == deployment.Left {
@@ -195,14 +224,14 @@
 		if _, err := c.propose(ctx, deployment.Command{Announce: &t}); err != nil {
 			return nil, err
 		}
-		now, _ := c.group.State().State.Target(t.ID)
+		now, _ := c.replica().group.State().State.Target(t.ID)
 		c.log.Info("target announced", "target", t.ID, "born", t.Born, "service", t.Service, "address", t.Address,
 			"status", t.Status, "sequence", t.Sequence, "taken", now.Born == t.Born && now.Sequence == t.Sequence)
-		c.leader.Heard(life)
+		c.replica().leader.Heard(life)
 	case t.Sequence > old.Sequence && old.Status != deployment.Left:
-		c.leader.Heard(life)
+		c.replica().leader.Heard(life)
 	}
-	return &instance.AnnouncedResponse{Leader: c.group.Self().Address}, nil
+	return &instance.AnnouncedResponse{Leader: c.replica().group.Self().Address}, nil
 }
 
 // differs reports whether an announcement says something new of a target. Late
@@ -222,7 +251,7 @@
 	if !c.leads() {
 		return nil, c.notLeader()
 	}
-	applied, err := c.group.Barrier(ctx)
+	applied, err := c.replica().group.Barrier(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -234,7 +263,7 @@
 	if !c.leads() {
 		return nil, c.notLeader()
 	}
-	c.leader.Report(*req)
+	c.replica().leader.Report(*req)
 	return &instance.ReportResponse{}, nil
 }
 
@@ -245,22 +274,24 @@
 }
 
 // State returns the state as far as it is applied here.
-func (c *Control) State() deployment.State { return c.group.State().State }
+func (c *Control) State() deployment.State { return c.replica().group.State().State }
 
 // Changed returns a channel that is closed at the next change.
-func (c *Control) Changed() <-chan struct{} { return c.group.Watch() }
+func (c *Control) Changed() <-chan struct{} { return c.replica().group.Watch() }
 
 // Current reports whether this replica leads or hears its leader.
-func (c *Control) Current() bool { return c.group.Role().Leader != "" }
+func (c *Control) Current() bool {
+	return !c.stopped() && c.replica().group.Role().Leader != ""
+}
 
 // Control returns the addresses of the control instances.
 func (c *Control) Control() []string {
 	var out []string
-	for _, m := range c.group.Members().All() {
+	for _, m := range c.replica().group.Members().All() {
 		out = append(out, m.Address)
 	}
 	if len(out) == 0 {
-		return c.seeds
+		return *c.seeds.Load()
 	}
 	return out
 }
@@ -268,18 +299,18 @@
 // Deliver hands a message to the replica.
 func (c *Control) Deliver(e group.Envelope) {
 	if e.Group == groupName {
-		c.group.Receive(e)
+		c.replica().group.Receive(e)
 	}
 }
 
 // Probe describes the replica.
 func (c *Control) Probe(context.Context, *instance.ProbeRequest) (*instance.ProbeResponse, error) {
-	return &instance.ProbeResponse{Self: c.group.Self(), Formed: c.group.Formed()}, nil
+	return &instance.ProbeResponse{Self: c.replica().group.Self(), Formed: c.replica().group.Formed()}, nil
 }
 
 // Form gives the replica its group's first membership.
 func (c *Control) Form(_ context.Context, req *instance.FormRequest) (*instance.Empty, error) {
-	return &instance.Empty{}, c.group.Form(req.Members)
+	return &instance.Empty{}, c.replica().group.Form(req.Members)
 }
 
 // Join notes a replica that wants to be let in.
@@ -287,7 +318,7 @@
 	if !c.leads() {
 		return nil, c.notLeader()
 	}
-	c.members.Join(req.Member)
+	c.replica().members.Join(req.Member)
 	return &instance.Empty{}, nil
 }
 
@@ -300,7 +331,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, handOverWait)
 	defer cancel()
-	status, err := c.group.Status(ctx)
+	status, err := c.replica().group.Status(ctx)
 	if err != nil {
 		c.log.Warn("leadership not handed over", "error", err)
 		return
@@ -314,7 +345,7 @@
 	if best.ID == "" {
 		return
 	}
-	if err := c.group.Transfer(best.ID); err != nil {
+	if err := c.replica().group.Transfer(best.ID); err != nil {
 		c.log.Warn("leadership not handed over", "to", best.ID, "error", err)
 		return
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,19 +9,15 @@
 	"fmt"
 	"net"
 	"net/http"
-	"path/filepath"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
 
-	"github.com/cranberrywind/cranberrywind/internal/deployment"
 	"github.com/cranberrywind/cranberrywind/internal/forward"
-	"github.com/cranberrywind/cranberrywind/internal/group"
 	"github.com/cranberrywind/cranberrywind/internal/instance"
 	"github.com/cranberrywind/cranberrywind/internal/leader"
-	"github.com/cranberrywind/cranberrywind/internal/membership"
 	"github.com/cranberrywind/cranberrywind/internal/settings"
 	"github.com/cranberrywind/cranberrywind/internal/targethttp"
 	"github.com/cranberrywind/cranberrywind/internal/view"
@@ -58,13 +54,6 @@
 	failed   chan error
 }
 
-// groupTiming elects a leader within about a second of a loss.
-func groupTiming() group.Timing {
-	return group.Timing{Tick: 25 * time.Millisecond, ElectionTicks: 16, HeartbeatTicks: 3}
-}
-
-const groupName = "deployment"
-
 // retryMargin is the share of the retry budget that entries use: each knows only
 // its own requests.
 const retryMargin = 0.75
@@ -113,32 +102,12 @@
 }
 
 func (f *Fleet) startControl(ctx context.Context) error {
-	g, stopGroup, err := group.Open(ctx, group.Config[deployment.State]{
-		Name:      groupName,
-		Instance:  f.cfg.Address,
-		Address:   f.cfg.Address,
-		Dir:       filepath.Join(f.cfg.DataDir, groupName),
-		Decode:    deployment.Decode,
-		Transport: f.pool,
-		Clock:     f.clock,
-		Timing:    groupTiming(),
-	})
+	c, stopReplica, err := startReplica(ctx, f.cfg, f.adapter.Targets, f.pool, f.clock, f.log)
 	if err != nil {
 		return err
 	}
-	f.onStop(stopGroup)
-	go func() {
-		<-g.Done()
-		if err := g.Err(); err != nil {
-			f.fail(fmt.Errorf("group %s: %w", groupName, err))
-		}
-	}()
-	lead, stopLead := leader.Start(ctx, g, f.adapter.Targets, f.clock, leader.DefaultTiming(), f.log)
-	f.onStop(stopLead)
-	m := membership.New(g, f.pool, f.clock, f.log, nil).
-		Seeded(membership.Seeds{Peers: peersOf(f.cfg.Seeds), Bootstrap: f.cfg.Bootstrap})
-	go m.Run(ctx)
-	f.control = &Control{group: g, leader: lead, members: m, pool: f.pool, clock: f.clock, log: f.log, seeds: f.cfg.Seeds}
+	f.control = c
+	f.onStop(stopReplica)
 	l, err := net.Listen("tcp", f.cfg.Address)
 	if err != nil {
 		return fmt.Errorf("listen for instances: %w", err)
@@ -147,20 +116,12 @@
 	return f.listenHTTP(f.cfg.OperatorAddress, f.adapter.Operator(f.control))
 }
 
-func peersOf(addresses []string) []settings.Peer {
-	var peers []settings.Peer
-	for _, address := range addresses {
-		peers = append(peers, settings.Peer{Name: address, Address: address})
-	}
-	return peers
-}
-
 // Reload takes changed settings over: other seeds take effect at once, all else
 // at the next start.
 func (f *Fleet) Reload(cfg settings.Routed) {
 	f.log.Info("settings reloaded", "seeds", cfg.Seeds)
 	if f.control != nil {
-		f.control.members.SetSeeds(peersOf(cfg.Seeds))
+		f.control.SetSeeds(cfg.Seeds)
 	}
 	if f.follow != nil {
 		f.follow.SetSeeds(cfg.Seeds)
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -38,10 +38,10 @@
 	lotShare = 0.5
 	// silentCost is what a target that sends no heartbeat costs.
 	silentCost  = 2.0
-	startWindow = 4.0
+	startWindow = 2.0
 	windowCut   = 0.7 // factor when a target's queue grows past its slots
 	windowRise  = 0.5 // added for each answer that found no queue
-	windowSlots = 3.0 // largest window in multiples of a target's slots
+	windowSlots = 0.7 // largest window as a share of a target's slots
 )
 
 // targets is what an entry knows of the targets it sends to.
@@ -109,7 +109,7 @@
 		s.window = max(leastWindow, s.window*windowCut)
 		s.cutAt = now
 	case waiting == 0:
-		s.window = min(s.window+windowRise, windowSlots*width)
+		s.window = min(s.window+windowRise, max(startWindow, windowSlots*width))
 	}
 }
 
--- a/internal/leader/balance.go
+++ b/internal/leader/balance.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -10,8 +11,14 @@
 
 const (
 	buckets = (int(deployment.MaxKey) + 1) / deployment.BucketKeys
-	// loadHalfLife is the time after which a measurement counts half.
-	loadHalfLife = time.Second
+	// slowSpan and fastSpan are the spans of the two moving averages of a
+	// bucket's rate. The slow one is steady; the fast one shows within half a
+	// second that keys turned hot.
+	slowSpan = 2 * time.Second
+	fastSpan = 400 * time.Millisecond
+	// A bucket is hot where its fast average lies this far above the slow one.
+	hotFactor = 1.5
+	hotRate   = 4.0 // requests a second
 	// defaultWork is assumed of a target until its answers are measured.
 	defaultWork = 50 * time.Millisecond
 	// minGap is the difference of utilization between two targets that is worth
@@ -20,6 +27,8 @@
 	minUtilization = 0.5
 	// movesPerLook bounds the pieces that are moved at once.
 	movesPerLook = 12
+	// leastGain is by how much a move has to lower the highest utilization.
+	leastGain = 0.1
 	// leastRate is the rate below which a piece counts as idle.
 	leastRate = 0.01
 	// freedParts is into how many parts the keys of a lost target are shared out.
@@ -29,9 +38,10 @@
 // load is what entries measured of one service.
 type load struct {
 	at    timer.Instant
-	rates [buckets]float64     // requests a second
+	slow  [buckets]float64     // requests a second
+	fast  [buckets]float64     // the same over a shorter span
 	sums  [buckets + 1]float64 // of the rates of all buckets before
-	stale bool                 // sums are older than rates
+	stale bool                 // sums are older than the averages
 	work  map[string]float64
 }
 
@@ -44,6 +54,15 @@
 	return l
 }
 
+// rate returns a bucket's requests a second.
+func (l *load) rate(bucket int) float64 {
+	slow, fast := l.slow[bucket], l.fast[bucket]
+	if fast > slow*hotFactor+hotRate {
+		return fast
+	}
+	return slow
+}
+
 // decay lets older measurements fade.
 func (l *load) decay(now timer.Instant) {
 	dt := now.Sub(l.at)
@@ -51,9 +70,11 @@
 		return
 	}
 	l.at = now
-	f := 1 / (1 + float64(dt)/float64(loadHalfLife))
-	for i := range l.rates {
-		l.rates[i] *= f
+	slow := 1 / (1 + float64(dt)/float64(slowSpan))
+	fast := 1 / (1 + float64(dt)/float64(fastSpan))
+	for i := range l.slow {
+		l.slow[i] *= slow
+		l.fast[i] *= fast
 	}
 	l.stale = true
 }
@@ -71,7 +92,9 @@
 	for _, k := range e.Report.Keys {
 		l := m.loadOf(k.Service)
 		l.decay(m.now)
-		l.rates[int(k.Bucket)/deployment.BucketKeys] += float64(k.Count) / loadHalfLife.Seconds()
+		b := int(k.Bucket) / deployment.BucketKeys
+		l.slow[b] += float64(k.Count) / slowSpan.Seconds()
+		l.fast[b] += float64(k.Count) / fastSpan.Seconds()
 		l.stale = true
 	}
 	for _, x := range e.Report.Targets {
@@ -111,7 +134,7 @@
 }
 
 func (s share) utilization() float64 {
-	return s.rate * s.work / float64(max(s.target.Slots, 1))
+	return s.rate * s.perRequest()
 }
 
 // shares returns the usable targets of a service with what they hold.
@@ -130,19 +153,32 @@
 	}
 	table, _ := m.state.Table(service)
 	for _, p := range table.Pieces {
-		i := slices.IndexFunc(out, func(s share) bool { return s.target.ID == p.Target && s.target.Born == p.Born })
-		if p.Phase != deployment.Held || i < 0 {
+		holder := deployment.Life{ID: p.Target, Born: p.Born}
+		if p.Phase == deployment.Moving {
+			holder = m.plannedHolder(service, p)
+		}
+		i := slices.IndexFunc(out, func(s share) bool { return lifeOf(s.target) == holder })
+		if p.Phase == deployment.Free || i < 0 {
 			continue
 		}
 		out[i].rate += l.rateOf(p.From, p.To)
 		out[i].width += p.Width()
-		if m.movable(service, p) {
+		if p.Phase == deployment.Held && m.movable(service, p) {
 			out[i].pieces = append(out[i].pieces, p)
 		}
 	}
 	return out
 }
 
+// plannedHolder returns whom a piece on the move is meant for.
+func (m *Model) plannedHolder(service string, p deployment.Piece) deployment.Life {
+	h, ok := m.holds[pieceID{service: service, from: p.From, fence: p.Fence}]
+	if !ok {
+		return deployment.Life{}
+	}
+	return h.to
+}
+
 // movable reports whether a piece has been with its holder for a while.
 func (m *Model) movable(service string, p deployment.Piece) bool {
 	h, ok := m.holds[pieceID{service: service, from: p.From, fence: p.Fence}]
@@ -157,8 +193,8 @@
 // before returns the requests a second for all keys below the given one.
 func (l *load) before(key int) float64 {
 	if l.stale {
-		for i, r := range l.rates {
-			l.sums[i+1] = l.sums[i] + r
+		for i := range buckets {
+			l.sums[i+1] = l.sums[i] + l.rate(i)
 		}
 		l.stale = false
 	}
@@ -166,7 +202,7 @@
 	if b >= buckets {
 		return l.sums[buckets]
 	}
-	return l.sums[b] + l.rates[b]*float64(key%deployment.BucketKeys)/deployment.BucketKeys
+	return l.sums[b] + l.rate(b)*float64(key%deployment.BucketKeys)/deployment.BucketKeys
 }
 
 // placeFree chooses holders for keys that nobody holds.
@@ -263,9 +299,6 @@
 	m.looked = m.now
 	var out []deployment.PieceRef
 	for _, table := range m.state.Tables() {
-		if slices.ContainsFunc(table.Pieces, func(p deployment.Piece) bool { return p.Phase == deployment.Moving }) {
-			continue
-		}
 		m.loadOf(table.Service).decay(m.now)
 		out = append(out, m.rebalanceService(table)...)
 	}
@@ -275,7 +308,7 @@
 func (m *Model) rebalanceService(table deployment.KeyTable) []deployment.PieceRef {
 	shares := m.shares(table.Service)
 	l := m.loadOf(table.Service)
-	var out []deployment.PieceRef
+	out := m.placeHot(table, shares)
 	for len(out) < movesPerLook {
 		low, high := extremes(shares)
 		if low < 0 || high < 0 || !worthMove(shares[high], shares[low]) {
@@ -294,6 +327,43 @@
 	return out
 }
 
+// hotGain is the part of its present utilization that a single key may have at
+// another target to be moved there.
+const hotGain = 0.75
+
+// placeHot moves single keys that exceed their holder to the target that can
+// serve most of them.
+func (m *Model) placeHot(table deployment.KeyTable, shares []share) []deployment.PieceRef {
+	l := m.loadOf(table.Service)
+	var out []deployment.PieceRef
+	for h := range shares {
+		high := &shares[h]
+		for i, p := range high.pieces {
+			rate := l.rateOf(p.From, p.To)
+			if p.Width() > 1 || rate*high.perRequest() < 1 {
+				continue
+			}
+			best := h
+			for k, s := range shares {
+				if s.perRequest() < shares[best].perRequest() {
+					best = k
+				}
+			}
+			if shares[best].perRequest() > hotGain*high.perRequest() {
+				continue
+			}
+			ref := deployment.PieceRef{Service: table.Service, From: p.From, To: p.To, Fence: p.Fence}
+			out = append(out, ref)
+			m.plannedMove(ref, lifeOf(shares[best].target))
+			high.give(i, ref, rate)
+			shares[best].rate += rate
+			shares[best].width++
+			break
+		}
+	}
+	return out
+}
+
 // extremes returns the target with most room, where one that holds nothing goes
 // first, and the busiest other one that has something to give; -1 for none.
 func extremes(shares []share) (low, high int) {
@@ -351,26 +421,35 @@
 }
 
 // slice chooses the end of one of the busier target's pieces whose load brings
-// the two closest to each other, and returns that piece's index.
+// the two closest to each other, and returns that piece's index. It returns
+// false where no piece would leave both less busy than the busier one is now.
 func (l *load) slice(service string, high, low share) (int, deployment.PieceRef, float64, bool) {
-	perRequest := high.work/float64(max(high.target.Slots, 1)) + low.work/float64(max(low.target.Slots, 1))
+	perRequest := high.perRequest() + low.perRequest()
 	want := (high.utilization() - low.utilization()) / perRequest
-	best := 0
+	order := make([]int, len(high.pieces))
+	rates := make([]float64, len(high.pieces))
 	for i, p := range high.pieces {
-		if l.rateOf(p.From, p.To) > l.rateOf(high.pieces[best].From, high.pieces[best].To) {
-			best = i
+		order[i], rates[i] = i, l.rateOf(p.From, p.To)
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(rates[b], rates[a]) })
+	for _, i := range order {
+		p := high.pieces[i]
+		ref := deployment.PieceRef{Service: service, From: p.From, To: p.To, Fence: p.Fence}
+		if rates[i] < leastRate {
+			ref.From = p.From + deployment.Key(p.Width()/2)
+			return i, ref, 0, p.Width() > 1 && low.width == 0
+		}
+		part, rate, ok := l.cutByRate(ref, want)
+		if ok && low.utilization()+rate*low.perRequest() < high.utilization()-leastGain {
+			return i, part, rate, true
 		}
 	}
-	piece := high.pieces[best]
-	ref := deployment.PieceRef{Service: service, From: piece.From, To: piece.To, Fence: piece.Fence}
-	if l.rateOf(piece.From, piece.To) < leastRate {
-		ref.From = piece.From + deployment.Key(piece.Width()/2)
-		return best, ref, 0, piece.Width() > 1
-	}
-	ref, rate, ok := l.cutByRate(ref, want)
-	return best, ref, rate, ok
+	return 0, deployment.PieceRef{}, 0, false
 }
 
+// perRequest returns the part of its slots that one request a second takes.
+func (s share) perRequest() float64 { return s.work / float64(max(s.target.Slots, 1)) }
+
 // cutByRate takes keys from the end of a piece until they carry the wanted
 // rate, or from its beginning, whichever comes closer with fewer keys.
 func (l *load) cutByRate(ref deployment.PieceRef, want float64) (deployment.PieceRef, float64, bool) {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -160,7 +160,7 @@
 		case Propose:
 			go l.propose(e)
 		case NoteShares:
-			l.log.Info("load of keyed service", "service", e.Service, "shares", e.Shares)
+			l.log.Info("load of keyed service", "service", e.Service, "shares", e.Shares, "hot", e.Hot)
 		}
 	}
 	return nil
--- a/internal/leader/messages.go
+++ b/internal/leader/messages.go
@@ -136,6 +136,14 @@
 type NoteShares struct {
 	Service string
 	Shares  []TargetShare
+	Hot     []HotKeys // busiest first
+}
+
+// HotKeys is the rate of a few neighbouring keys.
+type HotKeys struct {
+	From   deployment.Key `json:"from"`
+	Rate   float64        `json:"rate"` // requests a second
+	Holder string         `json:"holder"`
 }
 
 // TargetShare is one target's part of a service's load.
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"cmp"
 	"errors"
 	"slices"
 	"time"
@@ -86,6 +87,8 @@
 		m.granted(e)
 	case Released:
 		m.released(e)
+		m.now = max(m.now, e.At)
+		return m, m.plan()
 	case Committed:
 		m.pending = false
 	case Ticked:
@@ -239,11 +242,29 @@
 				Target: s.target.ID, Keys: s.width, Rate: s.rate, WorkMillis: 1000 * s.work, Utilization: s.utilization(),
 			})
 		}
+		note.Hot = m.hotKeys(table)
 		out = append(out, note)
 	}
 	return out
 }
 
+// maxHot is how many hot buckets a report of the load names.
+const maxHot = 8
+
+// hotKeys returns the busiest buckets of a service that count as hot.
+func (m *Model) hotKeys(table deployment.KeyTable) []HotKeys {
+	var out []HotKeys
+	l := m.loadOf(table.Service)
+	for b := range buckets {
+		if rate := l.rate(b); rate > hotRate {
+			from := deployment.Key(b * deployment.BucketKeys)
+			out = append(out, HotKeys{From: from, Rate: rate, Holder: table.Find(from).Target})
+		}
+	}
+	slices.SortFunc(out, func(a, b HotKeys) int { return cmp.Compare(b.Rate, a.Rate) })
+	return out[:min(len(out), maxHot)]
+}
+
 // commands returns the one command that is to be committed next.
 func (m *Model) commands(free []deployment.Assignment, moves []deployment.PieceRef) []Effect {
 	if m.pending {
--- a/internal/leader/model_test.go
+++ b/internal/leader/model_test.go
@@ -73,21 +73,22 @@
 // committed at once.
 func (p *play) tick(d time.Duration) []Effect {
 	p.now = p.now.Add(d)
+	return p.carryOut(p.send(Ticked{At: p.now, State: p.state}))
+}
+
+// carryOut commits the commands among the effects, with what follows from them,
+// and returns the calls.
+func (p *play) carryOut(effects []Effect) []Effect {
 	var calls []Effect
-	for range 8 {
-		again := false
-		for _, e := range p.send(Ticked{At: p.now, State: p.state}) {
-			if c, ok := e.(Propose); ok {
-				p.commit(c.Command)
-				p.send(Committed{})
-				again = true
-				continue
-			}
+	for _, e := range effects {
+		c, ok := e.(Propose)
+		if !ok {
 			calls = append(calls, e)
+			continue
 		}
-		if !again {
-			break
-		}
+		p.commit(c.Command)
+		p.send(Committed{})
+		calls = append(calls, p.carryOut(p.send(Ticked{At: p.now, State: p.state}))...)
 	}
 	return calls
 }
@@ -99,7 +100,7 @@
 		case SendGrant:
 			p.send(Granted{At: p.now, Piece: c.Piece, Sent: true})
 		case SendRelease:
-			p.send(Released{At: p.now, Piece: c.Piece, Handover: "warm"})
+			p.answer(p.carryOut(p.send(Released{At: p.now, Piece: c.Piece, Handover: "warm"})))
 		}
 	}
 }
