--- /dev/null
+++ b/internal/targethttp/exchange_test.go
@@ -0,0 +1,177 @@
+package targethttp
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
+)
+
+const idHeader = "Request-Id"
+
+// script answers the n-th request of a connection with raw bytes. It returns
+// false to close the connection afterwards.
+type script func(n int, c net.Conn, r *http.Request) bool
+
+// listen starts a target that plays a script on each connection.
+func listen(t *testing.T, play script) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c, play)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func serve(c net.Conn, play script) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for n := 1; ; n++ {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil || !play(n, c, r) {
+			return
+		}
+	}
+}
+
+func whole(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", idHeader, id, len(body), body)
+}
+
+func write(c net.Conn, text string) bool {
+	_, err := io.WriteString(c, text)
+	return err == nil
+}
+
+func newTestPool(t *testing.T) *Pool {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	p, closePool := NewPool(timer.NewSystem(ctx))
+	t.Cleanup(closePool)
+	return p
+}
+
+func do(t *testing.T, p *Pool, address, id string) (*Answer, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	head := fmt.Sprintf("GET /x HTTP/1.1\r\nHost: h\r\n%s: %s\r\n\r\n", idHeader, id)
+	return p.Do(ctx, address, 2, idHeader, Request{Method: http.MethodGet, Head: []byte(head), ID: id})
+}
+
+func TestExchange(t *testing.T) {
+	cases := []struct {
+		name string
+		play script
+		body string // of the answer
+		err  error
+	}{
+		{name: "whole answer", play: func(_ int, c net.Conn, r *http.Request) bool {
+			return write(c, whole(r.Header.Get(idHeader), "hello"))
+		}, body: "hello"},
+		{name: "stale answer before the right one", play: func(_ int, c net.Conn, r *http.Request) bool {
+			return write(c, whole("another", "old")+whole(r.Header.Get(idHeader), "hello"))
+		}, body: "hello"},
+		{name: "only a stale answer", play: func(_ int, c net.Conn, _ *http.Request) bool {
+			write(c, whole("another", "old"))
+			return false
+		}, err: ErrBroken},
+		{name: "cut body", play: func(_ int, c net.Conn, r *http.Request) bool {
+			write(c, strings.Replace(whole(r.Header.Get(idHeader), "hello"), "hello", "he", 1))
+			return false
+		}, err: ErrBroken},
+		{name: "answer without a length that ends cleanly", play: func(_ int, c net.Conn, r *http.Request) bool {
+			write(c, "HTTP/1.1 200 OK\r\n"+idHeader+": "+r.Header.Get(idHeader)+"\r\n\r\nhello")
+			return false
+		}, body: "hello"},
+		{name: "answer without a length that is reset", play: func(_ int, c net.Conn, r *http.Request) bool {
+			write(c, "HTTP/1.1 200 OK\r\n"+idHeader+": "+r.Header.Get(idHeader)+"\r\n\r\nhello")
+			time.Sleep(20 * time.Millisecond) // lets the bytes arrive before the reset
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return false
+		}, err: ErrBroken},
+		{name: "bytes that are no answer", play: func(_ int, c net.Conn, _ *http.Request) bool {
+			return write(c, "\x00\x01 nonsense\r\n\r\n")
+		}, err: ErrBroken},
+		{name: "no answer", play: func(int, net.Conn, *http.Request) bool { return true }, err: ErrTimeout},
+		{name: "connection closed without an answer", play: func(int, net.Conn, *http.Request) bool { return false }, err: ErrBroken},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a, err := do(t, newTestPool(t), listen(t, c.play), "mine")
+			if c.err != nil {
+				assert.Assert(t, errors.Is(err, c.err), "%v", err)
+				assert.Assert(t, !errors.Is(err, ErrNotSent), "%v", err)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, string(a.Body), c.body)
+		})
+	}
+}
+
+func TestConnectionReuse(t *testing.T) {
+	t.Run("a late second answer is not taken for the next one", func(t *testing.T) {
+		address := listen(t, func(n int, c net.Conn, r *http.Request) bool {
+			id := r.Header.Get(idHeader)
+			if n == 1 {
+				return write(c, whole(id, "first"))
+			}
+			return write(c, whole("first-id", "again")+whole(id, "second"))
+		})
+		p := newTestPool(t)
+		a, err := do(t, p, address, "first-id")
+		assert.NilError(t, err)
+		assert.Equal(t, string(a.Body), "first")
+		a, err = do(t, p, address, "second-id")
+		assert.NilError(t, err)
+		assert.Equal(t, string(a.Body), "second")
+		assert.Assert(t, a.Reused)
+	})
+	t.Run("a connection that its target closed is not used", func(t *testing.T) {
+		closed := make(chan struct{})
+		address := listen(t, func(n int, c net.Conn, r *http.Request) bool {
+			write(c, whole(r.Header.Get(idHeader), "once"))
+			_ = c.Close()
+			closed <- struct{}{}
+			return false
+		})
+		p := newTestPool(t)
+		for _, id := range []string{"one", "two"} {
+			a, err := do(t, p, address, id)
+			assert.NilError(t, err)
+			assert.Assert(t, !a.Reused)
+			<-closed
+			time.Sleep(10 * time.Millisecond) // lets the close arrive
+		}
+	})
+	t.Run("a refused connection proves that nothing was sent", func(t *testing.T) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		address := l.Addr().String()
+		assert.NilError(t, l.Close())
+		_, err = do(t, newTestPool(t), address, "one")
+		assert.Assert(t, errors.Is(err, ErrNoConnection))
+		assert.Assert(t, errors.Is(err, ErrNotSent))
+	})
+}
