--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -322,7 +322,10 @@
 	return &instance.Empty{}, nil
 }
 
-const handOverWait = 600 * time.Millisecond
+const (
+	handOverWait = 600 * time.Millisecond // about one election timeout
+	handOverPoll = 10 * time.Millisecond
+)
 
 // handOver gives leadership to the voter that holds most of the log.
 func (c *Control) handOver(ctx context.Context) {
@@ -349,7 +352,10 @@
 		c.log.Warn("leadership not handed over", "to", best.ID, "error", err)
 		return
 	}
-	for c.leads() && sleep(ctx, 10*time.Millisecond) {
+	for c.leads() {
+		if !sleep(ctx, handOverPoll) {
+			break
+		}
 	}
 	c.log.Info("leadership handed over", "to", best.ID, "leads", c.leads())
 }
--- a/internal/targethttp/exchange_test.go
+++ b/internal/targethttp/exchange_test.go
@@ -150,7 +150,7 @@
 	})
 	t.Run("a connection that its target closed is not used", func(t *testing.T) {
 		closed := make(chan struct{})
-		address := listen(t, func(n int, c net.Conn, r *http.Request) bool {
+		address := listen(t, func(_ int, c net.Conn, r *http.Request) bool {
 			write(c, whole(r.Header.Get(idHeader), "once"))
 			_ = c.Close()
 			closed <- struct{}{}
