Log every decision without blocking, serve metrics, tell a request's story

Cause: a failed request left one line, written in the path of requests; there were no histograms and no way from an ID to the cause.

--- a/cmd/cranberrywind/route.go
+++ b/cmd/cranberrywind/route.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/cranberrywind/cranberrywind/internal/fleet"
+	"github.com/cranberrywind/cranberrywind/internal/logwriter"
 	"github.com/cranberrywind/cranberrywind/internal/settings"
 	"github.com/cranberrywind/cranberrywind/platform"
 )
@@ -35,10 +36,13 @@
 
 // route runs an instance until ctx ends, then stops it as planned.
 func route(ctx context.Context, cfg settings.Routed, path string) error {
-	logger := newLogger(os.Stdout, cfg.LogLevel)
+	lines, closeLines := logwriter.New(os.Stdout)
+	defer closeLines()
+	logger := newLogger(lines.Important(), cfg.LogLevel)
+	logs := fleet.Logs{Important: logger, Routine: newLogger(lines.Routine(), cfg.LogLevel), Dropped: lines.Dropped}
 	adapter, closeAdapter := platform.Adapter()
 	defer closeAdapter()
-	f, stop, err := fleet.Start(context.WithoutCancel(ctx), cfg, adapter, logger)
+	f, stop, err := fleet.Start(context.WithoutCancel(ctx), cfg, adapter, logs)
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,6 +15,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/cranberrywind/cranberrywind/internal/deployment"
 	"github.com/cranberrywind/cranberrywind/internal/forward"
 	"github.com/cranberrywind/cranberrywind/internal/instance"
 	"github.com/cranberrywind/cranberrywind/internal/leader"
@@ -35,11 +36,21 @@
 	Balancer func(ready func() error) http.Handler
 }
 
+// Logs are the two kinds of an instance's log lines.
+type Logs struct {
+	Important *log.Logger // failures and what the instance believes
+	Routine   *log.Logger // requests that go well; the first to be dropped
+	// Dropped returns how many lines were dropped: routine ones, others, and
+	// those that could not be written. It may be nil.
+	Dropped func() (routine, important, failed uint64)
+}
+
 // Fleet is one running instance.
 type Fleet struct {
 	cfg     settings.Routed
 	adapter Adapter
 	log     *log.Logger
+	routine *log.Logger // of requests that go well
 	clock   *timer.System
 	pool    *instance.Pool
 	traffic *instance.Traffic
@@ -60,15 +71,16 @@
 
 // Start starts an instance and returns it with its clean-up function, which
 // ends it at once. Use Shutdown first for a planned stop.
-func Start(ctx context.Context, cfg settings.Routed, adapter Adapter, logger *log.Logger) (*Fleet, func(), error) {
+func Start(ctx context.Context, cfg settings.Routed, adapter Adapter, logs Logs) (*Fleet, func(), error) {
 	ctx, cancel := context.WithCancel(ctx)
 	f := &Fleet{
 		cfg:     cfg,
 		adapter: adapter,
-		log:     logger.With("instance", cfg.Name),
+		log:     logs.Important.With("instance", cfg.Name),
+		routine: logs.Routine.With("instance", cfg.Name),
 		clock:   timer.NewSystem(ctx),
 		traffic: &instance.Traffic{},
-		metrics: newMetrics(),
+		metrics: newMetrics(logs.Dropped),
 		failed:  make(chan error, 1),
 	}
 	f.onStop(cancel)
@@ -95,12 +107,42 @@
 			return err
 		}
 	}
+	f.gauges()
 	if f.cfg.MetricsAddress != "" {
 		return f.listenHTTP(f.cfg.MetricsAddress, f.metrics)
 	}
 	return nil
 }
 
+// gauges adds what the instance believes to its metrics.
+func (f *Fleet) gauges() {
+	f.metrics.gauge("instance_bytes_in", func() any { return f.traffic.In() })
+	f.metrics.gauge("instance_bytes_out", func() any { return f.traffic.Out() })
+	if c := f.control; c != nil {
+		f.metrics.gauge("replica_role", func() any { return c.replica().group.Role().Role.String() })
+		f.metrics.gauge("replica_term", func() any { return c.replica().group.Role().Term })
+		f.metrics.gauge("applied_index", func() any { return c.replica().group.State().Index })
+		f.metrics.gauge("config_version", func() any { doc, _ := c.State().Document(); return doc.Version })
+		f.metrics.gauge("targets", func() any { return countTargets(c.State().Targets()) })
+	}
+	if v := f.follow; v != nil {
+		f.metrics.gauge("view_version", func() any { return v.View().Version })
+		f.metrics.gauge("view_age_milliseconds", func() any { return v.Age().Milliseconds() })
+		f.metrics.gauge("config_version", func() any { return v.View().Document.Version })
+		f.metrics.gauge("caller_connections", func() any { return f.entry.Connections() })
+		f.metrics.gauge("retry_budgets", func() any { return f.entry.Budgets() })
+	}
+}
+
+// countTargets counts targets by service and status.
+func countTargets(targets []deployment.Target) map[string]int {
+	out := make(map[string]int)
+	for _, t := range targets {
+		out[t.Service+"."+string(t.Status)]++
+	}
+	return out
+}
+
 func (f *Fleet) startControl(ctx context.Context) error {
 	c, stopReplica, err := startReplica(ctx, f.cfg, f.adapter.Targets, f.pool, f.clock, f.log)
 	if err != nil {
@@ -145,6 +187,7 @@
 		Pool:             targets,
 		Clock:            f.clock,
 		Log:              f.log,
+		Routine:          f.routine,
 		Observer:         f.metrics,
 		Report:           func(r instance.ReportRequest) { f.report(ctx, finder, r) },
 		RetryRatio:       f.cfg.RetryRatio,
--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -59,9 +59,13 @@
 	deadline time.Time
 	key      deployment.Key
 	tried    []string
-	sent     int  // times that a target got the request
-	mayRun   bool // a target may have run it
-	last     string
+	sent     int           // times that a target got the request
+	mayRun   bool          // a target may have run it
+	last     string        // why there is no answer yet
+	expected time.Duration // at the target that was chosen last
+	target   deployment.Target
+	ending   ending // of the last attempt
+	fence    uint64        // under which it holds the key
 }
 
 // handle returns the final answer to one request.
@@ -93,9 +97,7 @@
 		service = c.service.Name
 	}
 	s.cfg.Observer.Answered(service, outcomeOf(out, c), out.status, took)
-	if out.status >= http.StatusBadRequest {
-		s.logFailure(r, c, out, took)
-	}
+	s.logAnswer(r, c, out, took)
 	return out
 }
 
@@ -110,20 +112,58 @@
 	}
 }
 
-func (s *Server) logFailure(r *request, c *call, out response, took time.Duration) {
+// logAnswer writes the final decision on a request.
+func (s *Server) logAnswer(r *request, c *call, out response, took time.Duration) {
+	v := s.cfg.View.View()
 	fields := []any{
-		"request_id", r.header.Get(s.cfg.Dialect.RequestID), "status", out.status,
-		"took_ms", took.Milliseconds(), "view_version", s.cfg.View.View().Version,
+		"request_id", r.header.Get(s.cfg.Dialect.RequestID), "status", out.status, "outcome", outcomeOf(out, c),
+		"took_ms", millis(took), "view_version", v.Version, "view_age_ms", s.cfg.View.Age().Milliseconds(),
 	}
-	if c != nil {
-		fields = append(fields, "route", c.route.Name, "service", c.service.Name, "sent", c.sent,
-			"may_have_run", c.mayRun, "targets", c.tried, "reason", c.last)
-	} else {
-		fields = append(fields, "path", r.path, "reason", strings.TrimSpace(string(out.body)))
+	if c == nil {
+		s.log.Info("request refused", append(fields, "host", r.host, "path", r.path, "reason", strings.TrimSpace(string(out.body)))...)
+		return
+	}
+	fields = append(fields, "route", c.route.Name, "service", c.service.Name, "config_version", v.Document.Version,
+		"caller_left", r.ctx.Err() != nil)
+	if c.service.Keyed {
+		fields = append(fields, "key", c.key)
+	}
+	if out.status < http.StatusBadRequest {
+		s.cfg.Routine.Info("request answered", append(fields, c.attemptFields()...)...)
+		return
+	}
+	if after := out.header.Get("Retry-After"); after != "" {
+		fields = append(fields, "retry_after_s", after)
+	}
+	s.log.Info("request failed", append(fields, "attempts", c.sent, "may_have_run", c.mayRun, "reason", c.last)...)
+}
+
+// logAttempt writes why a target was chosen and why the attempt failed. What
+// went well stands in the line of the answer.
+func (s *Server) logAttempt(c *call, t deployment.Target, e ending, because string) {
+	c.target, c.ending = t, e
+	if because != "" {
+		s.log.Info("attempt failed", append(c.attemptFields(), "request_id", c.id, "reason", because)...)
 	}
-	s.log.Info("request failed", fields...)
 }
 
+// attemptFields describes the last attempt with what decided it.
+func (c *call) attemptFields() []any {
+	fields := []any{
+		"target", c.target.ID, "address", c.target.Address, "target_status", c.target.Status, "attempts", c.sent,
+		"expected_ms", millis(c.expected), "target_ms", millis(c.ending.took), "left_ms", time.Until(c.deadline).Milliseconds(),
+	}
+	if c.ending.loadKnown {
+		fields = append(fields, "target_running", c.ending.load.Running, "target_waiting", c.ending.load.Waiting)
+	}
+	if c.fence != 0 {
+		fields = append(fields, "fence", c.fence)
+	}
+	return fields
+}
+
+func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
 // admit finds the route and service of a request and its deadline.
 func (s *Server) admit(r *request) (*call, *response) {
 	fail := func(out response) (*call, *response) { return nil, &out }
@@ -238,7 +278,9 @@
 	if !ok {
 		return fail("no target takes requests", comeBack)
 	}
-	if expected, _ := s.targets.expected(t); expected > c.patience() {
+	expected, _ := s.targets.expected(t)
+	c.expected = expected
+	if expected > c.patience() {
 		return fail("all targets are busy for too long", expected/2)
 	}
 	return t, nil
@@ -278,6 +320,7 @@
 		return t, after, "the key's holder does not answer"
 	}
 	expected, room := s.targets.expected(t)
+	c.expected, c.fence = expected, p.Fence
 	if !room || expected > c.patience() {
 		return t, expected / 2, "the key's holder is busy for too long"
 	}
@@ -319,6 +362,7 @@
 		c.sent++
 		c.last = fmt.Sprintf("target %s did not run it: status %d", t.ID, a.Status)
 		s.targets.ended(t, e)
+		s.logAttempt(c, t, e, c.last)
 		return nil, !c.mayRun && len(c.tried) < max(c.route.Attempts, 2)
 	}
 	c.sent++
@@ -327,12 +371,16 @@
 		e.failed = true
 		s.targets.ended(t, e)
 		c.last = fmt.Sprintf("target %s: %s", t.ID, fault)
+		s.logAttempt(c, t, e, c.last)
 		return nil, s.mayRepeat(c)
 	}
 	e.ran, e.good = true, a.Status < http.StatusMultipleChoices
 	s.targets.ended(t, e)
 	if a.Status >= http.StatusInternalServerError {
 		c.last = fmt.Sprintf("target %s answered with status %d", t.ID, a.Status)
+		s.logAttempt(c, t, e, c.last)
+	} else {
+		s.logAttempt(c, t, e, "")
 	}
 	out := response{status: a.Status, header: passedHeaders(a.Header), body: a.Body}
 	return &out, false
@@ -354,8 +402,13 @@
 // failed takes an exchange without a whole answer.
 func (s *Server) failed(ctx context.Context, c *call, t deployment.Target, err error, took time.Duration) (*response, bool) {
 	left := c.ctx.Err() != nil
-	s.targets.ended(t, ending{failed: !left && !errors.Is(err, targethttp.ErrFull), took: took})
+	e := ending{failed: !left && !errors.Is(err, targethttp.ErrFull), took: took}
+	s.targets.ended(t, e)
 	c.last = fmt.Sprintf("target %s: %v", t.ID, err)
+	if left {
+		c.last = "caller left; " + c.last
+	}
+	s.logAttempt(c, t, e, c.last)
 	if errors.Is(err, targethttp.ErrNotSent) {
 		return nil, !left && len(c.tried) < max(c.route.Attempts, 3) && !c.service.Keyed
 	}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -28,11 +28,13 @@
 	Pool             *targethttp.Pool
 	Clock            timer.Service
 	Log              *log.Logger
-	Observer         Observer
-	Report           Reporter
-	RetryRatio       float64 // retries of all entries together, as a share of requests
-	RetryBurst       float64 // retries that one entry may save up
-	RetryMargin      float64 // share of RetryRatio that is used
+	// Routine takes the lines of requests that go well.
+	Routine     *log.Logger
+	Observer    Observer
+	Report      Reporter
+	RetryRatio  float64 // retries of all entries together, as a share of requests
+	RetryBurst  float64 // retries that one entry may save up
+	RetryMargin float64 // share of RetryRatio that is used
 }
 
 // Server is an entry's edge towards callers.
@@ -145,6 +147,24 @@
 	}
 }
 
+// Connections returns how many connections callers have open.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Budgets returns how many retries are saved up, by service.
+func (s *Server) Budgets() map[string]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]float64, len(s.budgets))
+	for service, b := range s.budgets {
+		out[service] = b.Saved()
+	}
+	return out
+}
+
 // stopPeriod is the time between two looks at open connections in a stop.
 const stopPeriod = 50 * time.Millisecond
 
--- /dev/null
+++ b/internal/logwriter/logwriter_test.go
@@ -0,0 +1,71 @@
+package logwriter_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/charmbracelet/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrywind/cranberrywind/internal/logwriter"
+)
+
+// stuck is a reader that never reads: a write to it does not return before the
+// test ends.
+type stuck struct{ released chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.released
+	return len(p), nil
+}
+
+func TestReaderThatNeverReads(t *testing.T) {
+	released := make(chan struct{})
+	defer close(released)
+	w, stop := logwriter.New(stuck{released: released})
+	defer stop()
+	for n := range 20000 {
+		_, err := fmt.Fprintf(w.Important(), "failure %d\n", n)
+		assert.NilError(t, err)
+		_, err = fmt.Fprintf(w.Routine(), "success %d\n", n)
+		assert.NilError(t, err)
+	}
+	routine, important, _ := w.Dropped()
+	assert.Assert(t, routine > 19000, "%d successes dropped", routine)
+	assert.Assert(t, important > 15000 && important < 16500, "%d failures dropped", important)
+}
+
+func TestLinesAreWrittenWhole(t *testing.T) {
+	var out bytes.Buffer
+	w, stop := logwriter.New(&out)
+	for n := range 300 {
+		_, err := fmt.Fprintf(w.Important(), "line %d\n", n)
+		assert.NilError(t, err)
+	}
+	stop()
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	assert.Equal(t, len(lines), 300)
+	for n, line := range lines {
+		assert.Equal(t, line, fmt.Sprintf("line %d", n))
+	}
+}
+
+func TestLoggersTakeItsWriters(t *testing.T) {
+	var out bytes.Buffer
+	w, stop := logwriter.New(&out)
+	log.NewWithOptions(w.Important(), log.Options{Formatter: log.JSONFormatter}).Info("first")
+	log.NewWithOptions(w.Routine(), log.Options{Formatter: log.JSONFormatter}).Info("second")
+	stop()
+	assert.Equal(t, strings.Count(out.String(), "\n"), 2)
+}
+
+func BenchmarkLine(b *testing.B) {
+	w, stop := logwriter.New(io.Discard)
+	defer stop()
+	for b.Loop() {
+		_, _ = fmt.Fprintf(w.Important(), "{\"request_id\":%q}\n", "9c41d07be2a35f68")
+	}
+}
--- a/internal/view/follow.go
+++ b/internal/view/follow.go
@@ -20,6 +20,7 @@
 	cfg     FollowerConfig
 	view    atomic.Pointer[View]
 	seeds   atomic.Pointer[[]string]
+	heard   atomic.Int64 // Unix nanoseconds of the last update from a current sender
 	mu      sync.Mutex
 	changed chan struct{}
 }
@@ -57,6 +58,16 @@
 // View returns the latest view.
 func (f *Follower) View() *View { return f.view.Load() }
 
+// Age returns the time since the view was last confirmed by a control instance
+// in touch with its leader. It is for logs: the time of day may jump.
+func (f *Follower) Age() time.Duration {
+	heard := f.heard.Load()
+	if heard == 0 {
+		return -1
+	}
+	return time.Since(time.Unix(0, heard))
+}
+
 // Changed returns a channel that is closed at the next change of the view.
 func (f *Follower) Changed() <-chan struct{} {
 	f.mu.Lock()
@@ -95,6 +106,7 @@
 	err := f.cfg.Pool.Watch(ctx, address, &instance.WatchRequest{Instance: f.cfg.Name}, func(u *instance.ViewUpdate) error {
 		if u.Current {
 			silence.Reset(silenceLimit)
+			f.heard.Store(time.Now().UnixNano())
 		}
 		if first {
 			f.cfg.Log.Info("view stream open", "control", address, "version", u.Version, "current", u.Current)
--- a/pkg/limit/budget.go
+++ b/pkg/limit/budget.go
@@ -19,6 +19,9 @@
 	return Budget{ratio: ratio, burst: burst, saved: burst}
 }
 
+// Saved returns how many retries the budget allows at once.
+func (b Budget) Saved() float64 { return b.saved }
+
 // WithRequest returns the budget after a first attempt.
 func (b Budget) WithRequest() Budget {
 	b.saved = min(b.saved+b.ratio, b.burst)
