--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -65,7 +65,7 @@
 	expected time.Duration // at the target that was chosen last
 	target   deployment.Target
 	ending   ending // of the last attempt
-	fence    uint64        // under which it holds the key
+	fence    uint64 // under which it holds the key
 }
 
 // handle returns the final answer to one request.
--- a/internal/logwriter/logwriter.go
+++ b/internal/logwriter/logwriter.go
@@ -14,12 +14,15 @@
 )
 
 const (
-	routineLines   = 512  // that wait at most; lines of successes
+	routineLines   = 512  // that wait at most; lines of successes, the first to be dropped
 	importantLines = 4096 // that wait at most; all others
 	// routineRate bounds lines of successes a second: at two lines a request
 	// this is the traffic of one entry on an ordinary day.
 	routineRate = 400
 	batchBytes  = 32 << 10 // of one write
+	// gatherTime is for how long lines wait for others, so that one wake-up and
+	// one write serve many.
+	gatherTime = 100 * time.Millisecond
 	dropPeriod  = time.Second
 )
 
@@ -106,8 +109,10 @@
 	for {
 		select {
 		case line := <-w.important.lines:
+			w.gather(ctx)
 			w.write(line)
 		case line := <-w.routine.lines:
+			w.gather(ctx)
 			w.write(line)
 		case <-ticks.C:
 			w.tokens.Store(routineRate)
@@ -119,6 +124,19 @@
 	}
 }
 
+// gather waits for further lines, unless the queue of important ones fills up.
+func (w *Writer) gather(ctx context.Context) {
+	if len(w.important.lines) > importantLines/2 {
+		return
+	}
+	t := time.NewTimer(gatherTime)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 // write writes the line with others that wait, the important ones first.
 func (w *Writer) write(line []byte) {
 	batch := append(make([]byte, 0, batchBytes), line...)
