Tell entries of keys that exceed their holder, and how many they are

Each entry sees too little to notice. Change: the leader answers entries' reports with the number of entries and the share of an overloaded key's requests that its holder can serve; entries beyond 16 turn the rest away at once, and share a target's connections by their number.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -29,6 +29,7 @@
 	pool    *instance.Pool
 	clock   timer.Service
 	log     *log.Logger
+	heard   heardLives
 	running atomic.Pointer[running]
 	seeds   atomic.Pointer[[]string]
 }
@@ -69,17 +70,25 @@
 	return res.Result, nil
 }
 
-// Announce takes a target's heartbeat to the leader and returns once what
-// changed is committed.
-func (c *Control) Announce(ctx context.Context, t deployment.Target) (*instance.AnnouncedResponse, error) {
-	req := &instance.AnnouncedRequest{Target: t}
-	return toLeader[instance.AnnouncedRequest, instance.AnnouncedResponse](ctx, c, "Announced", req, c.Announced)
+// Announce takes a target's heartbeat and returns once what changed is committed.
+// One that changes nothing is only counted, and the leader told of it soon.
+func (c *Control) Announce(ctx context.Context, t deployment.Target) error {
+	old, known := c.State().Target(t.ID)
+	if known && c.Current() && !differs(t, old) {
+		if t.Born == old.Born && t.Sequence > old.Sequence && old.Status != deployment.Left {
+			c.heard.add(deployment.Life{ID: t.ID, Born: t.Born})
+		}
+		return nil
+	}
+	_, err := toLeader[instance.AnnouncedRequest, instance.AnnouncedResponse](ctx, c, "Announced", &instance.AnnouncedRequest{Target: t}, c.Announced)
+	return err
 }
 
 // Withdraw takes a target's goodbye to the leader.
-func (c *Control) Withdraw(ctx context.Context, id string, born int64) (*instance.AnnouncedResponse, error) {
+func (c *Control) Withdraw(ctx context.Context, id string, born int64) error {
 	req := &instance.AnnouncedRequest{Target: deployment.Target{ID: id, Born: born}, Leaves: true}
-	return toLeader[instance.AnnouncedRequest, instance.AnnouncedResponse](ctx, c, "Announced", req, c.Announced)
+	_, err := toLeader[instance.AnnouncedRequest, instance.AnnouncedResponse](ctx, c, "Announced", req, c.Announced)
+	return err
 }
 
 // Document returns a configuration that covers everything acknowledged before
@@ -231,7 +240,7 @@
 	case t.Sequence > old.Sequence && old.Status != deployment.Left:
 		c.replica().leader.Heard(life)
 	}
-	return &instance.AnnouncedResponse{Leader: c.replica().group.Self().Address}, nil
+	return &instance.AnnouncedResponse{}, nil
 }
 
 // differs reports whether an announcement says something new of a target. Late
@@ -263,8 +272,19 @@
 	if !c.leads() {
 		return nil, c.notLeader()
 	}
-	c.replica().leader.Report(*req)
-	return &instance.ReportResponse{}, nil
+	res := c.replica().leader.Report(*req)
+	return &res, nil
+}
+
+// Heard takes heartbeats that other control instances counted.
+func (c *Control) Heard(_ context.Context, req *instance.HeardRequest) (*instance.Empty, error) {
+	if !c.leads() {
+		return nil, c.notLeader()
+	}
+	for _, life := range req.Lives {
+		c.replica().leader.Heard(life)
+	}
+	return &instance.Empty{}, nil
 }
 
 // Watch streams the view to an entry.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -189,7 +189,7 @@
 		Log:              f.log,
 		Routine:          f.routine,
 		Observer:         f.metrics,
-		Report:           func(r instance.ReportRequest) { f.report(ctx, finder, r) },
+		Report:           func(r instance.ReportRequest) *instance.ReportResponse { return f.report(ctx, finder, r) },
 		RetryRatio:       f.cfg.RetryRatio,
 		RetryBurst:       f.cfg.RetryBurst,
 		RetryMargin:      retryMargin,
@@ -204,13 +204,16 @@
 
 // report brings measurements to the leader. They are lost where it can't be
 // reached: the next ones follow soon.
-func (f *Fleet) report(ctx context.Context, finder *instance.Leader, r instance.ReportRequest) {
+func (f *Fleet) report(ctx context.Context, finder *instance.Leader, r instance.ReportRequest) *instance.ReportResponse {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	finder.SetAddresses(f.follow.View().Control)
-	if _, err := instance.CallLeader[instance.ReportRequest, instance.ReportResponse](ctx, finder, "Report", &r); err != nil {
+	res, err := instance.CallLeader[instance.ReportRequest, instance.ReportResponse](ctx, finder, "Report", &r)
+	if err != nil {
 		f.log.Debug("measurements not delivered", "error", err)
+		return nil
 	}
+	return res
 }
 
 // errStopping fails the balancer's check during a planned stop.
--- a/internal/fleet/reopen.go
+++ b/internal/fleet/reopen.go
@@ -38,6 +38,7 @@
 		return nil, nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
+	go c.tellHeard(ctx)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -36,8 +36,9 @@
 	Answered(service, outcome string, status int, took time.Duration)
 }
 
-// Reporter takes an entry's measurements to the control leader.
-type Reporter func(instance.ReportRequest)
+// Reporter takes an entry's measurements to the control leader and returns its
+// answer, or nil where it could not be reached.
+type Reporter func(instance.ReportRequest) *instance.ReportResponse
 
 // hopHeaders concern one connection only.
 var hopHeaders = map[string]bool{
--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -29,10 +29,13 @@
 	// attemptShare is the share of the time left that one target gets while
 	// another may be asked afterwards.
 	attemptShare = 0.6
-	// connectionShare is the share of a target's connections that one entry may
-	// open: entries don't see each other's.
-	connectionShare = 0.09
-	leastConns      = 3
+	// connectionShare is the share of a target's connections that all entries
+	// together may open: they don't see each other's.
+	connectionShare = 0.8
+	leastConns      = 2
+	// overloadWait is when a caller may come back to a key that exceeds its
+	// holder.
+	overloadWait = 300 * time.Millisecond
 )
 
 // refuse returns an answer of the router's own.
@@ -321,6 +324,9 @@
 	}
 	expected, room := s.targets.expected(t)
 	c.expected, c.fence = expected, p.Fence
+	if s.turnedAway(c.service.Name, c.key) {
+		return t, overloadWait, "the key is asked for more often than its holder can serve"
+	}
 	if !room || expected > c.patience() {
 		return t, expected / 2, "the key's holder is busy for too long"
 	}
@@ -340,7 +346,7 @@
 	}
 	attempt, cancel := s.attemptContext(ctx, c)
 	defer cancel()
-	most := max(leastConns, int(connectionShare*float64(c.service.Connections)))
+	most := max(leastConns, int(connectionShare*float64(c.service.Connections)/float64(s.entries())))
 	began := time.Now()
 	s.targets.began(t)
 	a, err := s.cfg.Pool.Do(attempt, t.Address, most, s.cfg.Dialect.RequestID, targethttp.Request{
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -45,6 +47,7 @@
 	targets *targets
 	split   *splitter
 	keys    *keyCounts
+	advice  atomic.Pointer[instance.ReportResponse]
 
 	mu      sync.Mutex
 	conns   map[*callerConn]bool
@@ -221,9 +224,60 @@
 		}
 		last = now
 		if len(r.Keys) > 0 || len(r.Targets) > 0 {
-			s.cfg.Report(r)
+			if a := s.cfg.Report(r); a != nil {
+				s.advice.Store(a)
+			}
+		}
+		// Many entries report less often: the leader hears about as much.
+		if n := s.entries(); n > manyEntries && !pause(ctx, reportPeriod*time.Duration(n/manyEntries)) {
+			return
+		}
+	}
+}
+
+// manyEntries is how many entries may report at full pace.
+const manyEntries = 24
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// entries returns how many entries there are as far as the leader told.
+func (s *Server) entries() int {
+	if a := s.advice.Load(); a != nil && a.Entries > 0 {
+		return a.Entries
+	}
+	return assumedEntries
+}
+
+// assumedEntries is how many entries there are taken to be before the leader
+// told.
+const assumedEntries = 10
+
+// fewEntries is up to how many entries the least windows of all of them together
+// fit into a target's queue, so that no more is needed against overload.
+const fewEntries = 16
+
+// turnedAway decides by lot whether a request for a key that is asked for too
+// often is refused. It answers a load in which one key exceeds its holder.
+func (s *Server) turnedAway(service string, key deployment.Key) bool {
+	a := s.advice.Load()
+	if a == nil || a.Entries <= fewEntries {
+		return false
+	}
+	for _, o := range a.Overloads {
+		if o.Service == service && key >= o.From && key <= o.To {
+			return rand.Float64() > o.Share
 		}
 	}
+	return false
 }
 
 // keyCounts counts requests by buckets of keys.
--- a/internal/instance/deployment.go
+++ b/internal/instance/deployment.go
@@ -23,9 +23,7 @@
 }
 
 // AnnouncedResponse acknowledges it: what changed is committed.
-type AnnouncedResponse struct {
-	Leader string `msgpack:"leader"` // instance where later heartbeats are best sent
-}
+type AnnouncedResponse struct{}
 
 // BarrierRequest asks the leader for an index that covers everything
 // acknowledged before the call.
@@ -58,8 +56,25 @@
 	Busy    time.Duration `msgpack:"busy"`    // their work in all, without waiting for a slot
 }
 
-// ReportResponse answers a report.
-type ReportResponse struct{}
+// ReportResponse answers a report with what one entry can't see by itself.
+type ReportResponse struct {
+	Entries   int        `msgpack:"entries"` // that report to the leader
+	Overloads []Overload `msgpack:"overloads"`
+}
+
+// Overload names keys that are asked for more often than their holder can serve.
+type Overload struct {
+	Service string         `msgpack:"service"`
+	From    deployment.Key `msgpack:"from"`
+	To      deployment.Key `msgpack:"to"`
+	Share   float64        `msgpack:"share"` // of their requests that the holder can serve
+}
+
+// HeardRequest tells the leader which targets sent heartbeats that changed
+// nothing, since the last call.
+type HeardRequest struct {
+	Lives []deployment.Life `msgpack:"lives"`
+}
 
 // WatchRequest asks for an entry's view and all its changes.
 type WatchRequest struct {
--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -48,6 +48,7 @@
 	Announced(ctx context.Context, req *AnnouncedRequest) (*AnnouncedResponse, error)
 	Barrier(ctx context.Context, req *BarrierRequest) (*BarrierResponse, error)
 	Report(ctx context.Context, req *ReportRequest) (*ReportResponse, error)
+	Heard(ctx context.Context, req *HeardRequest) (*Empty, error)
 	// Watch sends updates until send fails or ctx ends.
 	Watch(ctx context.Context, req *WatchRequest, send func(*ViewUpdate) error) error
 }
@@ -126,6 +127,7 @@
 			unary("Announced", DeploymentHandler.Announced),
 			unary("Barrier", DeploymentHandler.Barrier),
 			unary("Report", DeploymentHandler.Report),
+			unary("Heard", DeploymentHandler.Heard),
 		),
 		Streams: []grpc.StreamDesc{deliverStream(), {StreamName: "Watch", Handler: watch, ServerStreams: true}},
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -52,6 +52,7 @@
 	log     *log.Logger
 	loop    *loop.Loop[*Model, Event, Effect]
 	ctx     context.Context
+	advice  atomic.Pointer[instance.ReportResponse]
 	quorum  atomic.Int64 // boot-clock time at which the last confirmed round began
 }
 
@@ -74,9 +75,13 @@
 	l.loop.TrySend(Heard{At: l.clock.Now(), Life: life})
 }
 
-// Report takes an entry's measurements.
-func (l *Leader) Report(r instance.ReportRequest) {
+// Report takes an entry's measurements and answers with what it can't see.
+func (l *Leader) Report(r instance.ReportRequest) instance.ReportResponse {
 	l.loop.TrySend(Reported{At: l.clock.Now(), Report: r})
+	if a := l.advice.Load(); a != nil {
+		return *a
+	}
+	return instance.ReportResponse{}
 }
 
 // drive feeds the model with leadership, time and state.
@@ -159,6 +164,8 @@
 			go l.release(e)
 		case Propose:
 			go l.propose(e)
+		case Advise:
+			l.advice.Store(&e.Advice)
 		case NoteShares:
 			l.log.Info("load of keyed service", "service", e.Service, "shares", e.Shares, "hot", e.Hot)
 		}
--- a/internal/leader/messages.go
+++ b/internal/leader/messages.go
@@ -155,6 +155,10 @@
 	Utilization float64 `json:"utilization"` // of the target's slots
 }
 
+// Advise brings what entries are told in answer to their reports.
+type Advise struct{ Advice instance.ReportResponse }
+
+func (Advise) isEffect()      {}
 func (NoteShares) isEffect()  {}
 func (SendGrant) isEffect()   {}
 func (SendRelease) isEffect() {}
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -30,7 +30,9 @@
 	looked  timer.Instant    // last look at the load
 	noted   timer.Instant    // last report of the load
 	seen    map[string]arrivals
-	flights []deployment.PieceRef // grants that are under way
+	flights []deployment.PieceRef    // grants that are under way
+	entries map[string]timer.Instant // last reports
+	advised timer.Instant            // last advice to entries
 }
 
 // arrivals tells when a service's targets came, before its keys are shared out.
@@ -110,6 +112,7 @@
 		holds:   make(map[pieceID]*hold),
 		loads:   make(map[string]*load),
 		seen:    make(map[string]arrivals),
+		entries: make(map[string]timer.Instant),
 	}
 }
 
@@ -225,6 +228,7 @@
 		}
 	}
 	effects = append(effects, m.noteShares()...)
+	effects = append(effects, m.advise()...)
 	return append(effects, m.commands(free, moves)...)
 }
 
--- a/internal/leader/model_test.go
+++ b/internal/leader/model_test.go
@@ -16,11 +16,12 @@
 
 // play runs a model against an agreed state, with a clock of its own.
 type play struct {
-	t     *testing.T
-	model *Model
-	state deployment.State
-	index uint64
-	now   timer.Instant
+	t      *testing.T
+	model  *Model
+	state  deployment.State
+	index  uint64
+	now    timer.Instant
+	advice instance.ReportResponse
 }
 
 const testService = "catalog"
@@ -81,14 +82,16 @@
 func (p *play) carryOut(effects []Effect) []Effect {
 	var calls []Effect
 	for _, e := range effects {
-		c, ok := e.(Propose)
-		if !ok {
+		switch c := e.(type) {
+		case SendGrant, SendRelease:
 			calls = append(calls, e)
-			continue
+		case Advise:
+			p.advice = c.Advice
+		case Propose:
+			p.commit(c.Command)
+			p.send(Committed{})
+			calls = append(calls, p.carryOut(p.send(Ticked{At: p.now, State: p.state}))...)
 		}
-		p.commit(c.Command)
-		p.send(Committed{})
-		calls = append(calls, p.carryOut(p.send(Ticked{At: p.now, State: p.state}))...)
 	}
 	return calls
 }
@@ -331,3 +334,47 @@
 	}
 	assert.Assert(t, len(holders) >= 3, "hot keys are with %d targets", len(holders))
 }
+
+// ask reports requests for one key, at a steady rate, for a while.
+func (p *play) ask(key deployment.Key, perSecond int, targets ...int) {
+	for range 30 {
+		for _, n := range targets {
+			p.heard(n)
+		}
+		loads := []instance.KeyLoad{{Service: testService, Bucket: key, Count: uint32(perSecond / 5)}}
+		for n := range deployment.Key(4) {
+			// Neighbours with five requests a second each.
+			loads = append(loads, instance.KeyLoad{Service: testService, Bucket: key + 100 + 50*n, Count: 1})
+		}
+		p.send(Reported{At: p.now, Report: instance.ReportRequest{Instance: "entry-1", Keys: loads}})
+		p.answer(p.tick(200 * time.Millisecond))
+	}
+}
+
+func TestKeyThatExceedsAnyTarget(t *testing.T) {
+	p := newPlay(t)
+	for n := 1; n <= 4; n++ {
+		p.announce(n, nil)
+	}
+	p.settle(1, 2, 3, 4)
+	// Three slots and 50 ms a request: a target serves 60 a second.
+	p.ask(100, 240, 1, 2, 3, 4)
+	table, _ := p.state.Table(testService)
+	piece := table.Find(100)
+	t.Run("neighbours move away", func(t *testing.T) {
+		assert.Assert(t, table.Find(300).Target != piece.Target)
+	})
+	t.Run("stays where it is", func(t *testing.T) {
+		p.ask(100, 240, 1, 2, 3, 4)
+		table, _ := p.state.Table(testService)
+		assert.Equal(t, table.Find(100).Fence, piece.Fence)
+	})
+	t.Run("is the only one to be turned away, down to what its holder can do", func(t *testing.T) {
+		assert.Equal(t, len(p.advice.Overloads), 1)
+		o := p.advice.Overloads[0]
+		assert.Equal(t, o.From, deployment.Key(100))
+		assert.Equal(t, o.To, deployment.Key(100))
+		assert.Assert(t, o.Share > 0.15 && o.Share < 0.4, "share %.2f", o.Share)
+	})
+	t.Run("entries are counted", func(t *testing.T) { assert.Equal(t, p.advice.Entries, 1) })
+}
--- a/internal/logwriter/logwriter.go
+++ b/internal/logwriter/logwriter.go
@@ -23,7 +23,7 @@
 	// gatherTime is for how long lines wait for others, so that one wake-up and
 	// one write serve many.
 	gatherTime = 100 * time.Millisecond
-	dropPeriod  = time.Second
+	dropPeriod = time.Second
 )
 
 // Writer has the two queues.
