Send entries only the key ranges and routes that changed

Each moved key sent the whole table (10 to 30 KB) and each order the whole configuration to every entry, whose link takes 6 Mbit/s. Change: ranges carry the index of their last change and are encoded without field names; updates bring the ranges, routes and services that changed, without the operator's own forms. A random test compares a view built of updates with one built from the whole state.

--- a/internal/deployment/commands.go
+++ b/internal/deployment/commands.go
@@ -105,7 +105,7 @@
 	if o.Base != current {
 		return s, Result{Outcome: Conflict, Version: current, Reason: fmt.Sprintf("builds on version %d, but %d is in force", o.Base, current)}
 	}
-	next := o.applyTo(s.document)
+	next := o.ApplyTo(s.document)
 	err := next.Validate()
 	if o.Version <= current {
 		err = errors.Join(&FieldError{Field: "version", Value: o.Version, Rule: fmt.Sprintf("must be above %d", current)}, err)
--- a/internal/deployment/document.go
+++ b/internal/deployment/document.go
@@ -5,6 +5,7 @@
 package deployment
 
 import (
+	"bytes"
 	"cmp"
 	"errors"
 	"fmt"
@@ -159,8 +160,56 @@
 	Source       []byte        `msgpack:"source"`
 }
 
-// applyTo returns the document after the order.
-func (o Order) applyTo(d Document) Document {
+// Since returns the order that turns an older document into this one, without
+// the operator's own forms, which routing does not need.
+func (d Document) Since(old Document) Order {
+	limits := d.Limits
+	o := Order{Version: d.Version, Base: old.Version, Limits: &limits}
+	o.Routes, o.DropRoutes = changedItems(d.Routes, old.Routes, Route.name, Route.same)
+	o.Services, o.DropServices = changedItems(d.Services, old.Services, Service.name, Service.same)
+	for i := range o.Routes {
+		o.Routes[i].Source = nil
+	}
+	for i := range o.Services {
+		o.Services[i].Source = nil
+	}
+	return o
+}
+
+func (r Route) name() string { return r.Name }
+
+func (r Route) same(x Route) bool { return bytes.Equal(r.Source, x.Source) }
+
+func (s Service) name() string { return s.Name }
+
+func (s Service) same(x Service) bool { return bytes.Equal(s.Source, x.Source) }
+
+// changedItems returns the items that are new or differ, and the names of those
+// that are gone. Both lists are in order of their names.
+func changedItems[T any](now, old []T, name func(T) string, same func(a, b T) bool) (set []T, drop []string) {
+	i := 0
+	for _, x := range now {
+		for i < len(old) && name(old[i]) < name(x) {
+			drop = append(drop, name(old[i]))
+			i++
+		}
+		if i < len(old) && name(old[i]) == name(x) {
+			if !same(x, old[i]) {
+				set = append(set, x)
+			}
+			i++
+			continue
+		}
+		set = append(set, x)
+	}
+	for _, x := range old[i:] {
+		drop = append(drop, name(x))
+	}
+	return set, drop
+}
+
+// ApplyTo returns the document after the order.
+func (o Order) ApplyTo(d Document) Document {
 	next := Document{Version: o.Version, Limits: d.Limits, LimitsSource: d.LimitsSource, Source: o.Source}
 	if !o.Whole {
 		next.Routes, next.Services, next.Source = d.Routes, d.Services, d.Source
@@ -168,8 +217,8 @@
 	if o.Limits != nil {
 		next.Limits, next.LimitsSource = *o.Limits, o.LimitsSource
 	}
-	next.Routes = withItems(next.Routes, o.Routes, o.DropRoutes, func(r Route) string { return r.Name })
-	next.Services = withItems(next.Services, o.Services, o.DropServices, func(s Service) string { return s.Name })
+	next.Routes = withItems(next.Routes, o.Routes, o.DropRoutes, Route.name)
+	next.Services = withItems(next.Services, o.Services, o.DropServices, Service.name)
 	return next
 }
 
--- a/internal/deployment/keys.go
+++ b/internal/deployment/keys.go
@@ -1,6 +1,7 @@
 package deployment
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 )
@@ -27,6 +28,8 @@
 
 // Piece is a run of keys with one holder, both ends included.
 type Piece struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // tells the codec to leave out field names
+
 	From     Key    `msgpack:"from"`
 	To       Key    `msgpack:"to"`
 	Phase    Phase  `msgpack:"phase"`
@@ -34,6 +37,7 @@
 	Born     int64  `msgpack:"born"`     // life of the target that holds it
 	Fence    uint64 `msgpack:"fence"`    // log index of the assignment
 	Handover string `msgpack:"handover"` // what the last holder left for this one
+	Changed  uint64 `msgpack:"changed"`  // log index
 }
 
 // Width returns the number of keys in the piece.
@@ -49,7 +53,7 @@
 
 // NewKeyTable returns a table without holders.
 func NewKeyTable(service string, index uint64) KeyTable {
-	return KeyTable{Service: service, Changed: index, Pieces: []Piece{{From: 0, To: MaxKey}}}
+	return KeyTable{Service: service, Changed: index, Pieces: []Piece{{From: 0, To: MaxKey, Changed: index}}}
 }
 
 // Find returns the piece that has the key.
@@ -60,6 +64,7 @@
 
 // withPiece replaces the keys of p, which lie in one piece, and keeps the rest.
 func (t KeyTable) withPiece(index uint64, p Piece) KeyTable {
+	p.Changed = index
 	i := sort.Search(len(t.Pieces), func(i int) bool { return t.Pieces[i].To >= p.From })
 	old := t.Pieces[i]
 	var parts []Piece
@@ -79,6 +84,53 @@
 	return t
 }
 
+// Since returns the pieces that changed after a log index.
+func (t KeyTable) Since(index uint64) KeyTable {
+	var out []Piece
+	for _, p := range t.Pieces {
+		if p.Changed > index {
+			out = append(out, p)
+		}
+	}
+	t.Pieces = out
+	return t
+}
+
+// WithUpdate returns the table after an update that Since gave: its pieces
+// replace whatever the table had for their keys.
+func (t KeyTable) WithUpdate(u KeyTable) KeyTable {
+	next := KeyTable{Service: t.Service, Changed: u.Changed}
+	for _, p := range t.Pieces {
+		next.Pieces = append(next.Pieces, uncovered(p, u.Pieces)...)
+	}
+	next.Pieces = append(next.Pieces, u.Pieces...)
+	slices.SortFunc(next.Pieces, func(a, b Piece) int { return cmp.Compare(a.From, b.From) })
+	return next
+}
+
+// uncovered returns the parts of a piece whose keys none of the others have. The
+// others are in order of their keys.
+func uncovered(p Piece, others []Piece) []Piece {
+	var out []Piece
+	from := int(p.From)
+	for _, o := range others {
+		if int(o.To) < from || o.From > p.To {
+			continue
+		}
+		if int(o.From) > from {
+			part := p
+			part.From, part.To = Key(from), o.From-1
+			out = append(out, part)
+		}
+		from = int(o.To) + 1
+	}
+	if from <= int(p.To) {
+		p.From = Key(from)
+		out = append(out, p)
+	}
+	return out
+}
+
 // covers reports whether the keys lie in one piece with the fence.
 func (t KeyTable) covers(from, to Key, fence uint64) bool {
 	if from > to {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -172,7 +172,8 @@
 
 func (f *Fleet) startEntry(ctx context.Context) error {
 	f.follow = view.Follow(ctx, view.FollowerConfig{Name: f.cfg.Name, Seeds: f.cfg.Seeds, Pool: f.pool, Log: f.log})
-	targets, closeTargets := targethttp.NewPool(f.clock)
+	buffer := linkBuffer(f.cfg.LinkMbps)
+	targets, closeTargets := targethttp.NewPool(f.clock, targethttp.WithReadBuffer(buffer))
 	f.onStop(closeTargets)
 	l, err := net.Listen("tcp", f.cfg.CallerAddress)
 	if err != nil {
@@ -193,12 +194,31 @@
 		RetryRatio:       f.cfg.RetryRatio,
 		RetryBurst:       f.cfg.RetryBurst,
 		RetryMargin:      retryMargin,
+		WriteBuffer:      buffer,
 	})
 	f.entry = server
 	f.onStop(stopServer)
 	return f.listenHTTP(f.cfg.BalancerAddress, f.adapter.Balancer(f.ready))
 }
 
+const (
+	// linkQueue is for how long one connection's bytes may occupy a narrow link.
+	linkQueue = 15 * time.Millisecond
+	// narrowMbps is below which a link counts as narrow.
+	narrowMbps      = 100.0
+	leastLinkBuffer = 8 << 10 // bytes
+	bytesPerMbit    = 1e6 / 8
+)
+
+// linkBuffer returns the socket buffers, in bytes, that suit a narrow link, and 0
+// for any other.
+func linkBuffer(mbps float64) int {
+	if mbps <= 0 || mbps >= narrowMbps {
+		return 0
+	}
+	return max(leastLinkBuffer, int(mbps*bytesPerMbit*linkQueue.Seconds()))
+}
+
 // reportTimeout bounds one try to bring measurements to the leader.
 const reportTimeout = 300 * time.Millisecond
 
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -109,6 +109,11 @@
 	}
 	s.track(c)
 	defer s.untrack(c)
+	if tcp, ok := nc.(*net.TCPConn); ok && s.cfg.WriteBuffer > 0 {
+		if err := tcp.SetWriteBuffer(s.cfg.WriteBuffer); err != nil {
+			s.log.Warn("write buffer not set", "error", err)
+		}
+	}
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -37,6 +37,9 @@
 	RetryRatio  float64 // retries of all entries together, as a share of requests
 	RetryBurst  float64 // retries that one entry may save up
 	RetryMargin float64 // share of RetryRatio that is used
+	// WriteBuffer bounds how many bytes of an answer wait for the link; 0 for
+	// the system's default.
+	WriteBuffer int
 }
 
 // Server is an entry's edge towards callers.
--- a/internal/instance/deployment.go
+++ b/internal/instance/deployment.go
@@ -87,10 +87,10 @@
 	Whole    bool                  `msgpack:"whole"`
 	Version  uint64                `msgpack:"version"` // log index that the view is complete to
 	DocIndex uint64                `msgpack:"doc_index"`
-	Document *deployment.Document  `msgpack:"document"` // nil where it did not change
+	Document *deployment.Order     `msgpack:"document"` // what changed in it; nil for nothing
 	Targets  []deployment.Target   `msgpack:"targets"`
-	Gone     []string              `msgpack:"gone"` // IDs that were forgotten
-	Tables   []deployment.KeyTable `msgpack:"tables"`
+	Gone     []string              `msgpack:"gone"`    // IDs that were forgotten
+	Tables   []deployment.KeyTable `msgpack:"tables"`  // with the pieces that changed
 	Control  []string              `msgpack:"control"` // addresses of control instances
 	// Current reports that the sender is in touch with the leader.
 	Current bool `msgpack:"current"`
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -30,6 +30,7 @@
 	Grace      time.Duration // longest planned stop
 	RetryRatio float64       // retries of all entries, as a share of requests
 	RetryBurst float64       // retries that one entry may save up
+	LinkMbps   float64       // of the instance's network link; 0 where it does not matter
 }
 
 const (
@@ -60,6 +61,7 @@
 		Grace:            s.Duration("grace", defaultGrace, 0, maxGrace),
 		RetryRatio:       s.Float("retry_ratio", defaultRetryRatio, 0, 1),
 		RetryBurst:       s.Float("retry_burst", defaultRetryBurst, 0, 1e6),
+		LinkMbps:         s.Float("link_mbps", 0, 0, 1e6),
 	}
 	out.readRoles(s)
 	out.readSeeds(f.Section("control"))
--- a/internal/targethttp/pool.go
+++ b/internal/targethttp/pool.go
@@ -50,9 +50,10 @@
 // Pool keeps idle connections to targets. Its methods are safe for concurrent
 // use.
 type Pool struct {
-	clock timer.Service
-	mu    sync.Mutex
-	hosts map[string]*host
+	clock      timer.Service
+	readBuffer int // bytes that a target may send ahead; 0 for the system's default
+	mu         sync.Mutex
+	hosts      map[string]*host
 }
 
 // host is what the pool knows of one address.
@@ -71,9 +72,20 @@
 	reused  bool
 }
 
+// Option changes a pool.
+type Option func(*Pool)
+
+// WithReadBuffer bounds how many bytes of an answer a target may send ahead of
+// what was read. Many large answers together then don't fill a narrow link's
+// queue, in which small ones would have to wait.
+func WithReadBuffer(bytes int) Option { return func(p *Pool) { p.readBuffer = bytes } }
+
 // NewPool returns a pool and its clean-up function.
-func NewPool(clock timer.Service) (*Pool, func()) {
+func NewPool(clock timer.Service, opts ...Option) (*Pool, func()) {
 	p := &Pool{clock: clock, hosts: make(map[string]*host)}
+	for _, opt := range opts {
+		opt(p)
+	}
 	return p, p.closeIdle
 }
 
@@ -162,6 +174,12 @@
 		p.release(address)
 		return nil, fmt.Errorf("%w: %w", ErrNoConnection, err)
 	}
+	if tcp, ok := raw.(*net.TCPConn); ok && p.readBuffer > 0 {
+		if err := tcp.SetReadBuffer(p.readBuffer); err != nil {
+			p.release(address)
+			return nil, errors.Join(fmt.Errorf("%w: set read buffer: %w", ErrNoConnection, err), raw.Close())
+		}
+	}
 	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, bufferSize), idle: time.Duration(float64(defaultIdle) * idleShare)}, nil
 }
 
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -36,7 +36,7 @@
 // Holder returns the piece of a keyed service's keys that has the key.
 func (v *View) Holder(service string, key deployment.Key) (deployment.Piece, bool) {
 	t, ok := v.tables[service]
-	if !ok {
+	if !ok || len(t.Pieces) == 0 {
 		return deployment.Piece{}, false
 	}
 	return t.Find(key), true
@@ -58,8 +58,12 @@
 		next.Control = u.Control
 	}
 	if u.Document != nil {
-		next.Document = *u.Document
-		next.Routes = deployment.NewTable(*u.Document)
+		old := v.Document
+		if u.Whole {
+			old = deployment.Document{}
+		}
+		next.Document = u.Document.ApplyTo(old)
+		next.Routes = deployment.NewTable(next.Document)
 	}
 	if u.Whole || len(u.Targets) > 0 || len(u.Gone) > 0 {
 		next.withTargets(u)
@@ -108,6 +112,9 @@
 		}
 	}
 	for _, t := range u.Tables {
+		if old, ok := tables[t.Service]; ok {
+			t = old.WithUpdate(t)
+		}
 		tables[t.Service] = t
 	}
 	v.tables = tables
@@ -118,11 +125,13 @@
 	doc, docIndex := now.Document()
 	u := &instance.ViewUpdate{Version: now.Version(), DocIndex: docIndex}
 	if old == nil {
-		u.Whole, u.Document, u.Targets, u.Tables = true, &doc, now.Targets(), now.Tables()
+		whole := doc.Since(deployment.Document{})
+		u.Whole, u.Document, u.Targets, u.Tables = true, &whole, now.Targets(), now.Tables()
 		return u
 	}
-	if _, index := old.Document(); index != docIndex {
-		u.Document = &doc
+	if before, index := old.Document(); index != docIndex {
+		change := doc.Since(before)
+		u.Document = &change
 	}
 	for _, t := range now.Targets() {
 		if t.Changed > old.Version() {
@@ -136,7 +145,7 @@
 	}
 	for _, t := range now.Tables() {
 		if t.Changed > old.Version() {
-			u.Tables = append(u.Tables, t)
+			u.Tables = append(u.Tables, t.Since(old.Version()))
 		}
 	}
 	return u
--- /dev/null
+++ b/internal/view/view_test.go
@@ -0,0 +1,92 @@
+package view_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/internal/instance"
+	"github.com/cranberrywind/cranberrywind/internal/view"
+	"github.com/cranberrywind/cranberrywind/internal/wire"
+)
+
+func route(n, version int) deployment.Route {
+	return deployment.Route{
+		Name: fmt.Sprintf("r%d", n), Host: "h", Prefix: fmt.Sprintf("/%d/", n), Kind: deployment.Lookup,
+		Timeout: time.Duration(version) * time.Second, Attempts: 1,
+		Split:  []deployment.Share{{Service: "catalog", Weight: 1}},
+		Source: fmt.Appendf(nil, "route %d in version %d", n, version),
+	}
+}
+
+// command draws a change of the agreed state.
+func command(t *rapid.T, s deployment.State, step int) deployment.Command {
+	doc, _ := s.Document()
+	switch rapid.IntRange(0, 3).Draw(t, "kind") {
+	case 0:
+		n := rapid.IntRange(0, 5).Draw(t, "route")
+		return deployment.Command{Order: &deployment.Order{
+			Digest: fmt.Sprint(step), Version: doc.Version + 1, Base: doc.Version,
+			Routes: []deployment.Route{route(n, step)}, DropRoutes: []string{fmt.Sprintf("r%d", (n+1)%6)},
+		}}
+	case 1:
+		n := rapid.IntRange(0, 3).Draw(t, "target")
+		return deployment.Command{Announce: &deployment.Target{
+			ID: fmt.Sprintf("t%d", n), Born: 1, Service: "catalog", Address: fmt.Sprint(n), Slots: 3,
+			Status:   rapid.SampledFrom([]deployment.Status{deployment.Live, deployment.Draining}).Draw(t, "status"),
+			Sequence: uint64(step),
+		}}
+	default:
+		table, _ := s.Table("catalog")
+		p := table.Pieces[rapid.IntRange(0, len(table.Pieces)-1).Draw(t, "piece")]
+		from := deployment.Key(rapid.IntRange(int(p.From), int(p.To)).Draw(t, "from"))
+		to := deployment.Key(rapid.IntRange(int(from), int(p.To)).Draw(t, "to"))
+		ref := deployment.PieceRef{Service: "catalog", From: from, To: to, Fence: p.Fence}
+		life := deployment.Life{ID: fmt.Sprintf("t%d", rapid.IntRange(0, 3).Draw(t, "holder")), Born: 1}
+		return deployment.Command{Assign: &deployment.Assign{Pieces: []deployment.Assignment{{Piece: ref, To: life}}}}
+	}
+}
+
+// TestUpdatesEqualTheState sends a view only what changed, some changes at a
+// time: it always equals one that was built from the whole state.
+func TestUpdatesEqualTheState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state, _ := deployment.State{}.Apply(1, wire.Encode(deployment.Command{Order: &deployment.Order{
+			Digest: "first", Version: 1, Whole: true, Routes: []deployment.Route{route(0, 1)},
+			Services: []deployment.Service{{Name: "catalog", Keyed: true}},
+		}}))
+		v := (&view.View{}).With(received(view.Since(nil, state)))
+		sent := state
+		for step := 2; step < 40; step++ {
+			state, _ = state.Apply(uint64(step), wire.Encode(command(t, state, step)))
+			if rapid.Bool().Draw(t, "send") {
+				v = v.With(received(view.Since(&sent, state)))
+				sent = state
+			}
+		}
+		v = v.With(received(view.Since(&sent, state)))
+		whole := (&view.View{}).With(received(view.Since(nil, state)))
+		assert.DeepEqual(t, v.Document, whole.Document)
+		assert.DeepEqual(t, v.Usable("catalog"), whole.Usable("catalog"))
+		for key := 0; key <= int(deployment.MaxKey); key += 97 {
+			got, _ := v.Holder("catalog", deployment.Key(key))
+			want, _ := whole.Holder("catalog", deployment.Key(key))
+			assert.Equal(t, got.Target, want.Target)
+			assert.Equal(t, got.Fence, want.Fence)
+			assert.Equal(t, got.Phase, want.Phase)
+		}
+	})
+}
+
+// received is an update as it arrives at an entry.
+func received(u *instance.ViewUpdate) *instance.ViewUpdate {
+	out := new(instance.ViewUpdate)
+	if err := wire.Decode(wire.Encode(u), out); err != nil {
+		panic(err)
+	}
+	return out
+}
