--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -22,6 +22,7 @@
 	"github.com/cranberrywind/cranberrywind/internal/settings"
 	"github.com/cranberrywind/cranberrywind/internal/targethttp"
 	"github.com/cranberrywind/cranberrywind/internal/view"
+	"github.com/cranberrywind/cranberrywind/pkg/limit"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
@@ -173,7 +174,7 @@
 func (f *Fleet) startEntry(ctx context.Context) error {
 	f.follow = view.Follow(ctx, view.FollowerConfig{Name: f.cfg.Name, Seeds: f.cfg.Seeds, Pool: f.pool, Log: f.log})
 	buffer := linkBuffer(f.cfg.LinkMbps)
-	targets, closeTargets := targethttp.NewPool(f.clock, targethttp.WithReadBuffer(buffer))
+	targets, closeTargets := targethttp.NewPool(f.clock, targethttp.WithReadBuffer(buffer), targethttp.WithTurns(linkTurns(f.cfg.LinkMbps)))
 	f.onStop(closeTargets)
 	l, err := net.Listen("tcp", f.cfg.CallerAddress)
 	if err != nil {
@@ -195,6 +196,7 @@
 		RetryBurst:       f.cfg.RetryBurst,
 		RetryMargin:      retryMargin,
 		WriteBuffer:      buffer,
+		Turns:            linkTurns(f.cfg.LinkMbps),
 	})
 	f.entry = server
 	f.onStop(stopServer)
@@ -219,6 +221,20 @@
 	return max(leastLinkBuffer, int(mbps*bytesPerMbit*linkQueue.Seconds()))
 }
 
+const (
+	mbpsPerTurn = 10.0                   // link that one large transfer at a time fills
+	longestTurn = 400 * time.Millisecond // wait for a turn: half of a download's usual objective
+)
+
+// linkTurns returns the turns of large transfers on a narrow link, and nil for
+// any other.
+func linkTurns(mbps float64) *limit.Turns {
+	if mbps <= 0 || mbps >= narrowMbps {
+		return nil
+	}
+	return limit.NewTurns(max(1, int(mbps/mbpsPerTurn)), longestTurn)
+}
+
 // reportTimeout bounds one try to bring measurements to the leader.
 const reportTimeout = 300 * time.Millisecond
 
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/internal/targethttp"
 )
 
 const (
@@ -359,6 +360,9 @@
 	if !r.head {
 		out = append(out, r.body...)
 	}
+	if len(out) > targethttp.LargeBytes {
+		defer c.server.cfg.Turns.Take(c.ctx)()
+	}
 	_ = c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
 	_, err := c.net.Write(out)
 	return err
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -40,6 +40,8 @@
 	// WriteBuffer bounds how many bytes of an answer wait for the link; 0 for
 	// the system's default.
 	WriteBuffer int
+	// Turns are taken by large answers on a narrow link; nil for none.
+	Turns *limit.Turns
 }
 
 // Server is an entry's edge towards callers.
--- a/internal/targethttp/exchange.go
+++ b/internal/targethttp/exchange.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"os"
 	"time"
+
+	"github.com/cranberrywind/cranberrywind/pkg/limit"
 )
 
 // Request is one request as it goes to a target.
@@ -31,6 +33,8 @@
 	// maxStale is how many answers to earlier requests are passed over on a
 	// connection before it is given up.
 	maxStale = 4
+	// LargeBytes is from which length on a body takes turns on a narrow link.
+	LargeBytes = 24 << 10
 	// maxAnswerBytes bounds one answer's body, which is held in memory whole.
 	maxAnswerBytes = 64 << 20
 )
@@ -50,7 +54,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	a, keep, err := c.exchange(idHeader, r)
+	a, keep, err := c.exchange(ctx, p.turns, idHeader, r)
 	if !stop() || err != nil || !keep {
 		p.drop(c)
 	} else {
@@ -64,7 +68,7 @@
 
 // exchange writes the request and reads answers until the one with its ID. It
 // reports whether the connection may be used again.
-func (c *conn) exchange(idHeader string, r Request) (*Answer, bool, error) {
+func (c *conn) exchange(ctx context.Context, turns *limit.Turns, idHeader string, r Request) (*Answer, bool, error) {
 	n, writeErr := c.write(r)
 	if writeErr != nil && n == 0 && !errors.Is(writeErr, os.ErrDeadlineExceeded) {
 		return nil, false, fmt.Errorf("%w: %w", ErrNotSent, writeErr)
@@ -72,7 +76,7 @@
 	// A target may answer and close before it has read a long body, so that the
 	// answer is read after a failed write too.
 	for range maxStale {
-		a, keep, err := c.readAnswer(r.Method)
+		a, keep, err := c.readAnswer(ctx, turns, r.Method)
 		if err != nil {
 			return nil, false, fmt.Errorf("%w: %w", ErrBroken, err)
 		}
@@ -97,7 +101,7 @@
 
 // readAnswer reads one whole answer. One without a length is whole where the
 // connection ends without a reset.
-func (c *conn) readAnswer(method string) (*Answer, bool, error) {
+func (c *conn) readAnswer(ctx context.Context, turns *limit.Turns, method string) (*Answer, bool, error) {
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
@@ -106,7 +110,12 @@
 		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue // interim answer
 		}
+		giveBack := func() {}
+		if resp.ContentLength > LargeBytes {
+			giveBack = turns.Take(ctx)
+		}
 		body, err := readBody(resp)
+		giveBack()
 		if err != nil {
 			return nil, false, err
 		}
--- a/internal/targethttp/pool.go
+++ b/internal/targethttp/pool.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cranberrywind/cranberrywind/pkg/limit"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
@@ -52,6 +53,7 @@
 type Pool struct {
 	clock      timer.Service
 	readBuffer int // bytes that a target may send ahead; 0 for the system's default
+	turns      *limit.Turns
 	mu         sync.Mutex
 	hosts      map[string]*host
 }
@@ -80,6 +82,9 @@
 // queue, in which small ones would have to wait.
 func WithReadBuffer(bytes int) Option { return func(p *Pool) { p.readBuffer = bytes } }
 
+// WithTurns makes large answers take turns on a narrow link.
+func WithTurns(t *limit.Turns) Option { return func(p *Pool) { p.turns = t } }
+
 // NewPool returns a pool and its clean-up function.
 func NewPool(clock timer.Service, opts ...Option) (*Pool, func()) {
 	p := &Pool{clock: clock, hosts: make(map[string]*host)}
