Refuse requests that crash each target that runs them

Change: an entry names what was in flight when a connection broke and the target refuses connections; the leader commits it; after two deaths entries refuse the kind for a minute. The rule of blame moved to internal/suspect, and both kinds of deployment use it. Ruled out: counting lost answers (the target lives) and silent targets as deaths.

--- a/internal/control/commands.go
+++ b/internal/control/commands.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 
+	"github.com/cranberrywind/cranberrywind/internal/suspect"
 	"github.com/cranberrywind/cranberrywind/internal/text"
 	"github.com/cranberrywind/cranberrywind/internal/wire"
 	"github.com/cranberrywind/cranberrywind/pkg/keyspace"
@@ -275,51 +276,10 @@
 	return s.withLayout(index, c.Range.Service, next)
 }
 
-// blame counts a target's death against the requests it was running. Where one
-// of them had seen another target's death, only such ones are blamed: the
-// others are bystanders. Several entries may report the same death.
+// blame counts a target's death against the requests that it was running.
 func (s State) blame(index uint64, b Blame) State {
-	for _, f := range b.Cleared {
-		s.suspects = slices.DeleteFunc(slices.Clone(s.suspects), func(x Suspect) bool {
-			return x.Fingerprint == f && !x.Held()
-		})
-	}
-	for _, f := range b.Fingerprints {
-		s = s.withDeath(index, f, b.Owner)
-	}
+	s.suspects = suspect.WithDeath(s.suspects, index, b.Owner, b.Fingerprints, b.Cleared)
 	s.version = index
-	return s.withoutBystanders(b.Owner)
-}
-
-func (s State) withDeath(index uint64, fingerprint string, owner keyspace.Owner) State {
-	s.suspects = slices.Clone(s.suspects)
-	i := slices.IndexFunc(s.suspects, func(x Suspect) bool { return x.Fingerprint == fingerprint })
-	if i < 0 {
-		s.suspects = append(s.suspects, Suspect{Fingerprint: fingerprint, Deaths: []keyspace.Owner{owner}, Index: index})
-		if len(s.suspects) > maxSuspects {
-			s.suspects = s.suspects[1:]
-		}
-		return s
-	}
-	x := s.suspects[i]
-	if !slices.Contains(x.Deaths, owner) && !x.Held() {
-		x.Deaths = append(slices.Clone(x.Deaths), owner)
-	}
-	x.Index = index
-	s.suspects[i] = x
-	return s
-}
-
-// withoutBystanders drops a death from the requests that saw no other, if one
-// that did was among them.
-func (s State) withoutBystanders(owner keyspace.Owner) State {
-	repeated := func(x Suspect) bool { return len(x.Deaths) > 1 && slices.Contains(x.Deaths, owner) }
-	if !slices.ContainsFunc(s.suspects, repeated) {
-		return s
-	}
-	s.suspects = slices.DeleteFunc(slices.Clone(s.suspects), func(x Suspect) bool {
-		return len(x.Deaths) == 1 && x.Deaths[0] == owner
-	})
 	return s
 }
 
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -9,6 +9,7 @@
 	"sort"
 	"strings"
 
+	"github.com/cranberrywind/cranberrywind/internal/suspect"
 	"github.com/cranberrywind/cranberrywind/internal/text"
 	"github.com/cranberrywind/cranberrywind/internal/wire"
 	"github.com/cranberrywind/cranberrywind/pkg/keyspace"
@@ -97,22 +98,13 @@
 }
 
 // Suspect is a kind of request that was in flight when targets died.
-type Suspect struct {
-	Fingerprint string           `msgpack:"fingerprint" json:"fingerprint"`
-	Deaths      []keyspace.Owner `msgpack:"deaths" json:"deaths"`
-	Index       uint64           `msgpack:"index" json:"index"` // of the last death
-}
-
-// Held reports whether requests of this kind are refused.
-func (s Suspect) Held() bool { return len(s.Deaths) >= maxDeaths }
+type Suspect = suspect.Suspect[keyspace.Owner]
 
 // Bounds of the state.
 const (
-	maxDeaths   = 2    // targets that one kind of request may take down
-	maxSuspects = 1024 // kinds of requests remembered
-	maxChanges  = 4096 // proposals remembered
-	maxHistory  = 64   // accepted texts kept whole
-	maxOpen     = 64   // proposals open at once
+	maxChanges = 4096 // proposals remembered
+	maxHistory = 64   // accepted texts kept whole
+	maxOpen    = 64   // proposals open at once
 )
 
 // State is the control instances' agreed state.
--- a/internal/deployment/commands.go
+++ b/internal/deployment/commands.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 
+	"github.com/cranberrywind/cranberrywind/internal/suspect"
 	"github.com/cranberrywind/cranberrywind/internal/wire"
 )
 
@@ -17,6 +18,8 @@
 	Forget   []Life     `msgpack:"forget,omitempty"`
 	Assign   *Assign    `msgpack:"assign,omitempty"`
 	Move     []PieceRef `msgpack:"move,omitempty"`
+	Blame    *Blame     `msgpack:"blame,omitempty"`
+	Pardon   []string   `msgpack:"pardon,omitempty"` // fingerprints that are no longer suspected
 }
 
 // Life names one life of a target.
@@ -25,6 +28,14 @@
 	Born int64  `msgpack:"born"`
 }
 
+// Blame records the requests that were in flight at a target when it died, and
+// clears suspected ones that were answered since.
+type Blame struct {
+	Life         Life     `msgpack:"life"`
+	Fingerprints []string `msgpack:"fingerprints"`
+	Cleared      []string `msgpack:"cleared"`
+}
+
 // PieceRef names keys of one piece, with the fence that the command was planned
 // for. A piece that has changed since is left alone.
 type PieceRef struct {
@@ -87,6 +98,14 @@
 		return s.forget(index, c.Forget), Result{}
 	case c.Assign != nil:
 		return s.assign(index, *c.Assign), Result{}
+	case c.Blame != nil:
+		s.suspects = suspect.WithDeath(s.suspects, index, c.Blame.Life, c.Blame.Fingerprints, c.Blame.Cleared)
+		s.blamed, s.version = index, index
+		return s, Result{}
+	case len(c.Pardon) > 0:
+		s.suspects = slices.DeleteFunc(slices.Clone(s.suspects), func(x Suspect) bool { return slices.Contains(c.Pardon, x.Fingerprint) })
+		s.blamed, s.version = index, index
+		return s, Result{}
 	case len(c.Move) > 0:
 		return s.move(index, c.Move), Result{}
 	default:
--- a/internal/deployment/state.go
+++ b/internal/deployment/state.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/cranberrywind/cranberrywind/internal/suspect"
 	"github.com/cranberrywind/cranberrywind/internal/wire"
 )
 
@@ -48,8 +49,17 @@
 	digests  []string // of accepted orders, oldest first
 	targets  []Target // in order of their IDs
 	tables   []KeyTable
+	suspects []Suspect
+	blamed   uint64 // log index of the last change of the suspects
 }
 
+// Suspect is a kind of request that was in flight when targets died.
+type Suspect = suspect.Suspect[Life]
+
+// Suspects returns the kinds of requests that were in flight at deaths, and the
+// log index of their last change. The slice is shared and must not be changed.
+func (s State) Suspects() ([]Suspect, uint64) { return s.suspects, s.blamed }
+
 // Version returns the log index of the last change.
 func (s State) Version() uint64 { return s.version }
 
@@ -121,6 +131,8 @@
 	Digests  []string   `msgpack:"digests"`
 	Targets  []Target   `msgpack:"targets"`
 	Tables   []KeyTable `msgpack:"tables"`
+	Suspects []Suspect  `msgpack:"suspects"`
+	Blamed   uint64     `msgpack:"blamed"`
 }
 
 // Encode returns the state in the form that Decode reads.
@@ -132,6 +144,8 @@
 		Digests:  s.digests,
 		Targets:  s.targets,
 		Tables:   s.tables,
+		Suspects: s.suspects,
+		Blamed:   s.blamed,
 	})
 }
 
@@ -148,5 +162,7 @@
 		digests:  in.Digests,
 		targets:  in.Targets,
 		tables:   in.Tables,
+		suspects: in.Suspects,
+		blamed:   in.Blamed,
 	}, nil
 }
--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -33,6 +33,9 @@
 	// together may open: they don't see each other's.
 	connectionShare = 0.8
 	leastConns      = 2
+	// suspectWait is when a caller may come back with a request that crashed
+	// targets.
+	suspectWait = time.Minute
 	// overloadWait is when a caller may come back to a key that exceeds its
 	// holder.
 	overloadWait = 300 * time.Millisecond
@@ -69,6 +72,7 @@
 	target   deployment.Target
 	ending   ending // of the last attempt
 	fence    uint64 // under which it holds the key
+	kind     string // fingerprint
 }
 
 // handle returns the final answer to one request.
@@ -201,6 +205,10 @@
 		c.key = deployment.Key(key)
 		s.keys.add(name, c.key)
 	}
+	c.kind = fingerprint(r)
+	if _, held := v.Suspected(c.kind); held {
+		return fail(notRun("targets died that ran such requests", suspectWait))
+	}
 	s.earn(name)
 	return c, nil
 }
@@ -381,6 +389,9 @@
 		return nil, s.mayRepeat(c)
 	}
 	e.ran, e.good = true, a.Status < http.StatusMultipleChoices
+	if suspected, _ := s.cfg.View.View().Suspected(c.kind); suspected && e.good {
+		s.deaths.answered(c.kind)
+	}
 	s.targets.ended(t, e)
 	if a.Status >= http.StatusInternalServerError {
 		c.last = fmt.Sprintf("target %s answered with status %d", t.ID, a.Status)
@@ -420,6 +431,9 @@
 	}
 	c.sent++
 	c.mayRun = true
+	if !left && !errors.Is(err, targethttp.ErrTimeout) {
+		go s.deaths.broke(s.ctx, t, c.kind)
+	}
 	return nil, !left && ctx.Err() == nil && s.mayRepeat(c)
 }
 
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -52,6 +52,7 @@
 	targets *targets
 	split   *splitter
 	keys    *keyCounts
+	deaths  *deaths
 	advice  atomic.Pointer[instance.ReportResponse]
 
 	mu      sync.Mutex
@@ -74,6 +75,7 @@
 		targets: newTargets(cfg.Clock),
 		split:   newSplitter(),
 		keys:    newKeyCounts(),
+		deaths:  newDeaths(),
 		conns:   make(map[*callerConn]bool),
 		budgets: make(map[string]limit.Budget),
 	}
@@ -225,10 +227,11 @@
 			Instance: s.cfg.Name,
 			Span:     now.Sub(last),
 			Keys:     s.keys.take(),
+			Blames:   s.deaths.take(),
 			Targets:  s.targets.report(func(id string) bool { _, ok := v.Target(id); return ok }),
 		}
 		last = now
-		if len(r.Keys) > 0 || len(r.Targets) > 0 {
+		if len(r.Keys) > 0 || len(r.Targets) > 0 || len(r.Blames) > 0 {
 			if a := s.cfg.Report(r); a != nil {
 				s.advice.Store(a)
 			}
--- a/internal/instance/deployment.go
+++ b/internal/instance/deployment.go
@@ -40,6 +40,8 @@
 	Span     time.Duration `msgpack:"span"`
 	Keys     []KeyLoad     `msgpack:"keys"`
 	Targets  []TargetLoad  `msgpack:"targets"`
+	// Blames names requests that were in flight at targets that died.
+	Blames []deployment.Blame `msgpack:"blames"`
 }
 
 // KeyLoad counts the requests for one bucket of a service's keys.
@@ -92,6 +94,10 @@
 	Gone     []string              `msgpack:"gone"`    // IDs that were forgotten
 	Tables   []deployment.KeyTable `msgpack:"tables"`  // with the pieces that changed
 	Control  []string              `msgpack:"control"` // addresses of control instances
+	// Suspects holds all kinds of requests that are suspected; SuspectsChanged
+	// tells whether it is set.
+	Suspects        []deployment.Suspect `msgpack:"suspects"`
+	SuspectsChanged bool                 `msgpack:"suspects_changed"`
 	// Current reports that the sender is in touch with the leader.
 	Current bool `msgpack:"current"`
 }
--- a/internal/leader/balance.go
+++ b/internal/leader/balance.go
@@ -91,6 +91,7 @@
 func (m *Model) report(e Reported) {
 	m.now = max(m.now, e.At)
 	m.entries[e.Report.Instance] = e.At
+	m.blames = append(m.blames, e.Report.Blames...)
 	for _, k := range e.Report.Keys {
 		l := m.loadOf(k.Service)
 		l.decay(m.now)
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -224,6 +224,10 @@
 		return c.Assign.Pieces
 	case len(c.Move) > 0:
 		return c.Move
+	case c.Blame != nil:
+		return *c.Blame
+	case len(c.Pardon) > 0:
+		return c.Pardon
 	case c.Silence != nil:
 		return *c.Silence
 	default:
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -33,6 +33,8 @@
 	flights []deployment.PieceRef    // grants that are under way
 	entries map[string]timer.Instant // last reports
 	advised timer.Instant            // last advice to entries
+	blames  []deployment.Blame       // to be committed
+	accused map[string]timer.Instant // when a suspect was first seen, by fingerprint
 }
 
 // arrivals tells when a service's targets came, before its keys are shared out.
@@ -113,6 +115,7 @@
 		loads:   make(map[string]*load),
 		seen:    make(map[string]arrivals),
 		entries: make(map[string]timer.Instant),
+		accused: make(map[string]timer.Instant),
 	}
 }
 
@@ -274,6 +277,14 @@
 	if m.pending {
 		return nil
 	}
+	if len(m.blames) > 0 {
+		b := m.blames[0]
+		m.blames = m.blames[1:]
+		return m.propose(deployment.Command{Blame: &b}, "target died")
+	}
+	if pardon := m.pardon(); len(pardon) > 0 {
+		return m.propose(deployment.Command{Pardon: pardon}, "suspicion is old")
+	}
 	if assign := m.placeFree(free); len(assign) > 0 {
 		return m.propose(deployment.Command{Assign: &deployment.Assign{Pieces: assign}}, "keys without a holder")
 	}
@@ -286,6 +297,25 @@
 	return nil
 }
 
+// suspicion is for how long a kind of request is suspected or refused.
+const suspicion = time.Minute
+
+// pardon returns the suspects that were seen long ago.
+func (m *Model) pardon() []string {
+	list, _ := m.state.Suspects()
+	var out []string
+	for _, s := range list {
+		at, ok := m.accused[s.Fingerprint]
+		if !ok {
+			m.accused[s.Fingerprint] = m.now
+		} else if m.now.Sub(at) > suspicion {
+			delete(m.accused, s.Fingerprint)
+			out = append(out, s.Fingerprint)
+		}
+	}
+	return out
+}
+
 func (m *Model) propose(c deployment.Command, reason string) []Effect {
 	m.pending = true
 	return []Effect{Propose{Command: c, Reason: reason}}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -21,6 +21,7 @@
 	targets  map[string]deployment.Target
 	services map[string][]deployment.Target // usable targets, in order of their IDs
 	tables   map[string]deployment.KeyTable
+	suspects map[string]bool // whether requests of the kind are refused
 }
 
 // Target returns the target with the ID.
@@ -42,6 +43,13 @@
 	return t.Find(key), true
 }
 
+// Suspected reports whether targets died while they ran requests of a kind, and
+// whether such requests are refused by now.
+func (v *View) Suspected(fingerprint string) (suspected, held bool) {
+	held, suspected = v.suspects[fingerprint]
+	return suspected, held
+}
+
 // With returns the view after an update.
 func (v *View) With(u *instance.ViewUpdate) *View {
 	next := &View{
@@ -53,6 +61,13 @@
 		targets:  v.targets,
 		services: v.services,
 		tables:   v.tables,
+		suspects: v.suspects,
+	}
+	if u.SuspectsChanged {
+		next.suspects = make(map[string]bool, len(u.Suspects))
+		for _, x := range u.Suspects {
+			next.suspects[x.Fingerprint] = x.Held()
+		}
 	}
 	if len(u.Control) > 0 {
 		next.Control = u.Control
@@ -124,6 +139,10 @@
 func Since(old *deployment.State, now deployment.State) *instance.ViewUpdate {
 	doc, docIndex := now.Document()
 	u := &instance.ViewUpdate{Version: now.Version(), DocIndex: docIndex}
+	suspects, blamed := now.Suspects()
+	if old == nil || blamed > old.Version() {
+		u.Suspects, u.SuspectsChanged = suspects, true
+	}
 	if old == nil {
 		whole := doc.Since(deployment.Document{})
 		u.Whole, u.Document, u.Targets, u.Tables = true, &whole, now.Targets(), now.Tables()
