--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -151,7 +151,11 @@
 	}
 	f.control = c
 	f.onStop(stopReplica)
-	l, err := net.Listen("tcp", f.cfg.Address)
+	listen := f.cfg.ListenAddress
+	if listen == "" {
+		listen = f.cfg.Address
+	}
+	l, err := net.Listen("tcp", listen)
 	if err != nil {
 		return fmt.Errorf("listen for instances: %w", err)
 	}
--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -26,9 +26,6 @@
 	// comeBack is when a caller may come back after a refusal without a better
 	// estimate.
 	comeBack = 150 * time.Millisecond
-	// attemptShare is the share of the time left that one target gets while
-	// another may be asked afterwards.
-	attemptShare = 0.6
 	// connectionShare is the share of a target's connections that all entries
 	// together may open: they don't see each other's.
 	connectionShare = 0.8
@@ -352,12 +349,10 @@
 	if !c.service.Keyed {
 		c.tried = append(c.tried, t.ID)
 	}
-	attempt, cancel := s.attemptContext(ctx, c)
-	defer cancel()
 	most := max(leastConns, int(connectionShare*float64(c.service.Connections)/float64(s.entries())))
 	began := time.Now()
 	s.targets.began(t)
-	a, err := s.cfg.Pool.Do(attempt, t.Address, most, s.cfg.Dialect.RequestID, targethttp.Request{
+	a, err := s.cfg.Pool.Do(ctx, t.Address, most, s.cfg.Dialect.RequestID, targethttp.Request{
 		Method:  c.method,
 		Head:    s.head(c, t, began),
 		Body:    c.body,
@@ -403,14 +398,6 @@
 	return &out, false
 }
 
-// attemptContext leaves time for another target where one may be asked.
-func (s *Server) attemptContext(ctx context.Context, c *call) (context.Context, context.CancelFunc) {
-	if !c.route.Kind.Idempotent() || c.service.Keyed || len(c.tried) >= c.route.Attempts {
-		return context.WithCancel(ctx)
-	}
-	return context.WithTimeout(ctx, time.Duration(attemptShare*float64(time.Until(c.deadline))))
-}
-
 // mayRepeat reports whether a request that may have run can be sent again.
 func (s *Server) mayRepeat(c *call) bool {
 	return c.route.Kind.Idempotent() && len(c.tried) < c.route.Attempts
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -17,6 +17,7 @@
 	Entry            bool
 	Control          bool
 	Address          string   // where other instances reach this one: IP:PORT
+	ListenAddress    string   // where it listens for them, if not at Address
 	CallerAddress    string   // for callers
 	BalancerAddress  string   // for the balancer's health checks
 	OperatorAddress  string   // of a control instance, for operators and targets
@@ -82,6 +83,10 @@
 		s.Fault("data", "", "must be given for the control role")
 	}
 	r.Address = address(s, "address", true)
+	r.ListenAddress = address(s, "listen_address", false)
+	if r.ListenAddress == "" {
+		r.ListenAddress = r.Address
+	}
 	r.CallerAddress = address(s, "caller_address", r.Entry)
 	r.BalancerAddress = address(s, "balancer_address", r.Entry)
 	r.OperatorAddress = address(s, "operator_address", r.Control)
