Move keys only from holders that answer; ask the old holder late

Change: a range is moved only while its holder answers grants; after 150 ms on the move an entry asks the old holder, which says itself whether it still serves.

--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -23,6 +23,9 @@
 	// holderWait is the share of the time left for which a request waits for
 	// keys that are on the move.
 	holderWait = 0.5
+	// handoverWait is for how long keys on the move are waited for before their
+	// old holder is asked: about two requests' work.
+	handoverWait = 150 * time.Millisecond
 	// comeBack is when a caller may come back after a refusal without a better
 	// estimate.
 	comeBack = 150 * time.Millisecond
@@ -300,6 +303,8 @@
 func (s *Server) holder(ctx context.Context, c *call) (deployment.Target, time.Duration, string) {
 	wait, cancel := context.WithTimeout(ctx, time.Duration(holderWait*float64(time.Until(c.deadline))))
 	defer cancel()
+	handover := time.After(min(handoverWait, time.Until(c.deadline)/2))
+	late := false
 	for {
 		changed := s.cfg.View.Changed()
 		v := s.cfg.View.View()
@@ -308,10 +313,13 @@
 		switch {
 		case p.Phase == deployment.Free || !known || t.Born != p.Born:
 			return t, comeBack, "nobody holds the key"
-		case p.Phase == deployment.Held && !c.triedPiece(p):
+		case (p.Phase == deployment.Held || late && t.Usable()) && !c.triedPiece(p):
 			return s.heldBy(c, t, p)
 		}
 		select {
+		case <-handover:
+			// The holder may not have heard that it is to release the keys.
+			late = true
 		case <-wait.Done():
 			return t, comeBack, "the key is on its way to another target"
 		case <-changed:
--- a/internal/leader/balance.go
+++ b/internal/leader/balance.go
@@ -182,10 +182,12 @@
 	return h.to
 }
 
-// movable reports whether a piece has been with its holder for a while.
+// movable reports whether a piece has been with its holder for a while, and the
+// holder answers: keys of one that does not could not be served by anybody until
+// their grants are over.
 func (m *Model) movable(service string, p deployment.Piece) bool {
 	h, ok := m.holds[pieceID{service: service, from: p.From, fence: p.Fence}]
-	return ok && h.confirmed != 0 && m.now.Sub(h.confirmed) > m.timing.Balance
+	return ok && h.failures == 0 && h.confirmed != 0 && m.now.Sub(h.confirmed) > m.timing.Balance
 }
 
 // rateOf returns the requests a second for the keys, both ends included.
