--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -385,7 +385,7 @@
 	c.sent++
 	c.mayRun = true
 	if fault := s.fault(a); fault != "" {
-		e.failed = true
+		e.failed, e.broken = true, true
 		s.targets.ended(t, e)
 		c.last = fmt.Sprintf("target %s: %s", t.ID, fault)
 		s.logAttempt(c, t, e, c.last)
@@ -414,7 +414,11 @@
 // failed takes an exchange without a whole answer.
 func (s *Server) failed(ctx context.Context, c *call, t deployment.Target, err error, took time.Duration) (*response, bool) {
 	left := c.ctx.Err() != nil
-	e := ending{failed: !left && !errors.Is(err, targethttp.ErrFull), took: took}
+	e := ending{
+		failed: !left && !errors.Is(err, targethttp.ErrFull),
+		broken: errors.Is(err, targethttp.ErrBroken) && !errors.Is(err, targethttp.ErrTimeout),
+		took:   took,
+	}
 	s.targets.ended(t, e)
 	c.last = fmt.Sprintf("target %s: %v", t.ID, err)
 	if left {
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -19,9 +19,11 @@
 	// drainRate is how much of a target's queue is taken to be gone after a
 	// second without news of it, in seconds of work.
 	drainRate = 0.7
-	// failuresToOpen is after how many failures in a row a target gets no
-	// requests for a while.
+	// A target gets no requests for a while after as many failures in a row. One
+	// that loses or spoils answers still serves others; one that takes no
+	// connections or stays silent does not.
 	failuresToOpen = 2
+	brokenToOpen   = 6
 	firstPause     = 250 * time.Millisecond
 	longestPause   = 2 * time.Second
 	// warmUpFactor is how much slower a target is taken to be while it warms up.
@@ -192,11 +194,7 @@
 	}
 	switch {
 	case e.failed:
-		s.failures++
-		if s.failures >= failuresToOpen {
-			pause := min(firstPause<<min(s.failures-failuresToOpen, 8), longestPause)
-			s.openTill = now.Add(pause)
-		}
+		s.failed(e, now)
 	case e.ran:
 		s.failures = 0
 		s.openTill = 0
@@ -219,9 +217,23 @@
 	return time.Duration(float64(e.took) / (1 + float64(e.load.Waiting)/float64(max(slots, 1))))
 }
 
+// failed counts a failure and stops requests to the target after several.
+func (s *targetState) failed(e ending, now timer.Instant) {
+	s.failures++
+	limit := failuresToOpen
+	if e.broken {
+		limit = brokenToOpen
+	}
+	if s.failures >= limit {
+		pause := min(firstPause<<min(s.failures-limit, 8), longestPause)
+		s.openTill = now.Add(pause)
+	}
+}
+
 // ending is what became of one request to a target.
 type ending struct {
 	failed    bool // no answer although one was due
+	broken    bool // the failure was an answer that broke or was spoilt
 	ran       bool // the target answered
 	good      bool // with a success
 	took      time.Duration
--- a/internal/instance/client.go
+++ b/internal/instance/client.go
@@ -22,9 +22,12 @@
 	sendQueue    = 4096 // messages that wait for one peer
 	redialPause  = 50 * time.Millisecond
 	maxReconnect = 200 * time.Millisecond
-	callPause    = 20 * time.Millisecond // between two tries to find a leader
-	pingPeriod   = 100 * time.Millisecond
-	silenceLimit = 400 * time.Millisecond // without an answer to a ping
+	// connectTimeout is several round trips between regions; what takes longer
+	// goes to an instance without power.
+	connectTimeout = 300 * time.Millisecond
+	callPause      = 20 * time.Millisecond // between two tries to find a leader
+	pingPeriod     = 100 * time.Millisecond
+	silenceLimit   = 400 * time.Millisecond // without an answer to a ping
 )
 
 // Pool keeps one connection to each instance that this one speaks to.
@@ -71,7 +74,7 @@
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
 		grpc.WithNoProxy(),
-		grpc.WithConnectParams(grpc.ConnectParams{Backoff: wait, MinConnectTimeout: time.Second}),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: wait, MinConnectTimeout: connectTimeout}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveWait, PermitWithoutStream: true}),
 		grpc.WithDefaultCallOptions(
 			grpc.CallContentSubtype(wire.Name),
--- a/internal/leader/balance.go
+++ b/internal/leader/balance.go
@@ -298,7 +298,7 @@
 // rebalance moves keys from the busiest targets to those with most room, and to
 // targets that hold nothing yet.
 func (m *Model) rebalance() []deployment.PieceRef {
-	if m.now.Sub(m.looked) < m.timing.Balance || m.now < m.since.Add(2*m.timing.Quiet) {
+	if m.now.Sub(m.looked) < m.timing.Balance || !m.calm() {
 		return nil
 	}
 	m.looked = m.now
--- a/internal/view/follow.go
+++ b/internal/view/follow.go
@@ -37,7 +37,10 @@
 	// silenceLimit is for how long a stream may bring nothing, or its sender be
 	// out of touch with the leader, before another control instance is asked.
 	silenceLimit = 900 * time.Millisecond
-	retryPause   = 50 * time.Millisecond
+	// openLimit is for how long a stream may take to bring the first update.
+	// An instance without power does not answer at all.
+	openLimit  = 300 * time.Millisecond
+	retryPause = 50 * time.Millisecond
 )
 
 // errSilent ends a stream whose sender is silent or out of touch.
@@ -100,12 +103,14 @@
 func (f *Follower) watch(ctx context.Context, address string) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silence := time.AfterFunc(silenceLimit, func() { cancel(errSilent) })
+	silence := time.AfterFunc(openLimit, func() { cancel(errSilent) })
 	defer silence.Stop()
 	first := true
 	err := f.cfg.Pool.Watch(ctx, address, &instance.WatchRequest{Instance: f.cfg.Name}, func(u *instance.ViewUpdate) error {
-		if u.Current {
+		if u.Current || first {
 			silence.Reset(silenceLimit)
+		}
+		if u.Current {
 			f.heard.Store(time.Now().UnixNano())
 		}
 		if first {
