--- /dev/null
+++ b/internal/forward/conn_test.go
@@ -0,0 +1,177 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/cranberrywind/cranberrywind/internal/instance"
+	"github.com/cranberrywind/cranberrywind/internal/targethttp"
+	"github.com/cranberrywind/cranberrywind/internal/view"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
+)
+
+type noObserver struct{}
+
+func (noObserver) Answered(string, string, int, time.Duration) {}
+
+// startServer starts an entry that knows no configuration: it refuses all
+// requests, each with its ID.
+func startServer(t *testing.T) (*Server, string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	clock := timer.NewSystem(ctx)
+	pool, closePool := instance.NewPool(ctx, instance.Security{}, &instance.Traffic{})
+	t.Cleanup(closePool)
+	quiet := log.New(io.Discard)
+	targets, closeTargets := targethttp.NewPool(clock)
+	t.Cleanup(closeTargets)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s, stop := Serve(ctx, l, Config{
+		Name:     "entry",
+		Dialect:  Dialect{RequestID: "Request-Id"},
+		View:     view.Follow(ctx, view.FollowerConfig{Name: "entry", Seeds: []string{"127.0.0.1:1"}, Pool: pool, Log: quiet}),
+		Pool:     targets,
+		Clock:    clock,
+		Log:      quiet,
+		Routine:  quiet,
+		Observer: noObserver{},
+		Report:   func(instance.ReportRequest) *instance.ReportResponse { return nil },
+	})
+	t.Cleanup(stop)
+	return s, l.Addr().String()
+}
+
+// caller is one connection to an entry.
+type caller struct {
+	t      *testing.T
+	net    net.Conn
+	reader *bufio.Reader
+}
+
+func dial(t *testing.T, address string) *caller {
+	c, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	assert.NilError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	return &caller{t: t, net: c, reader: bufio.NewReader(c)}
+}
+
+func (c *caller) send(text string) {
+	_, err := io.WriteString(c.net, text)
+	assert.NilError(c.t, err)
+}
+
+// answer reads one answer and returns its status and ID.
+func (c *caller) answer() (int, string, *http.Response) {
+	resp, err := http.ReadResponse(c.reader, nil)
+	assert.NilError(c.t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	assert.NilError(c.t, err)
+	return resp.StatusCode, resp.Header.Get("Request-Id"), resp
+}
+
+// assertClosed checks that the entry has closed its side.
+func (c *caller) assertClosed() {
+	c.t.Helper()
+	_, err := c.reader.ReadByte()
+	assert.Equal(c.t, err, io.EOF)
+}
+
+func get(id string) string {
+	return fmt.Sprintf("GET /x HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\n\r\n", id)
+}
+
+func TestCallerConnections(t *testing.T) {
+	t.Run("answers come in the order of pipelined requests", func(t *testing.T) {
+		_, address := startServer(t)
+		c := dial(t, address)
+		c.send(get("one") + get("two") + "POST /x HTTP/1.1\r\nHost: h\r\nRequest-Id: three\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n" + get("four"))
+		for _, want := range []string{"one", "two", "three", "four"} {
+			status, id, resp := c.answer()
+			assert.Equal(t, status, http.StatusServiceUnavailable)
+			assert.Equal(t, id, want)
+			assert.Assert(t, resp.Header.Get("Retry-After") != "")
+		}
+	})
+	refusals := []struct {
+		name, request string
+		status        int
+	}{
+		{"header too large", "GET /x HTTP/1.1\r\nHost: h\r\nBig: " + strings.Repeat("x", 40000) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		{"body too large", "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999\r\n\r\n", http.StatusRequestEntityTooLarge},
+		{"no request", "nonsense\r\n\r\n", http.StatusBadRequest},
+		{"two lengths", "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", http.StatusBadRequest},
+	}
+	for _, c := range refusals {
+		t.Run(c.name+" is refused and ends the connection", func(t *testing.T) {
+			_, address := startServer(t)
+			x := dial(t, address)
+			x.send(c.request)
+			status, _, _ := x.answer()
+			assert.Equal(t, status, c.status)
+		})
+	}
+	t.Run("the connection ends where the caller asks for it", func(t *testing.T) {
+		_, address := startServer(t)
+		c := dial(t, address)
+		c.send("GET /x HTTP/1.1\r\nHost: h\r\nRequest-Id: last\r\nConnection: close\r\n\r\n")
+		_, id, resp := c.answer()
+		assert.Equal(t, id, "last")
+		assert.Assert(t, resp.Close)
+		c.assertClosed()
+	})
+}
+
+// readingConns counts connections on which part of a request has come in.
+func (s *Server) readingConns() int {
+	n := 0
+	s.each(func(c *callerConn) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.reading {
+			n++
+		}
+	})
+	return n
+}
+
+func TestPlannedStop(t *testing.T) {
+	s, address := startServer(t)
+	idle, busy := dial(t, address), dial(t, address)
+	idle.send(get("before"))
+	idle.answer()
+	busy.send("POST /x HTTP/1.1\r\nHost: h\r\nRequest-Id: half\r\nContent-Length: 4\r\n\r\nab")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if s.readingConns() == 0 {
+			return poll.Continue("the request has not come in yet")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	stopped := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		stopped <- s.Stop(ctx)
+	}()
+	t.Run("idle connections end", func(*testing.T) { idle.assertClosed() })
+	t.Run("a request that is half read is answered", func(t *testing.T) {
+		busy.send("cd")
+		_, id, resp := busy.answer()
+		assert.Equal(t, id, "half")
+		assert.Assert(t, resp.Close)
+		busy.assertClosed()
+	})
+	assert.NilError(t, <-stopped)
+}
