Ask a holder again whose answer broke

Change: only a holder that said that it did not run the request is passed over. Ruled out: more arrivals than the budget allows (each repeat still takes from it). Test: a stand-in that breaks off the first answer; it failed before.

--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -73,6 +73,7 @@
 	ending   ending // of the last attempt
 	fence    uint64 // under which it holds the key
 	kind     string // fingerprint
+	piece    string // keys and fence under which the target was asked
 }
 
 // handle returns the final answer to one request.
@@ -343,7 +344,7 @@
 	if !room || expected > c.patience() {
 		return t, expected / 2, "the key's holder is busy for too long"
 	}
-	c.tried = append(c.tried, pieceName(p))
+	c.piece = pieceName(p)
 	return t, 0, ""
 }
 
@@ -380,7 +381,11 @@
 		c.last = fmt.Sprintf("target %s did not run it: status %d", t.ID, a.Status)
 		s.targets.ended(t, e)
 		s.logAttempt(c, t, e, c.last)
-		return nil, !c.mayRun && len(c.tried) < max(c.route.Attempts, 2)
+		if c.service.Keyed {
+			// Under this fence the target will not run it; others may.
+			c.tried = append(c.tried, c.piece)
+		}
+		return nil, !c.mayRun && c.sent < max(c.route.Attempts, 2)
 	}
 	c.sent++
 	c.mayRun = true
@@ -408,7 +413,7 @@
 
 // mayRepeat reports whether a request that may have run can be sent again.
 func (s *Server) mayRepeat(c *call) bool {
-	return c.route.Kind.Idempotent() && len(c.tried) < c.route.Attempts
+	return c.route.Kind.Idempotent() && c.sent < c.route.Attempts
 }
 
 // failed takes an exchange without a whole answer.
