Let bursts wait briefly for room at a key's holder

Cause, told by a log line of a refusal (expected 119 ms, patience 425 ms): three requests of one entry at once met a window of two and one was refused, although the holder had room. The line now holds what decided it. Change: such a request waits for an eighth of its objective.

--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -143,7 +143,8 @@
 	if after := out.header.Get("Retry-After"); after != "" {
 		fields = append(fields, "retry_after_s", after)
 	}
-	s.log.Info("request failed", append(fields, "attempts", c.sent, "may_have_run", c.mayRun, "reason", c.last)...)
+	fields = append(fields, "may_have_run", c.mayRun, "patience_ms", millis(c.patience()), "reason", c.last)
+	s.log.Info("request failed", append(fields, c.attemptFields()...)...)
 }
 
 // logAttempt writes why a target was chosen and why the attempt failed. What
@@ -291,7 +292,7 @@
 		return fail("no target takes requests", comeBack)
 	}
 	expected, _ := s.targets.expected(t)
-	c.expected = expected
+	c.target, c.expected = t, expected
 	if expected > c.patience() {
 		return fail("all targets are busy for too long", expected/2)
 	}
@@ -315,7 +316,11 @@
 		case p.Phase == deployment.Free || !known || t.Born != p.Born:
 			return t, comeBack, "nobody holds the key"
 		case (p.Phase == deployment.Held || late && t.Usable()) && !c.triedPiece(p):
-			return s.heldBy(c, t, p)
+			after, reason := s.heldBy(c, t, p)
+			if !errors.Is(reason, errWindow) || !s.awaitRoom(wait, c, t) {
+				return t, after, describe(reason)
+			}
+			continue
 		}
 		select {
 		case <-handover:
@@ -328,24 +333,69 @@
 	}
 }
 
-// heldBy checks whether a key's holder can answer in time.
-func (s *Server) heldBy(c *call, t deployment.Target, p deployment.Piece) (deployment.Target, time.Duration, string) {
+// Reasons why a key's holder gets no request.
+var (
+	errLeaving    = errors.New("the key's holder is leaving")
+	errNoAnswers  = errors.New("the key's holder does not answer")
+	errTurnedAway = errors.New("the key is asked for more often than its holder can serve")
+	errBusy       = errors.New("the key's holder is busy for too long")
+	errWindow     = errors.New("this entry has as many requests at the key's holder as it may")
+)
+
+func describe(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// heldBy checks whether a key's holder can answer in time, or tells when to come
+// back and why.
+func (s *Server) heldBy(c *call, t deployment.Target, p deployment.Piece) (time.Duration, error) {
+	c.piece = pieceName(p)
 	if !t.Usable() {
-		return t, comeBack, "the key's holder is leaving"
+		return comeBack, errLeaving
 	}
 	if after, ok := s.targets.available(t); !ok {
-		return t, after, "the key's holder does not answer"
+		return after, errNoAnswers
 	}
 	expected, room := s.targets.expected(t)
-	c.expected, c.fence = expected, p.Fence
-	if s.turnedAway(c.service.Name, c.key) {
-		return t, overloadWait, "the key is asked for more often than its holder can serve"
-	}
-	if !room || expected > c.patience() {
-		return t, expected / 2, "the key's holder is busy for too long"
+	c.target, c.expected, c.fence = t, expected, p.Fence
+	switch {
+	case s.turnedAway(c.service.Name, c.key):
+		return overloadWait, errTurnedAway
+	case expected > c.patience():
+		return expected / 2, errBusy
+	case !room:
+		return expected / 2, errWindow
+	}
+	return 0, nil
+}
+
+// burstShare is the part of a route's objective for which a request waits for
+// room. A longer wait would keep callers of an overloaded key from an answer that
+// is known already.
+const burstShare = 0.125
+
+// awaitRoom waits until one of this entry's requests at the target has ended. It
+// returns false where a request that began then would be expected too late. It
+// answers short bursts for one holder.
+func (s *Server) awaitRoom(ctx context.Context, c *call, t deployment.Target) bool {
+	longest := min(c.patience()-c.expected, time.Duration(burstShare*float64(c.route.Objective)))
+	longest -= time.Since(c.began)
+	if longest <= 0 {
+		return false
+	}
+	limit := time.NewTimer(longest)
+	defer limit.Stop()
+	select {
+	case <-s.targets.room(t):
+		return true
+	case <-ctx.Done():
+		return false
+	case <-limit.C:
+		return false
 	}
-	c.piece = pieceName(p)
-	return t, 0, ""
 }
 
 func pieceName(p deployment.Piece) string { return p.Target + "/" + strconv.FormatUint(p.Fence, 10) }
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -66,6 +66,7 @@
 	cutAt    timer.Instant
 	failures int
 	openTill timer.Instant
+	freed    chan struct{} // closed when a request ends, if one waits for that
 	answers  uint32
 	busy     time.Duration // work of these answers without the time they waited
 }
@@ -171,6 +172,18 @@
 	return time.Duration(s.expected(t, ts.clock.Now()) * float64(time.Second)), !s.full()
 }
 
+// room returns a channel that is closed when one of this entry's requests at the
+// target has ended.
+func (ts *targets) room(t deployment.Target) <-chan struct{} {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	s := ts.state(t)
+	if s.freed == nil {
+		s.freed = make(chan struct{})
+	}
+	return s.freed
+}
+
 // began counts a request that is sent to the target.
 func (ts *targets) began(t deployment.Target) {
 	ts.mu.Lock()
@@ -187,6 +200,10 @@
 	s := ts.state(t)
 	now := ts.clock.Now()
 	s.inflight = max(0, s.inflight-1)
+	if s.freed != nil {
+		close(s.freed)
+		s.freed = nil
+	}
 	if e.loadKnown || e.ran {
 		s.noteQueue(t.Slots, e, now)
 	} else {
