--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	d.onStop(stopGroup)
+	d.cleanups.Add(stopGroup)
 	c.state = g
 	c.controller = controller.New(g, granter, d.clock, timing.Control, d.log)
 	d.metrics.root.Set("balance", expvar.Func(func() any { return c.controller.Balances() }))
@@ -138,7 +138,7 @@
 	if err != nil {
 		return err
 	}
-	c.daemon.onStop(stopGroup)
+	c.daemon.cleanups.Add(stopGroup)
 	l := bookinglog.New(g, c.daemon.clock, c.daemon.log, c.retention)
 	c.mu.Lock()
 	c.logs[name] = l
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +19,7 @@
 	"github.com/cranberrywind/cranberrywind/internal/balancer"
 	"github.com/cranberrywind/cranberrywind/internal/burn"
 	"github.com/cranberrywind/cranberrywind/internal/caller"
+	"github.com/cranberrywind/cranberrywind/internal/cleanup"
 	"github.com/cranberrywind/cranberrywind/internal/control"
 	"github.com/cranberrywind/cranberrywind/internal/entry"
 	"github.com/cranberrywind/cranberrywind/internal/group"
@@ -46,10 +46,11 @@
 	burn     *burn.Recorder
 	metrics  *metrics
 
-	mu       sync.Mutex
-	cleanups []func()
-	servers  []*http.Server
-	failed   chan error
+	cleanups cleanup.Stack
+
+	mu      sync.Mutex
+	servers []*http.Server
+	failed  chan error
 }
 
 // Timing sets the pace of an instance. All instances of a deployment share it.
@@ -75,12 +76,12 @@
 		failed:  make(chan error, 1),
 	}
 	d.burn = burn.NewRecorder(func() time.Duration { return time.Duration(d.clock.Now()) })
-	d.onStop(cancel)
+	d.cleanups.Add(cancel)
 	d.check = balancer.New(d.ready)
 	if cfg.TLS.Certificate != "" {
 		security, err := instance.LoadSecurity(cfg.TLS.Certificate, cfg.TLS.Key, cfg.TLS.Authority)
 		if err != nil {
-			d.stop()
+			d.cleanups.Run()
 			return nil, nil, fmt.Errorf("start instance %s: %w", cfg.Name, err)
 		}
 		d.security = security
@@ -90,18 +91,18 @@
 	}
 	pool, closePool := instance.NewPool(ctx, d.security, d.metrics.traffic)
 	d.pool = pool
-	d.onStop(closePool)
+	d.cleanups.Add(closePool)
 	if err := d.start(ctx, timing); err != nil {
-		d.stop()
+		d.cleanups.Run()
 		return nil, nil, fmt.Errorf("start instance %s: %w", cfg.Name, err)
 	}
 	d.log.Info("instance started", "entry", cfg.Entry, "control", cfg.Control)
-	return d, d.stop, nil
+	return d, d.cleanups.Run, nil
 }
 
 func (d *Daemon) start(ctx context.Context, timing Timing) error {
 	client, closeClient := target.NewClient(d.clock)
-	d.onStop(closeClient)
+	d.cleanups.Add(closeClient)
 	if d.cfg.Control {
 		if err := d.startControl(ctx, timing, client); err != nil {
 			return err
@@ -118,23 +119,6 @@
 	return d.listenOperators()
 }
 
-func (d *Daemon) onStop(f func()) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.cleanups = append(d.cleanups, f)
-}
-
-// stop runs the clean-up functions, the last one first.
-func (d *Daemon) stop() {
-	d.mu.Lock()
-	cleanups := slices.Clone(d.cleanups)
-	d.cleanups = nil
-	d.mu.Unlock()
-	for _, f := range slices.Backward(cleanups) {
-		f()
-	}
-}
-
 // Failed delivers the error that makes the instance unable to go on.
 func (d *Daemon) Failed() <-chan error { return d.failed }
 
@@ -154,7 +138,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for instances: %w", err)
 	}
-	d.onStop(instance.Serve(l, &handler{daemon: d}, d.security, d.metrics.traffic))
+	d.cleanups.Add(instance.Serve(l, &handler{daemon: d}, d.security, d.metrics.traffic))
 	return nil
 }
 
@@ -173,7 +157,7 @@
 		Log:     d.log,
 	})
 	d.entry = e
-	d.onStop(stopEntry)
+	d.cleanups.Add(stopEntry)
 	d.caller = caller.New(caller.Config{
 		Entry:    e,
 		Client:   client,
@@ -224,7 +208,7 @@
 	d.mu.Lock()
 	d.servers = append(d.servers, s)
 	d.mu.Unlock()
-	d.onStop(func() { _ = s.Close() })
+	d.cleanups.Add(func() { _ = s.Close() })
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			d.fail(fmt.Errorf("serve %s: %w", address, err))
--- a/internal/deployment/keys.go
+++ b/internal/deployment/keys.go
@@ -28,7 +28,8 @@
 
 // Piece is a run of keys with one holder, both ends included.
 type Piece struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // tells the codec to leave out field names
+	//lint:ignore U1000 the codec reads the tag: it leaves out field names
+	_msgpack struct{} `msgpack:",as_array"`
 
 	From     Key    `msgpack:"from"`
 	To       Key    `msgpack:"to"`
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -130,7 +130,7 @@
 		if err == nil || !errors.Is(err, replica.ErrNotLeader) && !errors.Is(err, group.ErrLost) {
 			return res, wrap(err)
 		}
-		if !sleep(ctx, 20*time.Millisecond) {
+		if !timer.Sleep(ctx, 20*time.Millisecond) {
 			return nil, wrap(err)
 		}
 	}
@@ -153,17 +153,6 @@
 	return instance.Call[Req, Res](ctx, c.pool, address, method, req)
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // notLeader names the leader to another instance.
 func (c *Control) notLeader() error {
 	return &instance.NotLeaderError{Leader: c.replica().group.LeaderAddress()}
@@ -373,7 +362,7 @@
 		return
 	}
 	for c.leads() {
-		if !sleep(ctx, handOverPoll) {
+		if !timer.Sleep(ctx, handOverPoll) {
 			break
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,12 +9,12 @@
 	"fmt"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
 
+	"github.com/cranberrywind/cranberrywind/internal/cleanup"
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
 	"github.com/cranberrywind/cranberrywind/internal/forward"
 	"github.com/cranberrywind/cranberrywind/internal/instance"
@@ -60,8 +60,9 @@
 	entry   *forward.Server
 	follow  *view.Follower
 
+	cleanups cleanup.Stack
+
 	mu       sync.Mutex
-	cleanups []func()
 	stopping bool
 	failed   chan error
 }
@@ -84,17 +85,17 @@
 		metrics: newMetrics(logs.Dropped),
 		failed:  make(chan error, 1),
 	}
-	f.onStop(cancel)
+	f.cleanups.Add(cancel)
 	pool, closePool := instance.NewPool(ctx, instance.Security{}, f.traffic)
 	f.pool = pool
-	f.onStop(closePool)
+	f.cleanups.Add(closePool)
 	if err := f.start(ctx); err != nil {
-		f.stop()
+		f.cleanups.Run()
 		return nil, nil, fmt.Errorf("start instance %s: %w", cfg.Name, err)
 	}
 	f.log.Info("instance started", "availability_zone", cfg.AvailabilityZone, "entry", cfg.Entry, "control", cfg.Control,
 		"bootstrap", cfg.Bootstrap, "seeds", cfg.Seeds)
-	return f, f.stop, nil
+	return f, f.cleanups.Run, nil
 }
 
 func (f *Fleet) start(ctx context.Context) error {
@@ -150,7 +151,7 @@
 		return err
 	}
 	f.control = c
-	f.onStop(stopReplica)
+	f.cleanups.Add(stopReplica)
 	listen := f.cfg.ListenAddress
 	if listen == "" {
 		listen = f.cfg.Address
@@ -159,7 +160,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for instances: %w", err)
 	}
-	f.onStop(instance.ServeDeployment(l, f.control, instance.Security{}, f.traffic))
+	f.cleanups.Add(instance.ServeDeployment(l, f.control, instance.Security{}, f.traffic))
 	return f.listenHTTP(f.cfg.OperatorAddress, f.adapter.Operator(f.control))
 }
 
@@ -179,7 +180,7 @@
 	f.follow = view.Follow(ctx, view.FollowerConfig{Name: f.cfg.Name, Seeds: f.cfg.Seeds, Pool: f.pool, Log: f.log})
 	buffer := linkBuffer(f.cfg.LinkMbps)
 	targets, closeTargets := targethttp.NewPool(f.clock, targethttp.WithReadBuffer(buffer), targethttp.WithTurns(linkTurns(f.cfg.LinkMbps)))
-	f.onStop(closeTargets)
+	f.cleanups.Add(closeTargets)
 	l, err := net.Listen("tcp", f.cfg.CallerAddress)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
@@ -203,7 +204,7 @@
 		Turns:            linkTurns(f.cfg.LinkMbps),
 	})
 	f.entry = server
-	f.onStop(stopServer)
+	f.cleanups.Add(stopServer)
 	return f.listenHTTP(f.cfg.BalancerAddress, f.adapter.Balancer(f.ready))
 }
 
@@ -275,22 +276,6 @@
 	return nil
 }
 
-func (f *Fleet) onStop(cleanup func()) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.cleanups = append(f.cleanups, cleanup)
-}
-
-func (f *Fleet) stop() {
-	f.mu.Lock()
-	cleanups := slices.Clone(f.cleanups)
-	f.cleanups = nil
-	f.mu.Unlock()
-	for _, cleanup := range slices.Backward(cleanups) {
-		cleanup()
-	}
-}
-
 // Failed delivers the error that makes the instance unable to go on.
 func (f *Fleet) Failed() <-chan error { return f.failed }
 
@@ -312,7 +297,7 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	f.onStop(func() { _ = s.Close() })
+	f.cleanups.Add(func() { _ = s.Close() })
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			f.fail(fmt.Errorf("serve %s: %w", address, err))
--- a/internal/fleet/reopen.go
+++ b/internal/fleet/reopen.go
@@ -62,7 +62,7 @@
 		c.log.Error("replica stopped: its disk failed", "error", c.replica().group.Err())
 		stop()
 		stop = func() {}
-		for again := true; again && sleep(ctx, reopenPause); {
+		for again := true; again && timer.Sleep(ctx, reopenPause); {
 			next, err := c.open(ctx)
 			if err != nil {
 				c.log.Warn("replica not opened yet", "error", err)
--- a/internal/forward/deaths.go
+++ b/internal/forward/deaths.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
 const (
@@ -46,7 +47,7 @@
 // broke notes a request whose connection broke while its target ran it, if the
 // target refuses connections now. A lost answer alone proves no death.
 func (d *deaths) broke(ctx context.Context, t deployment.Target, kind string) {
-	if !pause(ctx, probeWait) {
+	if !timer.Sleep(ctx, probeWait) {
 		return
 	}
 	dialer := net.Dialer{Timeout: probeTimeout}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -237,7 +237,7 @@
 			}
 		}
 		// Many entries report less often: the leader hears about as much.
-		if n := s.entries(); n > manyEntries && !pause(ctx, reportPeriod*time.Duration(n/manyEntries)) {
+		if n := s.entries(); n > manyEntries && !timer.Sleep(ctx, reportPeriod*time.Duration(n/manyEntries)) {
 			return
 		}
 	}
@@ -246,17 +246,6 @@
 // manyEntries is how many entries may report at full pace.
 const manyEntries = 24
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // entries returns how many entries there are as far as the leader told.
 func (s *Server) entries() int {
 	if a := s.advice.Load(); a != nil && a.Entries > 0 {
--- a/internal/instance/leader.go
+++ b/internal/instance/leader.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cranberrywind/cranberrywind/pkg/replica"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
 // Leader remembers where a group's leader was last found.
@@ -80,7 +81,7 @@
 				return nil, fmt.Errorf("%s: %w", method, errors.Join(ctx.Err(), last))
 			}
 		}
-		if !sleep(ctx, callPause) {
+		if !timer.Sleep(ctx, callPause) {
 			return nil, fmt.Errorf("%s: %w", method, errors.Join(ctx.Err(), last))
 		}
 	}
@@ -114,15 +115,3 @@
 	defer cancel()
 	return Call[Req, Res](ctx, l.pool, address, method, req)
 }
-
-// sleep waits and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/instance/stream.go
+++ b/internal/instance/stream.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/cranberrywind/cranberrywind/internal/group"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
 // Send queues a message for another instance's replica and drops it where the
@@ -36,7 +37,7 @@
 	for p.ctx.Err() == nil {
 		if err := p.stream(address, q); err != nil {
 			drop(q)
-			sleep(p.ctx, redialPause)
+			timer.Sleep(p.ctx, redialPause)
 		}
 	}
 }
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -1,7 +1,6 @@
 package leader
 
 import (
-	"cmp"
 	"errors"
 	"slices"
 	"time"
@@ -65,9 +64,6 @@
 	to         deployment.Life // planned holder, where one was chosen
 }
 
-// notePeriod is the time between two reports of the load in the log.
-const notePeriod = 2 * time.Second
-
 // NewModel returns a model that does not lead.
 func NewModel(timing Timing) *Model { return &Model{timing: timing} }
 
@@ -235,43 +231,6 @@
 	return append(effects, m.commands(free, moves)...)
 }
 
-// noteShares reports the load of all keyed services from time to time.
-func (m *Model) noteShares() []Effect {
-	if m.now.Sub(m.noted) < notePeriod {
-		return nil
-	}
-	m.noted = m.now
-	var out []Effect
-	for _, table := range m.state.Tables() {
-		note := NoteShares{Service: table.Service}
-		for _, s := range m.shares(table.Service) {
-			note.Shares = append(note.Shares, TargetShare{
-				Target: s.target.ID, Keys: s.width, Rate: s.rate, WorkMillis: 1000 * s.work, Utilization: s.utilization(),
-			})
-		}
-		note.Hot = m.hotKeys(table)
-		out = append(out, note)
-	}
-	return out
-}
-
-// maxHot is how many hot buckets a report of the load names.
-const maxHot = 8
-
-// hotKeys returns the busiest buckets of a service that count as hot.
-func (m *Model) hotKeys(table deployment.KeyTable) []HotKeys {
-	var out []HotKeys
-	l := m.loadOf(table.Service)
-	for b := range buckets {
-		if rate := l.rate(b); rate > hotRate {
-			from := deployment.Key(b * deployment.BucketKeys)
-			out = append(out, HotKeys{From: from, Rate: rate, Holder: table.Find(from).Target})
-		}
-	}
-	slices.SortFunc(out, func(a, b HotKeys) int { return cmp.Compare(b.Rate, a.Rate) })
-	return out[:min(len(out), maxHot)]
-}
-
 // commands returns the one command that is to be committed next.
 func (m *Model) commands(free []deployment.Assignment, moves []deployment.PieceRef) []Effect {
 	if m.pending {
--- a/internal/settings/instance.go
+++ b/internal/settings/instance.go
@@ -83,18 +83,23 @@
 	return out, f.Finish("instance", "control", "tls")
 }
 
-func (i *Instance) readRoles(s *Section) {
+// readRoles reads which roles an instance has.
+func readRoles(s *Section) (entry, control bool) {
 	roles := s.List("roles")
 	for _, r := range roles {
 		if r != "entry" && r != "control" {
 			s.Fault("roles", r, "must be entry, control or both"+nearest(r, []string{"entry", "control"}))
 		}
 	}
-	i.Entry = slices.Contains(roles, "entry")
-	i.Control = slices.Contains(roles, "control")
-	if !i.Entry && !i.Control {
+	entry, control = slices.Contains(roles, "entry"), slices.Contains(roles, "control")
+	if !entry && !control {
 		s.Fault("roles", strings.Join(roles, ", "), "must name entry, control or both")
 	}
+	return entry, control
+}
+
+func (i *Instance) readRoles(s *Section) {
+	i.Entry, i.Control = readRoles(s)
 	if i.Control && i.DataDir == "" {
 		s.Fault("data", "", "must be given for the control role")
 	}
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"net/netip"
 	"os"
-	"slices"
-	"strings"
 	"time"
 )
 
@@ -73,12 +71,7 @@
 }
 
 func (r *Routed) readRoles(s *Section) {
-	roles := s.List("roles")
-	r.Entry = slices.Contains(roles, "entry")
-	r.Control = slices.Contains(roles, "control")
-	if !r.Entry && !r.Control {
-		s.Fault("roles", strings.Join(roles, ", "), "must name entry, control or both")
-	}
+	r.Entry, r.Control = readRoles(s)
 	if r.Control && r.DataDir == "" {
 		s.Fault("data", "", "must be given for the control role")
 	}
--- a/internal/view/follow.go
+++ b/internal/view/follow.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/cranberrywind/cranberrywind/internal/instance"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
 // Follower keeps an entry's view up to date from one control instance at a
@@ -95,7 +96,7 @@
 		if ctx.Err() == nil {
 			f.cfg.Log.Warn("view stream lost; asking another control instance", "control", address, "version", f.View().Version, "error", err)
 		}
-		pause(ctx, retryPause)
+		timer.Sleep(ctx, retryPause)
 	}
 }
 
--- a/internal/view/publish.go
+++ b/internal/view/publish.go
@@ -61,19 +61,8 @@
 		case <-changed:
 		}
 		if src.State().Version() != version {
-			return pause(ctx, gatherTime)
+			return timer.Sleep(ctx, gatherTime)
 		}
 		changed = src.Changed()
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/pkg/limit/turns_test.go
+++ b/pkg/limit/turns_test.go
@@ -36,12 +36,12 @@
 		first()
 		<-taken
 	})
-	t.Run("one that stalls holds nobody up for good", func(t *testing.T) {
+	t.Run("one that stalls holds nobody up for good", func(*testing.T) {
 		turns := limit.NewTurns(1, time.Millisecond)
 		turns.Take(context.Background())
 		turns.Take(context.Background())()
 	})
-	t.Run("waiting ends with the context", func(t *testing.T) {
+	t.Run("waiting ends with the context", func(*testing.T) {
 		turns := limit.NewTurns(1, time.Hour)
 		turns.Take(context.Background())
 		ctx, cancel := context.WithCancel(context.Background())
--- a/pkg/timer/timer.go
+++ b/pkg/timer/timer.go
@@ -75,6 +75,18 @@
 	}
 }
 
+// Sleep waits for the time to pass and reports whether ctx is still alive.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
 // Manual is a service whose time moves only by Advance.
 type Manual struct {
 	mu   sync.Mutex
