Grant nothing to an address that failed until its target is heard again

Targets behind a cut crashed and started anew; when the cut healed, the renewal of the old life's keys reached the new life before its first heartbeat had, and it took keys under the fence of the life before. Ruled out: the split core (one half alone granted), late application. Change: a grant that failed is not sent again before the target was heard since; grants and releases name the target they are meant for. Test: TestFailedGrantWaitsForAHeartbeat, which failed before.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -25,8 +25,9 @@
 	Release(ctx context.Context, address string, g Grant) (handover string, err error)
 }
 
-// Grant names keys, the fence and, for a grant, its length.
+// Grant names the target, keys, the fence and, for a grant, its length.
 type Grant struct {
+	Target   string // ID; another target at the address must refuse the call
 	From, To deployment.Key
 	Fence    uint64
 	Hold     time.Duration
@@ -177,7 +178,7 @@
 	done := Granted{Piece: e.Piece}
 	if l.leads() {
 		ctx, cancel := context.WithTimeout(l.ctx, grantTimeout)
-		g := Grant{From: e.Piece.From, To: e.Piece.To, Fence: e.Piece.Fence, Hold: e.Hold, Handover: e.Handover}
+		g := Grant{Target: e.Target.ID, From: e.Piece.From, To: e.Piece.To, Fence: e.Piece.Fence, Hold: e.Hold, Handover: e.Handover}
 		done.Sent = true
 		done.Err = l.targets.Grant(ctx, e.Target.Address, g)
 		cancel()
@@ -196,7 +197,7 @@
 	done := Released{Piece: e.Piece, Err: replica.ErrNotLeader}
 	if l.leads() {
 		ctx, cancel := context.WithTimeout(l.ctx, releaseTimeout)
-		g := Grant{From: e.Piece.From, To: e.Piece.To, Fence: e.Piece.Fence}
+		g := Grant{Target: e.Target.ID, From: e.Piece.From, To: e.Piece.To, Fence: e.Piece.Fence}
 		done.Handover, done.Err = l.targets.Release(ctx, e.Target.Address, g)
 		cancel()
 	}
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -58,6 +58,7 @@
 	unanswered timer.Instant // grants that may still be applied late are over by then
 	confirmed  timer.Instant // first answer to a grant
 	failures   int           // grants in a row that were not answered
+	failedAt   timer.Instant // last one
 	fenced     bool          // the target has seen a higher fence
 	released   bool
 	handover   string
@@ -165,6 +166,7 @@
 		h.fenced = true
 	default:
 		h.failures++
+		h.failedAt = e.At
 		h.next = e.At.Add(m.timing.Renewal / 4)
 	}
 }
@@ -329,6 +331,11 @@
 	if h.calling || m.now < h.next {
 		return pieceStep{}
 	}
+	if h.failures > 0 && !m.heardSince(t, h.failedAt) {
+		// Another life may have the address by now. It must not be granted keys
+		// under the fence of the one before.
+		return pieceStep{}
+	}
 	h.calling = true
 	m.flights = append(m.flights, ref)
 	grant := SendGrant{Target: t, Piece: ref, Hold: m.timing.Hold, Handover: handover}
@@ -343,13 +350,15 @@
 	return pieceStep{effects: []Effect{SendRelease{Target: t, Piece: ref}}}
 }
 
-// unansweredGrants is after how many grants in a row without an answer a target
-// that sends no heartbeat either counts as unreachable.
-const unansweredGrants = 2
-
 // answers reports whether the target still answers grants or sends heartbeats.
 func (m *Model) answers(t deployment.Target, h *hold) bool {
-	return h.failures < unansweredGrants || m.recentlyHeard(t)
+	return h.failures == 0 || m.recentlyHeard(t)
+}
+
+// heardSince reports whether the target sent a heartbeat after the instant.
+func (m *Model) heardSince(t deployment.Target, at timer.Instant) bool {
+	heard, ok := m.heard[lifeOf(t)]
+	return ok && heard > at
 }
 
 func (m *Model) recentlyHeard(t deployment.Target) bool {
--- a/internal/leader/model_test.go
+++ b/internal/leader/model_test.go
@@ -296,6 +296,28 @@
 	})
 }
 
+// TestFailedGrantWaitsForAHeartbeat plays a cut behind which the target starts
+// anew: after the cut its address answers, and the new life is not known yet.
+func TestFailedGrantWaitsForAHeartbeat(t *testing.T) {
+	p := newPlay(t)
+	p.announce(1, nil)
+	p.settle(1)
+	var failed []Effect
+	for len(failed) == 0 {
+		p.heard(1)
+		failed = p.tick(50 * time.Millisecond)
+	}
+	p.now = p.now.Add(grantTimeout)
+	for _, e := range failed {
+		p.send(Granted{At: p.now, Piece: e.(SendGrant).Piece, Sent: true, Err: errLost})
+	}
+	for range 40 {
+		assert.Equal(t, len(p.tick(50*time.Millisecond)), 0, "granted again without a heartbeat")
+	}
+	p.heard(1)
+	assert.Equal(t, len(p.tick(50*time.Millisecond)), 1)
+}
+
 func TestFencedTargetIsGrantedAnew(t *testing.T) {
 	p := newPlay(t)
 	p.announce(1, nil)
