Ask several control instances for the view at a time, and resume it

Their view streams were lost with a cut leader, and a new one had 300 ms to bring its first update.

Ruled out: the group (the order was acknowledged within 50 ms), streams from members that had been replaced, a view that goes back.

Change: a control instance may take 1.5 s to bring its first update; another one is asked besides after 250 ms, at most three at a time; the first that is in touch with its leader is followed. The entry names the version it has and gets what changed since, with the IDs of all targets.

The property test of updates now withdraws and forgets targets and resumes from versions.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -278,8 +278,8 @@
 
 // Watch streams the view to an entry.
 func (c *Control) Watch(ctx context.Context, req *instance.WatchRequest, send func(*instance.ViewUpdate) error) error {
-	c.log.Info("entry watches", "entry", req.Instance)
-	return view.Publish(ctx, c, c.clock, send)
+	c.log.Info("entry watches", "entry", req.Instance, "view_version", req.Version)
+	return view.Publish(ctx, c, c.clock, req, send)
 }
 
 // State returns the state as far as it is applied here.
--- a/internal/instance/deployment.go
+++ b/internal/instance/deployment.go
@@ -81,10 +81,13 @@
 // WatchRequest asks for an entry's view and all its changes.
 type WatchRequest struct {
 	Instance string `msgpack:"instance"`
+	// Version and DocIndex are those of the view that the entry has; 0 for none.
+	Version  uint64 `msgpack:"version"`
+	DocIndex uint64 `msgpack:"doc_index"`
 }
 
 // ViewUpdate is what changed in an entry's view. The first one of a stream
-// brings all of it.
+// brings what changed since the view that the entry has, or all of it.
 type ViewUpdate struct {
 	Whole    bool                  `msgpack:"whole"`
 	Version  uint64                `msgpack:"version"` // log index that the view is complete to
@@ -92,6 +95,7 @@
 	Document *deployment.Order     `msgpack:"document"` // what changed in it; nil for nothing
 	Targets  []deployment.Target   `msgpack:"targets"`
 	Gone     []string              `msgpack:"gone"`    // IDs that were forgotten
+	Known    []string              `msgpack:"known"`   // IDs of all targets, where Gone can't be told
 	Tables   []deployment.KeyTable `msgpack:"tables"`  // with the pieces that changed
 	Control  []string              `msgpack:"control"` // addresses of control instances
 	// Suspects holds all kinds of requests that are suspected; SuspectsChanged
--- a/internal/view/follow.go
+++ b/internal/view/follow.go
@@ -38,10 +38,15 @@
 	// silenceLimit is for how long a stream may bring nothing, or its sender be
 	// out of touch with the leader, before another control instance is asked.
 	silenceLimit = 900 * time.Millisecond
-	// openLimit is for how long a stream may take to bring the first update.
-	// An instance without power does not answer at all.
-	openLimit  = 300 * time.Millisecond
-	retryPause = 50 * time.Millisecond
+	// openLimit is for how long a stream may take to bring the first update: a
+	// few round trips over a link that other traffic fills.
+	openLimit = 1500 * time.Millisecond
+	// openStagger is how long one control instance is waited for before another
+	// is asked besides. One without power does not answer at all.
+	openStagger = 250 * time.Millisecond
+	// mostOpening bounds how many are asked at a time.
+	mostOpening = 3
+	retryPause  = 50 * time.Millisecond
 )
 
 // errSilent ends a stream whose sender is silent or out of touch.
@@ -84,30 +89,90 @@
 func (f *Follower) run(ctx context.Context) {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(f.cfg.Name))
-	for n := int(h.Sum32() >> 1); ctx.Err() == nil; n++ {
-		control := slices.Sorted(slices.Values(f.View().Control))
-		for _, seed := range *f.seeds.Load() {
-			if !slices.Contains(control, seed) {
-				control = append(control, seed)
+	n := int(h.Sum32() >> 1)
+	for ctx.Err() == nil {
+		f.follow(ctx, &n)
+		timer.Sleep(ctx, retryPause)
+	}
+}
+
+// follow asks one control instance after the other until a stream comes from one
+// that is in touch with the leader, and stays with that until it is lost.
+func (f *Follower) follow(ctx context.Context, n *int) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	opening := make(map[string]*stream)
+	chosen := make(chan *stream, mostOpening)
+	lost := make(chan *stream, mostOpening)
+	for {
+		if address := f.candidate(n, opening); address != "" {
+			s := &stream{address: address}
+			s.ctx, s.cancel = context.WithCancelCause(ctx)
+			opening[address] = s
+			go func() {
+				f.watch(s, chosen)
+				lost <- s
+			}()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(openStagger):
+		case s := <-lost:
+			delete(opening, s.address)
+			timer.Sleep(ctx, retryPause)
+		case s := <-chosen:
+			for _, other := range opening {
+				if other != s {
+					other.cancel(errNotNeeded)
+				}
 			}
+			<-s.ctx.Done()
+			return
 		}
-		address := control[n%len(control)]
-		err := f.watch(ctx, address)
-		if ctx.Err() == nil {
-			f.cfg.Log.Warn("view stream lost; asking another control instance", "control", address, "version", f.View().Version, "error", err)
+	}
+}
+
+// candidate returns the next control instance to ask, or "" where enough are
+// being asked.
+func (f *Follower) candidate(n *int, opening map[string]*stream) string {
+	if len(opening) >= mostOpening {
+		return ""
+	}
+	control := slices.Sorted(slices.Values(f.View().Control))
+	for _, seed := range *f.seeds.Load() {
+		if !slices.Contains(control, seed) {
+			control = append(control, seed)
 		}
-		timer.Sleep(ctx, retryPause)
 	}
+	for range control {
+		*n++
+		if address := control[*n%len(control)]; opening[address] == nil {
+			return address
+		}
+	}
+	return ""
 }
 
-// watch follows one control instance until it falls silent.
-func (f *Follower) watch(ctx context.Context, address string) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	silence := time.AfterFunc(openLimit, func() { cancel(errSilent) })
+// stream is one stream of the view, or the try to open it.
+type stream struct {
+	address string
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+}
+
+// errNotNeeded ends a try to open a stream after another one has come.
+var errNotNeeded = errors.New("another control instance answered first")
+
+// watch follows one control instance until it falls silent. It tells once that
+// the instance is in touch with its leader.
+func (f *Follower) watch(s *stream, chosen chan<- *stream) {
+	silence := time.AfterFunc(openLimit, func() { s.cancel(errSilent) })
 	defer silence.Stop()
-	first := true
-	err := f.cfg.Pool.Watch(ctx, address, &instance.WatchRequest{Instance: f.cfg.Name}, func(u *instance.ViewUpdate) error {
+	first, told := true, false
+	view := f.View()
+	req := &instance.WatchRequest{Instance: f.cfg.Name, Version: view.Version, DocIndex: view.DocIndex}
+	err := f.cfg.Pool.Watch(s.ctx, s.address, req, func(u *instance.ViewUpdate) error {
 		if u.Current || first {
 			silence.Reset(silenceLimit)
 		}
@@ -115,40 +180,42 @@
 			f.heard.Store(time.Now().UnixNano())
 		}
 		if first {
-			f.cfg.Log.Info("view stream open", "control", address, "version", u.Version, "current", u.Current)
+			f.cfg.Log.Info("view stream open", "control", s.address, "version", u.Version, "current", u.Current)
 			first = false
 		}
-		return f.take(u)
+		if u.Current && !told {
+			told = true
+			chosen <- s
+		}
+		f.take(u)
+		return nil
 	})
-	if cause := context.Cause(ctx); cause != nil {
-		return cause
+	if cause := context.Cause(s.ctx); cause != nil {
+		err = cause
+	}
+	s.cancel(err)
+	if !errors.Is(err, errNotNeeded) && !errors.Is(err, context.Canceled) {
+		f.cfg.Log.Warn("view stream lost; asking another control instance", "control", s.address, "version", f.View().Version, "error", err)
 	}
-	return err
 }
 
-// errOlder ends a stream whose sender has not caught up with this view.
-var errOlder = errors.New("control instance has an older view")
-
-// take applies an update. A view never goes back.
-func (f *Follower) take(u *instance.ViewUpdate) error {
+// take applies an update. A view never goes back: updates of a sender that has
+// not caught up with it are passed over.
+func (f *Follower) take(u *instance.ViewUpdate) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	old := f.view.Load()
 	if u.Version < old.Version {
-		if u.Whole {
-			return errOlder
-		}
-		return nil
+		return
 	}
 	next := old.With(u)
 	f.view.Store(next)
 	if u.Version == old.Version && !u.Whole {
-		return nil
+		return
 	}
 	if u.DocIndex != old.DocIndex {
 		f.cfg.Log.Info("configuration in force", "version", next.Document.Version, "index", u.DocIndex)
 	}
-	f.mu.Lock()
 	close(f.changed)
 	f.changed = make(chan struct{})
-	f.mu.Unlock()
-	return nil
 }
--- a/internal/view/publish.go
+++ b/internal/view/publish.go
@@ -27,16 +27,19 @@
 	gatherTime = 5 * time.Millisecond
 )
 
-// Publish sends an entry all of the view and then each change, until send fails
-// or ctx ends.
-func Publish(ctx context.Context, src Source, clock timer.Service, send func(*instance.ViewUpdate) error) error {
+// Publish sends an entry what it lacks of the view and then each change, until
+// send fails or ctx ends.
+func Publish(ctx context.Context, src Source, clock timer.Service, have *instance.WatchRequest, send func(*instance.ViewUpdate) error) error {
 	pings, stop := clock.Subscribe(pingPeriod)
 	defer stop()
 	var sent *deployment.State
 	for {
 		changed := src.Changed()
 		state := src.State()
-		u := Since(sent, state)
+		u := Resume(have, state)
+		if sent != nil {
+			u = Since(sent, state)
+		}
 		u.Current = src.Current()
 		u.Control = src.Control()
 		if err := send(u); err != nil {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -4,6 +4,7 @@
 package view
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
@@ -80,7 +81,7 @@
 		next.Document = u.Document.ApplyTo(old)
 		next.Routes = deployment.NewTable(next.Document)
 	}
-	if u.Whole || len(u.Targets) > 0 || len(u.Gone) > 0 {
+	if u.Whole || len(u.Targets) > 0 || len(u.Gone) > 0 || len(u.Known) > 0 {
 		next.withTargets(u)
 	}
 	if u.Whole || len(u.Tables) > 0 {
@@ -102,6 +103,12 @@
 	for _, t := range u.Targets {
 		targets[t.ID] = t
 	}
+	if len(u.Known) > 0 {
+		maps.DeleteFunc(targets, func(id string, _ deployment.Target) bool {
+			_, known := slices.BinarySearch(u.Known, id)
+			return !known
+		})
+	}
 	v.targets = targets
 	v.services = make(map[string][]deployment.Target)
 	for _, t := range targets {
@@ -152,20 +159,52 @@
 		change := doc.Since(before)
 		u.Document = &change
 	}
-	for _, t := range now.Targets() {
-		if t.Changed > old.Version() {
-			u.Targets = append(u.Targets, t)
-		}
-	}
+	addChanges(u, old.Version(), now)
 	for _, t := range old.Targets() {
 		if _, ok := now.Target(t.ID); !ok {
 			u.Gone = append(u.Gone, t.ID)
 		}
 	}
+	return u
+}
+
+// addChanges adds the targets and holders of keys that changed after a log index.
+func addChanges(u *instance.ViewUpdate, version uint64, now deployment.State) {
+	for _, t := range now.Targets() {
+		if t.Changed > version {
+			u.Targets = append(u.Targets, t)
+		}
+	}
 	for _, t := range now.Tables() {
-		if t.Changed > old.Version() {
-			u.Tables = append(u.Tables, t.Since(old.Version()))
+		if t.Changed > version {
+			u.Tables = append(u.Tables, t.Since(version))
 		}
 	}
+}
+
+// Resume returns what changed since a view of which only the version is known.
+// It spares an entry on a busy link most of what it has. A view that is newer
+// than the state gets nothing but the state's version.
+func Resume(have *instance.WatchRequest, now deployment.State) *instance.ViewUpdate {
+	if have.Version == 0 {
+		return Since(nil, now)
+	}
+	doc, docIndex := now.Document()
+	u := &instance.ViewUpdate{Version: now.Version(), DocIndex: docIndex}
+	if have.Version > now.Version() {
+		return u
+	}
+	if docIndex != have.DocIndex {
+		whole := doc.Since(deployment.Document{})
+		whole.Whole = true
+		u.Document = &whole
+	}
+	if suspects, blamed := now.Suspects(); blamed > have.Version {
+		u.Suspects, u.SuspectsChanged = suspects, true
+	}
+	addChanges(u, have.Version, now)
+	for _, t := range now.Targets() {
+		u.Known = append(u.Known, t.ID)
+	}
 	return u
 }
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -26,7 +26,13 @@
 // command draws a change of the agreed state.
 func command(t *rapid.T, s deployment.State, step int) deployment.Command {
 	doc, _ := s.Document()
-	switch rapid.IntRange(0, 3).Draw(t, "kind") {
+	switch rapid.IntRange(0, 4).Draw(t, "kind") {
+	case 4:
+		life := deployment.Life{ID: fmt.Sprintf("t%d", rapid.IntRange(0, 3).Draw(t, "gone")), Born: 1}
+		if rapid.Bool().Draw(t, "forget") {
+			return deployment.Command{Forget: []deployment.Life{life}}
+		}
+		return deployment.Command{Withdraw: &life}
 	case 0:
 		n := rapid.IntRange(0, 5).Draw(t, "route")
 		return deployment.Command{Order: &deployment.Order{
@@ -63,9 +69,14 @@
 		sent := state
 		for step := 2; step < 40; step++ {
 			state, _ = state.Apply(uint64(step), wire.Encode(command(t, state, step)))
-			if rapid.Bool().Draw(t, "send") {
+			switch rapid.IntRange(0, 2).Draw(t, "send") {
+			case 0:
 				v = v.With(received(view.Since(&sent, state)))
 				sent = state
+			case 1:
+				have := &instance.WatchRequest{Version: v.Version, DocIndex: v.DocIndex}
+				v = v.With(received(view.Resume(have, state)))
+				sent = state
 			}
 		}
 		v = v.With(received(view.Since(&sent, state)))
