Pass large answers on as they come in, and share narrow links by chunks

Reading slowly does not help: a target sends 80 KB ahead at once.

Change: an answer of more than 24 KB is passed on while it comes in; one that breaks is cut before its length, so that it does not look whole. On narrow links large answers are written in chunks of 8 KB at the link's pace, the one with the least left first; small ones go at once. Turns and socket buffers are gone. A HEAD request for an answer with a length was answered 502: mended.

What is left of the wait is the way in: a target's 80 KB.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -181,8 +181,7 @@
 
 func (f *Fleet) startEntry(ctx context.Context) error {
 	f.follow = view.Follow(ctx, view.FollowerConfig{Name: f.cfg.Name, Seeds: f.cfg.Seeds, Pool: f.pool, Log: f.log})
-	buffer := linkBuffer(f.cfg.LinkMbps)
-	targets, closeTargets := targethttp.NewPool(f.clock, targethttp.WithReadBuffer(buffer), targethttp.WithTurns(linkTurns(f.cfg.LinkMbps)))
+	targets, closeTargets := targethttp.NewPool(f.clock)
 	f.cleanups.Add(closeTargets)
 	l, err := net.Listen("tcp", f.cfg.CallerAddress)
 	if err != nil {
@@ -203,8 +202,7 @@
 		RetryRatio:       f.cfg.RetryRatio,
 		RetryBurst:       f.cfg.RetryBurst,
 		RetryMargin:      retryMargin,
-		WriteBuffer:      buffer,
-		Turns:            linkTurns(f.cfg.LinkMbps),
+		Link:             narrowLink(f.cfg.LinkMbps),
 	})
 	f.entry = server
 	f.cleanups.Add(stopServer)
@@ -212,35 +210,21 @@
 }
 
 const (
-	// linkQueue is for how long one connection's bytes may occupy a narrow link.
-	linkQueue = 15 * time.Millisecond
 	// narrowMbps is below which a link counts as narrow.
-	narrowMbps      = 100.0
-	leastLinkBuffer = 8 << 10 // bytes
-	bytesPerMbit    = 1e6 / 8
+	narrowMbps   = 100.0
+	bytesPerMbit = 1e6 / 8
+	// answersShare is the share of a link that answers to callers may take: the
+	// rest is for requests to targets, other instances, and packet headers.
+	answersShare = 0.92
 )
 
-// linkBuffer returns the socket buffers, in bytes, that suit a narrow link, and 0
-// for any other.
-func linkBuffer(mbps float64) int {
-	if mbps <= 0 || mbps >= narrowMbps {
-		return 0
-	}
-	return max(leastLinkBuffer, int(mbps*bytesPerMbit*linkQueue.Seconds()))
-}
-
-const (
-	mbpsPerTurn = 10.0                   // link that one large transfer at a time fills
-	longestTurn = 400 * time.Millisecond // wait for a turn: half of a download's usual objective
-)
-
-// linkTurns returns the turns of large transfers on a narrow link, and nil for
-// any other.
-func linkTurns(mbps float64) *limit.Turns {
+// narrowLink returns the link that large answers share, and nil for one that is
+// wide enough for all.
+func narrowLink(mbps float64) *limit.Link {
 	if mbps <= 0 || mbps >= narrowMbps {
 		return nil
 	}
-	return limit.NewTurns(max(1, int(mbps/mbpsPerTurn)), longestTurn)
+	return limit.NewLink(mbps * bytesPerMbit * answersShare)
 }
 
 // reportTimeout bounds one try to bring measurements to the leader.
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -15,6 +15,7 @@
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
 	"github.com/cranberrywind/cranberrywind/internal/targethttp"
+	"github.com/cranberrywind/cranberrywind/pkg/limit"
 )
 
 const (
@@ -54,9 +55,26 @@
 	status  int
 	header  http.Header
 	body    []byte
-	closing bool // the connection ends with it
-	abort   bool // the connection is cut without an answer
-	head    bool // answers a HEAD request
+	rest    *targethttp.Rest // a body that is still coming in, instead of body
+	ended   func(error)      // is told how the passing on of rest ended
+	closing bool             // the connection ends with it
+	abort   bool             // the connection is cut without an answer
+	head    bool             // answers a HEAD request
+}
+
+// size returns the length of the body.
+func (r response) size() int {
+	if r.rest != nil {
+		return r.rest.Size()
+	}
+	return len(r.body)
+}
+
+// done tells how the passing on of the answer ended.
+func (r response) done(err error) {
+	if r.ended != nil {
+		r.ended(err)
+	}
 }
 
 // callerConn is one connection of a caller. Requests are read ahead and run side
@@ -110,11 +128,6 @@
 	}
 	s.track(c)
 	defer s.untrack(c)
-	if tcp, ok := nc.(*net.TCPConn); ok && s.cfg.WriteBuffer > 0 {
-		if err := tcp.SetWriteBuffer(s.cfg.WriteBuffer); err != nil {
-			s.log.Warn("write buffer not set", "error", err)
-		}
-	}
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
@@ -319,6 +332,10 @@
 	return &r
 }
 
+// errConnectionEnded reports an answer that came after its caller's connection
+// had ended.
+var errConnectionEnded = errors.New("caller's connection has ended")
+
 // writeAnswers sends the answers in the order of their requests.
 func (c *callerConn) writeAnswers() {
 	broken := false
@@ -326,10 +343,13 @@
 		r := <-answer
 		ends := c.done()
 		if broken {
+			r.done(errConnectionEnded)
 			continue
 		}
 		last := r.closing || ends
-		if r.abort || c.write(r, last) != nil || last {
+		err := c.write(r, last)
+		r.done(err)
+		if r.abort || err != nil || last {
 			broken = true
 			c.end()
 		}
@@ -338,6 +358,55 @@
 
 // write sends one answer.
 func (c *callerConn) write(r response, last bool) error {
+	if r.abort {
+		return nil
+	}
+	link, size := c.server.cfg.Link, r.size()
+	small := r.rest == nil && (link == nil || size <= targethttp.LargeBytes)
+	out := c.header(r, last)
+	if small && !r.head {
+		out = append(out, r.body...)
+	}
+	link.Note(len(out))
+	if err := c.send(out); err != nil || small || r.head {
+		return err
+	}
+	return c.writeLarge(r)
+}
+
+// writeLarge sends a body as it comes in, in chunks.
+func (c *callerConn) writeLarge(r response) error {
+	size := r.size()
+	for at := 0; at < size; {
+		part := r.body[min(at, len(r.body)):]
+		if r.rest != nil {
+			var err error
+			if part, err = r.rest.Next(c.ctx, at); err != nil {
+				return err
+			}
+		}
+		if c.server.cfg.Link != nil {
+			part = part[:min(len(part), limit.Chunk)]
+		}
+		if err := c.server.cfg.Link.Wait(c.ctx, len(part), size-at); err != nil {
+			return err
+		}
+		if err := c.send(part); err != nil {
+			return err
+		}
+		at += len(part)
+	}
+	return nil
+}
+
+func (c *callerConn) send(data []byte) error {
+	_ = c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := c.net.Write(data)
+	return err
+}
+
+// header returns the header of an answer.
+func (c *callerConn) header(r response, last bool) []byte {
 	out := make([]byte, 0, 512+len(r.body))
 	out = fmt.Appendf(out, "HTTP/1.1 %03d %s\r\n", r.status, http.StatusText(r.status))
 	for name, values := range r.header {
@@ -350,22 +419,13 @@
 	}
 	if r.status != http.StatusNoContent && r.status != http.StatusNotModified && (!r.head || r.header.Get("Content-Length") == "") {
 		out = append(out, "Content-Length: "...)
-		out = strconv.AppendInt(out, int64(len(r.body)), 10)
+		out = strconv.AppendInt(out, int64(r.size()), 10)
 		out = append(out, "\r\n"...)
 	}
 	if last {
 		out = append(out, "Connection: close\r\n"...)
 	}
-	out = append(out, "\r\n"...)
-	if !r.head {
-		out = append(out, r.body...)
-	}
-	if len(out) > targethttp.LargeBytes {
-		defer c.server.cfg.Turns.Take(c.ctx)()
-	}
-	_ = c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, err := c.net.Write(out)
-	return err
+	return append(out, "\r\n"...)
 }
 
 // end stops reading: the connection closes once its answers are out. The write
--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -16,6 +16,9 @@
 const (
 	// answerMargin is taken off the time that a target gets, for the way back.
 	answerMargin = 10 * time.Millisecond
+	// bodyGrace is for how long a body that began to come in may go on after its
+	// request's deadline.
+	bodyGrace = 250 * time.Millisecond
 	// leastTime is the shortest time that is worth sending a request for.
 	leastTime = 15 * time.Millisecond
 	// holderWait is the share of the time left for which a request waits for
@@ -68,10 +71,11 @@
 	last     string        // why there is no answer yet
 	expected time.Duration // at the target that was chosen last
 	target   deployment.Target
-	ending   ending // of the last attempt
-	fence    uint64 // under which it holds the key
-	kind     string // fingerprint
-	piece    string // keys and fence under which the target was asked
+	ending   ending          // of the last attempt
+	fence    uint64          // under which it holds the key
+	kind     string          // fingerprint
+	piece    string          // keys and fence under which the target was asked
+	bodyCtx  context.Context // ends when the caller leaves, or a body is too late
 }
 
 // handle returns the final answer to one request.
@@ -86,7 +90,30 @@
 		// A caller that leaves ends the work for it.
 		defer context.AfterFunc(r.ctx, cancel)()
 	}
-	return s.finish(r, c, s.attempts(ctx, c))
+	var release context.CancelFunc
+	c.bodyCtx, release = context.WithDeadline(r.ctx, c.deadline.Add(bodyGrace))
+	out := s.attempts(ctx, c)
+	if out.rest == nil {
+		release()
+	} else {
+		out.ended = func(err error) {
+			release()
+			s.passedOn(c, err)
+		}
+	}
+	return s.finish(r, c, out)
+}
+
+// passedOn takes how an answer ended that was passed on as it came in.
+func (s *Server) passedOn(c *call, err error) {
+	if err == nil {
+		return
+	}
+	s.log.Info("answer broke off while it was passed on", append(c.attemptFields(), "request_id", c.id, "caller_left", c.ctx.Err() != nil,
+		"error", err)...)
+	if errors.Is(err, targethttp.ErrBroken) && c.ctx.Err() == nil {
+		s.targets.brokeOff(c.target)
+	}
 }
 
 func (s *Server) finish(r *request, c *call, out response) response {
@@ -206,6 +233,8 @@
 		Body:    c.body,
 		ID:      c.id,
 		Careful: !c.route.Kind.Idempotent(),
+
+		BodyContext: c.bodyCtx,
 	})
 	took := time.Since(began)
 	if err != nil {
@@ -215,6 +244,12 @@
 	if s.cfg.Dialect.ParseLoad != nil {
 		e.load, e.loadKnown = s.cfg.Dialect.ParseLoad(a.Header.Get(s.cfg.Dialect.Load))
 	}
+	if a.Rest != nil && (a.Status >= http.StatusMultipleChoices || s.isNotRun(a) || s.fault(a) != "") {
+		if a.Body, err = a.Rest.Whole(ctx); err != nil {
+			return s.failed(ctx, c, t, err, took)
+		}
+		a.Rest = nil
+	}
 	if s.isNotRun(a) {
 		c.sent++
 		c.last = fmt.Sprintf("target %s did not run it: status %d", t.ID, a.Status)
@@ -246,7 +281,10 @@
 	} else {
 		s.logAttempt(c, t, e, "")
 	}
-	out := response{status: a.Status, header: passedHeaders(a.Header), body: a.Body}
+	out := response{status: a.Status, header: passedHeaders(a.Header), body: a.Body, rest: a.Rest}
+	if length := a.Header.Get("Content-Length"); c.method == http.MethodHead && length != "" {
+		out.header["Content-Length"] = []string{length}
+	}
 	return &out, false
 }
 
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -37,11 +37,8 @@
 	RetryRatio  float64 // retries of all entries together, as a share of requests
 	RetryBurst  float64 // retries that one entry may save up
 	RetryMargin float64 // share of RetryRatio that is used
-	// WriteBuffer bounds how many bytes of an answer wait for the link; 0 for
-	// the system's default.
-	WriteBuffer int
-	// Turns are taken by large answers on a narrow link; nil for none.
-	Turns *limit.Turns
+	// Link is shared by answers on a narrow link; nil for one that is wide enough.
+	Link *limit.Link
 }
 
 // Server is an entry's edge towards callers.
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -247,6 +247,13 @@
 	}
 }
 
+// brokeOff counts an answer that broke after it had begun.
+func (ts *targets) brokeOff(t deployment.Target) {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	ts.state(t).failed(ending{broken: true}, ts.clock.Now())
+}
+
 // ending is what became of one request to a target.
 type ending struct {
 	failed    bool // no answer although one was due
--- a/internal/targethttp/exchange.go
+++ b/internal/targethttp/exchange.go
@@ -8,8 +8,6 @@
 	"net/http"
 	"os"
 	"time"
-
-	"github.com/cranberrywind/cranberrywind/pkg/limit"
 )
 
 // Request is one request as it goes to a target.
@@ -19,21 +17,26 @@
 	Body    []byte
 	ID      string // that the answer has to echo
 	Careful bool   // must not run twice: avoids connections that may be closing
+	// BodyContext lets a large body come in after Do has returned, until the
+	// context ends. Nil asks for whole answers.
+	BodyContext context.Context
 }
 
-// Answer is a target's whole answer.
+// Answer is a target's answer.
 type Answer struct {
 	Status int
 	Header http.Header
-	Body   []byte
-	Reused bool // came on a connection that had been used before
+	Body   []byte // whole, unless Rest is set
+	Rest   *Rest  // a body that is still coming in
+	Reused bool   // came on a connection that had been used before
 }
 
 const (
 	// maxStale is how many answers to earlier requests are passed over on a
 	// connection before it is given up.
 	maxStale = 4
-	// LargeBytes is from which length on a body takes turns on a narrow link.
+	// LargeBytes is from which length on a body can be passed on before it is
+	// whole.
 	LargeBytes = 24 << 10
 	// maxAnswerBytes bounds one answer's body, which is held in memory whole.
 	maxAnswerBytes = 64 << 20
@@ -41,9 +44,10 @@
 
 var errTooLarge = errors.New("answer is too large")
 
-// Do sends a request to the address and reads its whole answer. Most is how
-// many connections to the address may be open. IDHeader names the header that
-// repeats the request's ID. The connection is closed where ctx ends first.
+// Do sends a request to the address and reads its whole answer, or all but a
+// large body where the request allows that. Most is how many connections to the
+// address may be open. IDHeader names the header that repeats the request's ID.
+// The connection is closed where ctx ends first.
 func (p *Pool) Do(ctx context.Context, address string, most int, idHeader string, r Request) (*Answer, error) {
 	c, err := p.get(ctx, address, most, r.Careful)
 	if err != nil {
@@ -54,21 +58,37 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	a, keep, err := c.exchange(ctx, p.turns, idHeader, r)
-	if !stop() || err != nil || !keep {
+	resp, reusable, err := c.exchange(idHeader, r)
+	a := &Answer{Reused: c.reused}
+	if err == nil {
+		a.Status, a.Header = resp.StatusCode, resp.Header
+		if r.BodyContext != nil && r.Method != http.MethodHead && resp.ContentLength > LargeBytes && resp.ContentLength <= maxAnswerBytes && stop() {
+			a.Rest = newRest(int(resp.ContentLength))
+			go p.readRest(r.BodyContext, c, resp, a.Rest, reusable)
+			return a, nil
+		}
+		if a.Body, err = readBody(resp); err != nil {
+			err = fmt.Errorf("%w: %w", ErrBroken, err)
+		}
+	}
+	if !stop() || err != nil || !reusable || c.reader.Buffered() > 0 {
 		p.drop(c)
 	} else {
 		p.put(c)
 	}
-	if err != nil && ctx.Err() != nil && !errors.Is(err, ErrNotSent) {
+	if err == nil {
+		return a, nil
+	}
+	if ctx.Err() != nil && !errors.Is(err, ErrNotSent) {
 		err = fmt.Errorf("%w: %w", ErrTimeout, err)
 	}
-	return a, err
+	return nil, err
 }
 
-// exchange writes the request and reads answers until the one with its ID. It
-// reports whether the connection may be used again.
-func (c *conn) exchange(ctx context.Context, turns *limit.Turns, idHeader string, r Request) (*Answer, bool, error) {
+// exchange writes the request and reads answers until the one with its ID, of
+// which it reads the header. It reports whether the connection may be used again
+// after the body.
+func (c *conn) exchange(idHeader string, r Request) (*http.Response, bool, error) {
 	n, writeErr := c.write(r)
 	if writeErr != nil && n == 0 && !errors.Is(writeErr, os.ErrDeadlineExceeded) {
 		return nil, false, fmt.Errorf("%w: %w", ErrNotSent, writeErr)
@@ -76,13 +96,18 @@
 	// A target may answer and close before it has read a long body, so that the
 	// answer is read after a failed write too.
 	for range maxStale {
-		a, keep, err := c.readAnswer(ctx, turns, r.Method)
+		resp, err := c.readHeader(r.Method)
 		if err != nil {
 			return nil, false, fmt.Errorf("%w: %w", ErrBroken, err)
 		}
-		if got := a.Header.Get(idHeader); got == r.ID || got == "" && a.Status >= http.StatusBadRequest {
-			a.Reused = c.reused
-			return a, keep && writeErr == nil && c.reader.Buffered() == 0, nil
+		// One without a length is whole where the connection ends without a reset.
+		unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+		keep := !resp.Close && !unframed
+		if got := resp.Header.Get(idHeader); got == r.ID || got == "" && resp.StatusCode >= http.StatusBadRequest {
+			return resp, keep && writeErr == nil, nil
+		}
+		if _, err := readBody(resp); err != nil {
+			return nil, false, fmt.Errorf("%w: %w", ErrBroken, err)
 		}
 		if !keep {
 			break
@@ -99,35 +124,26 @@
 	return c.Write(append(append(out, r.Head...), r.Body...))
 }
 
-// readAnswer reads one whole answer. One without a length is whole where the
-// connection ends without a reset.
-func (c *conn) readAnswer(ctx context.Context, turns *limit.Turns, method string) (*Answer, bool, error) {
+// readHeader reads the header of one answer.
+func (c *conn) readHeader(method string) (*http.Response, error) {
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, false, err
+			return nil, err
 		}
 		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue // interim answer
 		}
-		giveBack := func() {}
-		if resp.ContentLength > LargeBytes {
-			giveBack = turns.Take(ctx)
-		}
-		body, err := readBody(resp)
-		giveBack()
-		if err != nil {
-			return nil, false, err
-		}
 		c.noteKeepAlive(resp.Header)
-		unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-		keep := !resp.Close && !unframed
-		return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, keep, nil
+		return resp, nil
 	}
 }
 
 func readBody(resp *http.Response) ([]byte, error) {
 	defer func() { _ = resp.Body.Close() }()
+	if resp.Request.Method == http.MethodHead {
+		return nil, nil
+	}
 	if resp.ContentLength > maxAnswerBytes {
 		return nil, errTooLarge
 	}
--- a/internal/targethttp/pool.go
+++ b/internal/targethttp/pool.go
@@ -18,7 +18,6 @@
 	"syscall"
 	"time"
 
-	"github.com/cranberrywind/cranberrywind/pkg/limit"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
@@ -51,12 +50,10 @@
 // Pool keeps idle connections to targets. Its methods are safe for concurrent
 // use.
 type Pool struct {
-	clock      timer.Service
-	readBuffer int // bytes that a target may send ahead; 0 for the system's default
-	reset      bool
-	turns      *limit.Turns
-	mu         sync.Mutex
-	hosts      map[string]*host
+	clock timer.Service
+	reset bool
+	mu    sync.Mutex
+	hosts map[string]*host
 }
 
 // host is what the pool knows of one address.
@@ -78,14 +75,6 @@
 // Option changes a pool.
 type Option func(*Pool)
 
-// WithReadBuffer bounds how many bytes of an answer a target may send ahead of
-// what was read. Many large answers together then don't fill a narrow link's
-// queue, in which small ones would have to wait.
-func WithReadBuffer(bytes int) Option { return func(p *Pool) { p.readBuffer = bytes } }
-
-// WithTurns makes large answers take turns on a narrow link.
-func WithTurns(t *limit.Turns) Option { return func(p *Pool) { p.turns = t } }
-
 // WithReset makes every close of a connection reset it, so that bytes that the
 // target has not received are lost.
 func WithReset() Option { return func(p *Pool) { p.reset = true } }
@@ -197,11 +186,6 @@
 	if !ok {
 		return nil
 	}
-	if p.readBuffer > 0 {
-		if err := tcp.SetReadBuffer(p.readBuffer); err != nil {
-			return fmt.Errorf("set read buffer: %w", err)
-		}
-	}
 	if p.reset {
 		if err := tcp.SetLinger(0); err != nil {
 			return fmt.Errorf("set linger: %w", err)
--- /dev/null
+++ b/pkg/limit/link_test.go
@@ -0,0 +1,80 @@
+package limit_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrywind/cranberrywind/pkg/limit"
+)
+
+func ExampleLink() {
+	link := limit.NewLink(6e6 / 8)
+	body := make([]byte, 3*limit.Chunk)
+	for len(body) > 0 {
+		if err := link.Wait(context.Background(), limit.Chunk, len(body)); err != nil {
+			return
+		}
+		body = body[limit.Chunk:]
+		fmt.Println("chunk sent")
+	}
+	// Output:
+	// chunk sent
+	// chunk sent
+	// chunk sent
+}
+
+// waitFor lets a transfer wait in the background and tells when it may go.
+func waitFor(link *limit.Link, left int, name string, order chan<- string) {
+	go func() {
+		if link.Wait(context.Background(), 1, left) == nil {
+			order <- name
+		}
+	}()
+	time.Sleep(20 * time.Millisecond) // lets it begin to wait
+}
+
+func TestLink(t *testing.T) {
+	t.Run("the transfer with the least left goes first", func(t *testing.T) {
+		link := limit.NewLink(1000)
+		link.Note(300) // busy for 0.3 s
+		order := make(chan string, 3)
+		waitFor(link, 300, "long", order)
+		waitFor(link, 100, "short", order)
+		waitFor(link, 200, "middle", order)
+		for _, want := range []string{"short", "middle", "long"} {
+			assert.Equal(t, <-order, want)
+		}
+	})
+	t.Run("small transfers make large ones wait", func(t *testing.T) {
+		link := limit.NewLink(1000)
+		link.Note(100)
+		began := time.Now()
+		assert.NilError(t, link.Wait(context.Background(), 1, 1))
+		assert.Assert(t, time.Since(began) > 50*time.Millisecond)
+	})
+	t.Run("a transfer is not faster than the link", func(t *testing.T) {
+		link := limit.NewLink(10_000)
+		began := time.Now()
+		for range 4 {
+			assert.NilError(t, link.Wait(context.Background(), 1000, 4000))
+		}
+		assert.Assert(t, time.Since(began) > 250*time.Millisecond)
+	})
+	t.Run("waiting ends with the context", func(t *testing.T) {
+		link := limit.NewLink(1)
+		link.Note(1000)
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+		defer cancel()
+		assert.Assert(t, errors.Is(link.Wait(ctx, 1, 1), context.DeadlineExceeded))
+	})
+	t.Run("no link, no waiting", func(t *testing.T) {
+		var link *limit.Link
+		link.Note(1 << 30)
+		assert.NilError(t, link.Wait(context.Background(), 1<<30, 1<<30))
+	})
+}
