Spread requests of many entries, share failures, refuse keyed ones at once

The time-outs fell on few targets at a time, whose expected time was 60 ms, the figure assumed of an unknown target: each of 53 entries sees a target once in five seconds, and all chose the one that looked best, until its queue was full and it kept silent.

Change: with more than 16 entries a target is drawn by lot, as often as it can serve requests, and the better of two is taken; an unknown target is assumed to work like the others of its service, and first answers count more; requests that are overdue, and failures that all entries see, count against a target; a holder that turns a request down is asked once more, or not if it is full, and the caller hears of it at once; a failed lookup is sent again within the budget; a connection is waited for up to half of the objective, and tried twice for a key. Long lists in log lines are cut to their first items.

Shown failing before: TestRefusedByHolder, TestFailedByTarget. TestChoice's case of a queue gave one target an answer of 1 ms; it now works like the other, with the same bounds, since first answers count more.

--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -11,6 +11,7 @@
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
 	"github.com/cranberrywind/cranberrywind/internal/targethttp"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
 const (
@@ -19,6 +20,14 @@
 	// bodyGrace is for how long a body that began to come in may go on after its
 	// request's deadline.
 	bodyGrace = 250 * time.Millisecond
+	// leastConnect and mostConnect bound the wait for a connection: several round
+	// trips within a region, and half of what a caller waits before it gives up a
+	// connection of its own.
+	leastConnect = 250 * time.Millisecond
+	mostConnect  = 500 * time.Millisecond
+	// connectTries is how often a keyed request's holder is dialled. Nothing was
+	// sent to it meanwhile.
+	connectTries = 2
 	// leastTime is the shortest time that is worth sending a request for.
 	leastTime = 15 * time.Millisecond
 	// holderWait is the share of the time left for which a request waits for
@@ -67,11 +76,14 @@
 	key      deployment.Key
 	tried    []string
 	sent     int           // times that a target got the request
+	misses   int           // connections to the key's holder that did not come about
+	failure  *response     // a target's own, if no other answer comes
 	mayRun   bool          // a target may have run it
 	last     string        // why there is no answer yet
 	expected time.Duration // at the target that was chosen last
 	target   deployment.Target
 	ending   ending          // of the last attempt
+	sentAt   timer.Instant   // of the last attempt
 	fence    uint64          // under which it holds the key
 	kind     string          // fingerprint
 	piece    string          // keys and fence under which the target was asked
@@ -159,6 +171,8 @@
 // give returns the final answer to a request that got none from a target.
 func (s *Server) give(ctx context.Context, c *call) response {
 	switch {
+	case c.failure != nil:
+		return *c.failure
 	case !c.mayRun:
 		return notRun(c.last, comeBack)
 	case ctx.Err() != nil:
@@ -206,7 +220,13 @@
 		}
 		return t, nil
 	}
-	t, ok := s.targets.choose(s.cfg.View.View().Usable(c.service.Name), c.tried, s.cfg.AvailabilityZone, c.route.Kind)
+	t, ok := s.targets.choose(choice{
+		list:   s.cfg.View.View().Usable(c.service.Name),
+		tried:  c.tried,
+		zone:   s.cfg.AvailabilityZone,
+		route:  c.route,
+		spread: s.entries() > fewEntries,
+	})
 	if !ok {
 		return fail("no target takes requests", comeBack)
 	}
@@ -217,119 +237,3 @@
 	}
 	return t, nil
 }
-
-// attempt sends the request to one target. It returns the final answer, or
-// whether another attempt may help.
-func (s *Server) attempt(ctx context.Context, c *call, t deployment.Target) (*response, bool) {
-	if !c.service.Keyed {
-		c.tried = append(c.tried, t.ID)
-	}
-	most := max(leastConns, int(connectionShare*float64(c.service.Connections)/float64(s.entries())))
-	began := time.Now()
-	s.targets.began(t)
-	a, err := s.cfg.Pool.Do(ctx, t.Address, most, s.cfg.Dialect.RequestID, targethttp.Request{
-		Method:  c.method,
-		Head:    s.head(c, t, began),
-		Body:    c.body,
-		ID:      c.id,
-		Careful: !c.route.Kind.Idempotent(),
-
-		BodyContext: c.bodyCtx,
-	})
-	took := time.Since(began)
-	if err != nil {
-		return s.failed(ctx, c, t, err, took)
-	}
-	e := ending{took: took}
-	if s.cfg.Dialect.ParseLoad != nil {
-		e.load, e.loadKnown = s.cfg.Dialect.ParseLoad(a.Header.Get(s.cfg.Dialect.Load))
-	}
-	if a.Rest != nil && (a.Status >= http.StatusMultipleChoices || s.isNotRun(a) || s.fault(a) != "") {
-		if a.Body, err = a.Rest.Whole(ctx); err != nil {
-			return s.failed(ctx, c, t, err, took)
-		}
-		a.Rest = nil
-	}
-	if s.isNotRun(a) {
-		c.sent++
-		c.last = fmt.Sprintf("target %s did not run it: status %d", t.ID, a.Status)
-		s.targets.ended(t, e)
-		s.logAttempt(c, t, e, c.last)
-		if c.service.Keyed {
-			// Under this fence the target will not run it; others may.
-			c.tried = append(c.tried, c.piece)
-		}
-		return nil, !c.mayRun && c.sent < max(c.route.Attempts, 2)
-	}
-	c.sent++
-	c.mayRun = true
-	if fault := s.fault(a); fault != "" {
-		e.failed, e.broken = true, true
-		s.targets.ended(t, e)
-		c.last = fmt.Sprintf("target %s: %s", t.ID, fault)
-		s.logAttempt(c, t, e, c.last)
-		return nil, s.mayRepeat(c)
-	}
-	e.ran, e.good = true, a.Status < http.StatusMultipleChoices
-	if suspected, _ := s.cfg.View.View().Suspected(c.kind); suspected && e.good {
-		s.deaths.answered(c.kind)
-	}
-	s.targets.ended(t, e)
-	if a.Status >= http.StatusInternalServerError {
-		c.last = fmt.Sprintf("target %s answered with status %d", t.ID, a.Status)
-		s.logAttempt(c, t, e, c.last)
-	} else {
-		s.logAttempt(c, t, e, "")
-	}
-	out := response{status: a.Status, header: passedHeaders(a.Header), body: a.Body, rest: a.Rest}
-	if length := a.Header.Get("Content-Length"); c.method == http.MethodHead && length != "" {
-		out.header["Content-Length"] = []string{length}
-	}
-	return &out, false
-}
-
-// mayRepeat reports whether a request that may have run can be sent again.
-func (s *Server) mayRepeat(c *call) bool {
-	return c.route.Kind.Idempotent() && c.sent < c.route.Attempts
-}
-
-// failed takes an exchange without a whole answer.
-func (s *Server) failed(ctx context.Context, c *call, t deployment.Target, err error, took time.Duration) (*response, bool) {
-	left := c.ctx.Err() != nil
-	e := ending{
-		failed: !left && !errors.Is(err, targethttp.ErrFull),
-		broken: errors.Is(err, targethttp.ErrBroken) && !errors.Is(err, targethttp.ErrTimeout),
-		took:   took,
-	}
-	s.targets.ended(t, e)
-	c.last = fmt.Sprintf("target %s: %v", t.ID, err)
-	if left {
-		c.last = "caller left; " + c.last
-	}
-	s.logAttempt(c, t, e, c.last)
-	if errors.Is(err, targethttp.ErrNotSent) {
-		return nil, !left && len(c.tried) < max(c.route.Attempts, 3) && !c.service.Keyed
-	}
-	c.sent++
-	c.mayRun = true
-	if !left && !errors.Is(err, targethttp.ErrTimeout) {
-		go s.deaths.broke(s.ctx, t, c.kind)
-	}
-	return nil, !left && ctx.Err() == nil && s.mayRepeat(c)
-}
-
-// isNotRun reports whether the target says that it did not run the request.
-func (s *Server) isNotRun(a *targethttp.Answer) bool {
-	return a.Header.Get(s.cfg.Dialect.NotRun) != "" || a.Status == http.StatusMisdirectedRequest
-}
-
-// fault tells why an answer can't be the target's whole answer.
-func (s *Server) fault(a *targethttp.Answer) string {
-	switch {
-	case a.Header.Get("Content-Encoding") != "":
-		return "answer is encoded although nobody asked for it"
-	case a.Status < http.StatusMultipleChoices && a.Header.Get(s.cfg.Dialect.Signature) == "":
-		return "answer is not signed"
-	}
-	return ""
-}
--- a/internal/forward/path_test.go
+++ b/internal/forward/path_test.go
@@ -27,6 +27,11 @@
 func testDialect() Dialect {
 	return Dialect{
 		RequestID: "Request-Id", Deadline: "Deadline", Target: "Target", Signature: "Signature", NotRun: "Not-Run", Load: "Load", Key: "Key",
+		ParseLoad: func(value string) (Load, bool) {
+			var l Load
+			n, err := fmt.Sscanf(value, "%d,%d,%d", &l.Running, &l.Waiting, &l.Slots)
+			return l, n == 3 && err == nil
+		},
 	}
 }
 
@@ -46,10 +51,40 @@
 	return nil
 }
 
-// handler is what a target does with a request. The header of the answer and
-// the ID are written for it.
+// handler is what a target does with a request.
 type handler func(w io.Writer, r *http.Request)
 
+// reply writes the status line, the headers that every answer has, and the rest.
+func reply(w io.Writer, r *http.Request, code int, format string, args ...any) {
+	rest := fmt.Sprintf(format, args...)
+	// A caller that is gone shows in what the test asserts.
+	_, _ = fmt.Fprintf(w, "HTTP/1.1 %d X\r\nSignature: s\r\nRequest-Id: %s\r\n%s", code, r.Header.Get("Request-Id"), rest)
+}
+
+func answer(body string) handler {
+	return func(w io.Writer, r *http.Request) {
+		reply(w, r, http.StatusOK, "Content-Length: %d\r\n\r\n%s", len(body), body)
+	}
+}
+
+// fails answers with a status and header instead of a body.
+func fails(code int, header string) handler {
+	return func(w io.Writer, r *http.Request) { reply(w, r, code, "%sContent-Length: 0\r\n\r\n", header) }
+}
+
+// inTurn handles one request after the other; the last handler goes on for good.
+func inTurn(list ...handler) handler {
+	var mu sync.Mutex
+	return func(w io.Writer, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		list[0](w, r)
+		if len(list) > 1 {
+			list = list[1:]
+		}
+	}
+}
+
 // path is an entry with a view of some targets of one service.
 type path struct {
 	t           *testing.T
@@ -61,8 +96,8 @@
 	runs []string // targets that got a request, in order
 }
 
-// startPath starts an entry and targets without keys. Their routes are
-// /look/, /fetch/ and /book/.
+// startPath starts an entry and targets. The routes of all of them are /look/,
+// /fetch/ and /book/; the first one holds all keys of the route /keyed/.
 func startPath(t *testing.T, link *limit.Link, handlers ...handler) *path {
 	p := &path{t: t}
 	order := deployment.Order{Version: 1, Whole: true, Services: []deployment.Service{{Name: "catalog", Connections: 100}}}
@@ -72,6 +107,11 @@
 			Split: []deployment.Share{{Service: "catalog", Weight: 1}},
 		})
 	}
+	order.Services = append(order.Services, deployment.Service{Name: "shelf", Connections: 100, Keyed: true})
+	keyed := order.Routes[0]
+	keyed.Name, keyed.Prefix, keyed.Kind = "keyed", "/keyed/", deployment.Lookup
+	keyed.Split = []deployment.Share{{Service: "shelf", Weight: 1}}
+	order.Routes = append(order.Routes, keyed)
 	limits := defaultLimits()
 	order.Limits = &limits
 	update := instance.ViewUpdate{Whole: true, Version: 1, DocIndex: 1, Document: &order, Current: true}
@@ -81,6 +121,9 @@
 			ID: id, Born: 1, Service: "catalog", Slots: 4, Status: deployment.Live, Address: p.startTarget(id, h), AvailabilityZone: "a",
 		})
 	}
+	update.Tables = []deployment.KeyTable{{Service: "shelf", Changed: 1, Pieces: []deployment.Piece{
+		{To: deployment.MaxKey, Phase: deployment.Held, Target: "t0", Born: 1, Fence: 1},
+	}}}
 	control := listenLocal(t)
 	p.stopControl = instance.ServeDeployment(control, &publisher{update: update}, instance.Security{}, &instance.Traffic{})
 	t.Cleanup(p.stopControl)
@@ -138,9 +181,6 @@
 					p.mu.Lock()
 					p.runs = append(p.runs, id)
 					p.mu.Unlock()
-					if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nSignature: s\r\nRequest-Id: %s\r\n", r.Header.Get("Request-Id")); err != nil {
-						return
-					}
 					h(c, r)
 				}
 			}()
@@ -152,7 +192,7 @@
 // ask sends a request on a connection of its own.
 func (p *path) ask(method, uri string) *caller {
 	c := dial(p.t, p.address)
-	c.send(fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\n\r\n", method, uri, strings.ReplaceAll(uri, "/", "-")))
+	c.send(fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nKey: 7\r\nRequest-Id: %s\r\n\r\n", method, uri, strings.ReplaceAll(uri, "/", "-")))
 	return c
 }
 
@@ -164,17 +204,13 @@
 	return resp, string(data), err
 }
 
-func answer(body string) handler {
-	return func(w io.Writer, _ *http.Request) { _, _ = fmt.Fprintf(w, "Content-Length: %d\r\n\r\n%s", len(body), body) }
-}
-
 var large = strings.Repeat("0123456789abcdef", 4<<10) // 64 KB
 
 func TestLargeAnswers(t *testing.T) {
 	t.Run("passed on before they are whole", func(t *testing.T) {
 		goOn := make(chan struct{})
-		p := startPath(t, nil, func(w io.Writer, _ *http.Request) {
-			_, _ = fmt.Fprintf(w, "Content-Length: %d\r\n\r\n%s", 2*len(large), large)
+		p := startPath(t, nil, func(w io.Writer, r *http.Request) {
+			reply(w, r, http.StatusOK, "Content-Length: %d\r\n\r\n%s", 2*len(large), large)
 			<-goOn
 			_, _ = io.WriteString(w, large)
 		})
@@ -189,16 +225,16 @@
 		assert.Equal(t, string(rest), large)
 	})
 	t.Run("one that breaks is seen to be broken", func(t *testing.T) {
-		p := startPath(t, nil, func(w io.Writer, _ *http.Request) {
-			_, _ = fmt.Fprintf(w, "Content-Length: %d\r\n\r\n%s", 2*len(large), large)
+		p := startPath(t, nil, func(w io.Writer, r *http.Request) {
+			reply(w, r, http.StatusOK, "Content-Length: %d\r\n\r\n%s", 2*len(large), large)
 			_ = w.(net.Conn).Close()
 		})
 		_, got, err := p.ask("GET", "/fetch/x").body()
 		assert.Assert(t, err != nil && len(got) <= len(large), "%d bytes, %v", len(got), err)
 	})
 	t.Run("one that is no success is taken whole first", func(t *testing.T) {
-		p := startPath(t, nil, func(w io.Writer, _ *http.Request) {
-			_, _ = fmt.Fprintf(w, "Not-Run: yes\r\nContent-Length: %d\r\n\r\n%s", len(large), large)
+		p := startPath(t, nil, func(w io.Writer, r *http.Request) {
+			reply(w, r, http.StatusServiceUnavailable, "Not-Run: yes\r\nContent-Length: %d\r\n\r\n%s", len(large), large)
 		}, answer(large))
 		for n := range 8 {
 			resp, got, err := p.ask("GET", fmt.Sprintf("/fetch/%d", n)).body()
@@ -209,8 +245,8 @@
 	})
 	t.Run("a caller that leaves ends the transfer", func(t *testing.T) {
 		ended := make(chan struct{})
-		p := startPath(t, nil, func(w io.Writer, _ *http.Request) {
-			_, _ = fmt.Fprintf(w, "Content-Length: %d\r\n\r\n%s", 2*len(large), large)
+		p := startPath(t, nil, func(w io.Writer, r *http.Request) {
+			reply(w, r, http.StatusOK, "Content-Length: %d\r\n\r\n%s", 2*len(large), large)
 			for {
 				if _, err := w.Write([]byte("x")); err != nil {
 					close(ended)
@@ -250,8 +286,8 @@
 }
 
 func TestHead(t *testing.T) {
-	p := startPath(t, nil, func(w io.Writer, _ *http.Request) {
-		_, _ = io.WriteString(w, "Content-Length: 5\r\n\r\n") // of the body that GET would bring
+	p := startPath(t, nil, func(w io.Writer, r *http.Request) {
+		reply(w, r, http.StatusOK, "Content-Length: 5\r\n\r\n") // of the body that GET would bring
 	})
 	c := p.ask("HEAD", "/look/x")
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodHead})
@@ -260,6 +296,62 @@
 	assert.Equal(t, resp.ContentLength, int64(5))
 }
 
+// TestRefusedByHolder asks for a key whose holder turns the request away.
+func TestRefusedByHolder(t *testing.T) {
+	notRun := "Not-Run: yes\r\n"
+	t.Run("once: it is asked again", func(t *testing.T) {
+		p := startPath(t, nil, inTurn(fails(http.StatusServiceUnavailable, notRun), answer("hello")))
+		resp, got, err := p.ask("GET", "/keyed/x").body()
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+		assert.Equal(t, got, "hello")
+	})
+	t.Run("always: the caller hears of it at once", func(t *testing.T) {
+		p := startPath(t, nil, fails(http.StatusServiceUnavailable, notRun))
+		p.assertRefusedAtOnce(2)
+	})
+	t.Run("it is full: it is not asked again", func(t *testing.T) {
+		p := startPath(t, nil, fails(http.StatusServiceUnavailable, notRun+"Load: 4,9,4\r\n"))
+		p.assertRefusedAtOnce(1)
+	})
+}
+
+// assertRefusedAtOnce checks that a keyed request is refused long before its
+// deadline of a second, with a time to come back, after some runs.
+func (p *path) assertRefusedAtOnce(runs int) {
+	p.t.Helper()
+	began := time.Now()
+	resp, _, err := p.ask("GET", "/keyed/x").body()
+	assert.NilError(p.t, err)
+	assert.Equal(p.t, resp.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(p.t, resp.Header.Get("Retry-After") != "")
+	assert.Assert(p.t, time.Since(began) < 300*time.Millisecond, "after %v", time.Since(began))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	assert.Equal(p.t, len(p.runs), runs)
+}
+
+// TestFailedByTarget sends requests to a target that runs them and fails.
+func TestFailedByTarget(t *testing.T) {
+	cases := []struct {
+		name, path string
+		handlers   []handler
+		status     int
+	}{
+		{name: "a lookup is sent again", path: "/keyed/x", handlers: []handler{fails(500, ""), answer("hello")}, status: 200},
+		{name: "a lookup fails as its target failed it", path: "/keyed/x", handlers: []handler{fails(500, "")}, status: 500},
+		{name: "a booking is not sent again", path: "/book/x", handlers: []handler{fails(500, ""), answer("hello")}, status: 500},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			resp, _, err := startPath(t, nil, inTurn(c.handlers...)).ask("GET", c.path).body()
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, c.status)
+			assert.Assert(t, resp.Header.Get("Signature") != "")
+		})
+	}
+}
+
 // TestWithoutControl stops control: an entry serves on from the view it has.
 func TestWithoutControl(t *testing.T) {
 	p := startPath(t, nil, answer("hello"))
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -231,6 +231,7 @@
 		if len(r.Keys) > 0 || len(r.Targets) > 0 || len(r.Blames) > 0 {
 			if a := s.cfg.Report(r); a != nil {
 				s.advice.Store(a)
+				s.targets.setFailing(a.Failing)
 			}
 		}
 		// Many entries report less often: the leader hears about as much.
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -16,6 +15,10 @@
 	startWork = 60 * time.Millisecond
 	// workWeight is the weight of one answer in the moving average of that time.
 	workWeight = 0.1
+	// assumedSamples is for how many answers the assumed work counts.
+	assumedSamples = 3
+	// usualWeight is the same for the work of a service's targets in general.
+	usualWeight = 0.02
 	// drainRate is how much of a target's queue is taken to be gone after a
 	// second without news of it, in seconds of work.
 	drainRate = 0.7
@@ -28,18 +31,10 @@
 	longestPause   = 2 * time.Second
 	// warmUpFactor is how much slower a target is taken to be while it warms up.
 	warmUpFactor = 2.0
-	// otherZone is what a target in another availability zone costs, as a share
-	// of its work; downloads weigh more than their work.
-	otherZone         = 0.25
-	otherZoneDownload = 1.0
 	// Bounds of a window: how many requests of this entry one target may hold.
 	// Even many entries with the least window together stay within a target's
 	// queue, of which they see only what its answers say.
 	leastWindow = 1.0
-	// lotShare is the part of a choice that is by lot, as a share of the work.
-	lotShare = 0.5
-	// silentCost is what a target that sends no heartbeat costs.
-	silentCost  = 2.0
 	startWindow = 2.0
 	windowCut   = 0.7 // factor when a target's queue grows past its slots
 	windowRise  = 0.5 // added for each answer that found no queue
@@ -51,6 +46,13 @@
 	clock timer.Service
 	mu    sync.Mutex
 	byID  map[string]*targetState
+	usual map[string]average // seconds for one request that does not wait, by service
+}
+
+// average is a moving average, and of how many answers.
+type average struct {
+	value   float64
+	samples int
 }
 
 // targetState is what an entry knows of one life of a target.
@@ -67,18 +69,31 @@
 	failures int
 	openTill timer.Instant
 	freed    chan struct{} // closed when a request ends, if one waits for that
+	samples  int           // answers that work is the average of
 	answers  uint32
 	busy     time.Duration // work of these answers without the time they waited
+	missed   uint32        // answers that were failures, did not come, or are overdue
+	flying   []flight
+	failing  float64 // share of requests that all entries together see failing
+}
+
+// flight is a request that is at a target.
+type flight struct {
+	at      timer.Instant
+	overdue bool // was counted as missed
 }
 
 func newTargets(clock timer.Service) *targets {
-	return &targets{clock: clock, byID: make(map[string]*targetState)}
+	return &targets{clock: clock, byID: make(map[string]*targetState), usual: make(map[string]average)}
 }
 
 func (ts *targets) state(t deployment.Target) *targetState {
 	s, ok := ts.byID[t.ID]
 	if !ok || s.born != t.Born {
 		s = &targetState{born: t.Born, first: ts.clock.Now(), work: startWork.Seconds(), window: startWindow}
+		if usual, ok := ts.usual[t.Service]; ok {
+			s.work = usual.value
+		}
 		ts.byID[t.ID] = s
 	}
 	return s
@@ -96,6 +111,52 @@
 	return work*(1+ahead/slots) + queue
 }
 
+// Requests are overdue after several times the target's usual time, and not
+// before leastOverdue: a busy link may hold answers up for that long.
+const (
+	overdueFactor = 5.0
+	leastOverdue  = 400 * time.Millisecond
+)
+
+// countOverdue counts requests that have been at the target for too long, and
+// returns how many there are.
+func (s *targetState) countOverdue(now timer.Instant) int {
+	limit := max(leastOverdue, time.Duration((overdueFactor*s.work+s.queue)*float64(time.Second)))
+	n := 0
+	for i := range s.flying {
+		f := &s.flying[i]
+		if now.Sub(f.at) < limit {
+			continue
+		}
+		n++
+		if !f.overdue {
+			f.overdue = true
+			s.missed++
+		}
+	}
+	return n
+}
+
+// failureShare is the share of requests that the target is taken to fail.
+func (s *targetState) failureShare(now timer.Instant) float64 {
+	if s.countOverdue(now) > 0 {
+		return max(s.failing, overdueShare)
+	}
+	return s.failing
+}
+
+// landed ends the flight that began at the instant, and reports whether it was
+// counted as overdue.
+func (s *targetState) landed(at timer.Instant) bool {
+	i := slices.IndexFunc(s.flying, func(f flight) bool { return f.at == at })
+	if i < 0 {
+		return false
+	}
+	overdue := s.flying[i].overdue
+	s.flying = slices.Delete(s.flying, i, i+1)
+	return overdue
+}
+
 // full reports whether this entry has as many requests at the target as it may.
 func (s *targetState) full() bool { return float64(s.inflight) >= s.window }
 
@@ -119,38 +180,6 @@
 // open reports whether the target gets no requests at present.
 func (s *targetState) open(now timer.Instant) bool { return now < s.openTill }
 
-// choose returns the target with the shortest expected time, leaving out those
-// already tried, those that fail and those that hold enough of this entry.
-func (ts *targets) choose(list []deployment.Target, tried []string, zone string, kind deployment.Kind) (deployment.Target, bool) {
-	ts.mu.Lock()
-	defer ts.mu.Unlock()
-	now := ts.clock.Now()
-	away := otherZone
-	if kind == deployment.Download {
-		away = otherZoneDownload
-	}
-	best, bestCost := deployment.Target{}, -1.0
-	for _, t := range list {
-		s := ts.state(t)
-		if slices.Contains(tried, t.ID) || s.open(now) || s.full() {
-			continue
-		}
-		// Entries don't see each other's requests: a part by lot keeps them from
-		// choosing the same target.
-		cost := s.expected(t, now) + s.work*(float64(s.inflight)/float64(max(t.Slots, 1))+rand.Float64()*lotShare)
-		if t.AvailabilityZone != zone {
-			cost += away * s.work
-		}
-		if t.Status == deployment.Silent {
-			cost += silentCost * s.work
-		}
-		if bestCost < 0 || cost < bestCost {
-			best, bestCost = t, cost
-		}
-	}
-	return best, bestCost >= 0
-}
-
 // available reports whether a target takes requests, and when to come back.
 func (ts *targets) available(t deployment.Target) (time.Duration, bool) {
 	ts.mu.Lock()
@@ -184,13 +213,28 @@
 	return s.freed
 }
 
-// began counts a request that is sent to the target.
-func (ts *targets) began(t deployment.Target) {
+// began counts a request that is sent to the target, and returns when.
+func (ts *targets) began(t deployment.Target) timer.Instant {
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
 	s := ts.state(t)
 	s.inflight++
 	s.sent++
+	now := ts.clock.Now()
+	s.flying = append(s.flying, flight{at: now})
+	return now
+}
+
+// setFailing takes the shares of failures that all entries together see.
+func (ts *targets) setFailing(list []instance.Failing) {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	for id, s := range ts.byID {
+		s.failing = 0
+		if i := slices.IndexFunc(list, func(f instance.Failing) bool { return f.Target == id }); i >= 0 {
+			s.failing = list[i].Share
+		}
+	}
 }
 
 // ended takes what became of a request.
@@ -200,6 +244,9 @@
 	s := ts.state(t)
 	now := ts.clock.Now()
 	s.inflight = max(0, s.inflight-1)
+	if overdue := s.landed(e.began); !overdue && (e.failed || e.ran && !e.good) {
+		s.missed++
+	}
 	if s.freed != nil {
 		close(s.freed)
 		s.freed = nil
@@ -221,10 +268,24 @@
 		took := s.unqueued(t.Slots, e)
 		s.answers++
 		s.busy += took
-		s.work += workWeight * (took.Seconds() - s.work)
+		s.samples++
+		s.work += max(workWeight, 1/float64(assumedSamples+s.samples)) * (took.Seconds() - s.work)
+		ts.noteUsual(t.Service, took.Seconds())
 	}
 }
 
+// noteUsual takes one answer into the service's usual work, which is assumed of a
+// target until it has answered.
+func (ts *targets) noteUsual(service string, work float64) {
+	usual, ok := ts.usual[service]
+	if !ok {
+		usual.value = startWork.Seconds()
+	}
+	usual.samples++
+	usual.value += max(usualWeight, 1/float64(assumedSamples+usual.samples)) * (work - usual.value)
+	ts.usual[service] = usual
+}
+
 // unqueued returns the part of an answer's time that the target worked on it,
 // taking the queue that it left behind for the one that it had waited in.
 func (s *targetState) unqueued(slots int, e ending) time.Duration {
@@ -260,21 +321,28 @@
 	broken    bool // the failure was an answer that broke or was spoilt
 	ran       bool // the target answered
 	good      bool // with a success
+	began     timer.Instant
 	took      time.Duration
 	load      Load
 	loadKnown bool
 }
 
+// full reports whether a target said that all its slots are taken, and that
+// others wait for them.
+func (e ending) full() bool { return e.loadKnown && e.load.Waiting >= e.load.Slots }
+
 // report returns the measurements since the last call and forgets targets that
 // left.
 func (ts *targets) report(known func(id string) bool) []instance.TargetLoad {
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
 	var out []instance.TargetLoad
+	now := ts.clock.Now()
 	for id, s := range ts.byID {
-		if s.answers > 0 {
-			out = append(out, instance.TargetLoad{ID: id, Answers: s.answers, Busy: s.busy})
-			s.answers, s.busy = 0, 0
+		s.countOverdue(now)
+		if s.answers > 0 || s.missed > 0 {
+			out = append(out, instance.TargetLoad{ID: id, Answers: s.answers, Busy: s.busy, Failures: s.missed})
+			s.answers, s.busy, s.missed = 0, 0, 0
 		}
 		if s.inflight == 0 && !known(id) {
 			delete(ts.byID, id)
--- a/internal/forward/targets_test.go
+++ b/internal/forward/targets_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/internal/instance"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
@@ -17,7 +19,7 @@
 
 // answered plays one request to a target.
 func answered(ts *targets, clock *timer.Manual, t deployment.Target, took time.Duration, e ending) {
-	ts.began(t)
+	e.began = ts.began(t)
 	clock.Advance(took)
 	e.took = took
 	ts.ended(t, e)
@@ -31,7 +33,7 @@
 func chosen(ts *targets, list []deployment.Target, kind deployment.Kind) map[string]int {
 	out := make(map[string]int)
 	for range 400 {
-		if t, ok := ts.choose(list, nil, "a", kind); ok {
+		if t, ok := ts.choose(choice{list: list, zone: "a", route: &deployment.Route{Kind: kind, Objective: 500 * time.Millisecond}}); ok {
 			out[t.ID]++
 		}
 	}
@@ -63,8 +65,9 @@
 	})
 	t.Run("a target with a queue gets less until it has drained", func(t *testing.T) {
 		ts, clock, list := newTest()
-		answered(ts, clock, list[0], 60*time.Millisecond, good(12))
-		answered(ts, clock, list[1], time.Millisecond, good(0))
+		// Both work for 60 ms; one lets 12 others on 3 slots go first.
+		answered(ts, clock, list[0], 300*time.Millisecond, good(12))
+		answered(ts, clock, list[1], 60*time.Millisecond, good(0))
 		n := chosen(ts, list, deployment.Booking)
 		assert.Assert(t, n["t1"] < n["t2"]/4, "%v", n)
 		clock.Advance(2 * time.Second)
@@ -94,6 +97,104 @@
 	})
 }
 
+// crowd is many entries that share the targets of a service.
+type crowd struct {
+	clock   *timer.Manual
+	entries []*targets
+	list    []deployment.Target
+	queues  []int // requests that each target has
+}
+
+// longest lets the entries choose for a number of requests, of which none ends,
+// and returns how many the busiest target got.
+func (c *crowd) longest(requests int, spread bool) int {
+	route := &deployment.Route{Kind: deployment.Booking, Objective: time.Second}
+	for n := range requests {
+		ts := c.entries[n%len(c.entries)]
+		if t, ok := ts.choose(choice{list: c.list, zone: "a", route: route, spread: spread}); ok {
+			ts.began(t)
+			c.queues[slices.IndexFunc(c.list, func(x deployment.Target) bool { return x.ID == t.ID })]++
+		}
+	}
+	return slices.Max(c.queues)
+}
+
+// newCrowd returns entries that have each seen a few answers of some targets.
+func newCrowd(entries, targetCount int) *crowd {
+	c := &crowd{clock: timer.NewManual(), queues: make([]int, targetCount)}
+	for i := range targetCount {
+		c.list = append(c.list, testTarget(i, "a"))
+	}
+	for e := range entries {
+		ts := newTargets(c.clock)
+		for i := e % 3; i < targetCount; i += 3 {
+			work := []time.Duration{240, 120, 120, 80}[i%4] * time.Millisecond
+			answered(ts, c.clock, c.list[i], work, good(0))
+		}
+		c.entries = append(c.entries, ts)
+	}
+	return c
+}
+
+// TestManyEntriesSpread lets entries that each know little choose at the same
+// time: 200 requests for targets of 3 slots and a queue of 12, 855 places in all.
+func TestManyEntriesSpread(t *testing.T) {
+	got := newCrowd(53, 57).longest(200, true)
+	t.Logf("busiest target: %d requests where they are drawn by lot, %d where the best of all is taken", got, newCrowd(53, 57).longest(200, false))
+	assert.Assert(t, got <= 3+12, "one target got %d requests", got)
+}
+
+// TestFailingTargetIsAvoided answers targets that keep silent on part of their
+// requests while their control calls go well.
+func TestFailingTargetIsAvoided(t *testing.T) {
+	newTest := func() (*targets, *timer.Manual, []deployment.Target) {
+		clock := timer.NewManual()
+		ts, list := newTargets(clock), []deployment.Target{testTarget(1, "a"), testTarget(2, "a")}
+		for _, x := range list {
+			answered(ts, clock, x, 60*time.Millisecond, good(0))
+		}
+		return ts, clock, list
+	}
+	t.Run("while a request is overdue there", func(t *testing.T) {
+		ts, clock, list := newTest()
+		at := ts.began(list[0])
+		clock.Advance(leastOverdue)
+		assert.Equal(t, chosen(ts, list, deployment.Booking)["t1"], 0)
+		ts.ended(list[0], ending{began: at, took: leastOverdue, failed: true})
+		assert.Assert(t, chosen(ts, list, deployment.Booking)["t1"] > 0)
+	})
+	t.Run("an overdue request is reported once", func(t *testing.T) {
+		ts, clock, list := newTest()
+		at := ts.began(list[0])
+		clock.Advance(leastOverdue)
+		assert.Equal(t, failures(ts, "t1"), uint32(1))
+		ts.ended(list[0], ending{began: at, took: leastOverdue, failed: true})
+		assert.Equal(t, failures(ts, "t1"), uint32(0))
+	})
+	t.Run("while all entries together see it failing", func(t *testing.T) {
+		ts, _, list := newTest()
+		ts.setFailing([]instance.Failing{{Target: "t1", Share: 0.5}})
+		assert.Equal(t, chosen(ts, list, deployment.Booking)["t1"], 0)
+		ts.setFailing(nil)
+		assert.Assert(t, chosen(ts, list, deployment.Booking)["t1"] > 0)
+	})
+	t.Run("it is used where there is no other", func(t *testing.T) {
+		ts, _, list := newTest()
+		ts.setFailing([]instance.Failing{{Target: "t1", Share: 0.5}})
+		assert.Assert(t, chosen(ts, list[:1], deployment.Booking)["t1"] > 0)
+	})
+}
+
+// failures returns how many failures of a target the next report tells.
+func failures(ts *targets, id string) uint32 {
+	for _, x := range ts.report(func(string) bool { return true }) {
+		if x.ID == id {
+			return x.Failures
+		}
+	}
+	return 0
+}
+
 // TestWindow plays many entries that share one overloaded target: its answers
 // make each entry's window shrink to the least, and it opens when they find no
 // queue.
--- a/internal/instance/deployment.go
+++ b/internal/instance/deployment.go
@@ -56,12 +56,22 @@
 	ID      string        `msgpack:"id"`
 	Answers uint32        `msgpack:"answers"` // that were successes
 	Busy    time.Duration `msgpack:"busy"`    // their work in all, without waiting for a slot
+	// Failures counts answers that were failures, did not come, or are overdue.
+	Failures uint32 `msgpack:"failures"`
 }
 
 // ReportResponse answers a report with what one entry can't see by itself.
 type ReportResponse struct {
 	Entries   int        `msgpack:"entries"` // that report to the leader
 	Overloads []Overload `msgpack:"overloads"`
+	Failing   []Failing  `msgpack:"failing"` // worst first
+}
+
+// Failing names a target that fails part of its requests, as all entries
+// together see it.
+type Failing struct {
+	Target string  `msgpack:"target"`
+	Share  float64 `msgpack:"share"` // of its requests
 }
 
 // Overload names keys that are asked for more often than their holder can serve.
--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -30,7 +30,7 @@
 			delete(m.entries, name)
 		}
 	}
-	advice := instance.ReportResponse{Entries: len(m.entries)}
+	advice := instance.ReportResponse{Entries: len(m.entries), Failing: m.failing()}
 	for _, table := range m.state.Tables() {
 		for _, s := range m.shares(table.Service) {
 			if s.utilization() > adviceShare {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -168,7 +168,8 @@
 		case Advise:
 			l.advice.Store(&e.Advice)
 		case NoteShares:
-			l.log.Info("load of keyed service", "service", e.Service, "shares", e.Shares, "hot", e.Hot)
+			l.log.Info("load of keyed service", "service", e.Service, "targets", e.Targets, "pieces", e.Pieces,
+				"utilization", e.Utilization, "shares", e.Shares, "hot", e.Hot)
 		}
 	}
 	return nil
@@ -218,13 +219,28 @@
 	}
 }
 
+// maxNamed bounds how many items of a list a log line names: log collectors cut
+// long lines.
+const maxNamed = 24
+
+// brief returns a list for the log, or its length and first items.
+func brief[T any](list []T) any {
+	if len(list) <= maxNamed {
+		return list
+	}
+	return struct {
+		Count int
+		First []T
+	}{Count: len(list), First: list[:maxNamed]}
+}
+
 // describe names a command for the log.
 func describe(c deployment.Command) any {
 	switch {
 	case c.Assign != nil:
-		return c.Assign.Pieces
+		return brief(c.Assign.Pieces)
 	case len(c.Move) > 0:
-		return c.Move
+		return brief(c.Move)
 	case c.Blame != nil:
 		return *c.Blame
 	case len(c.Pardon) > 0:
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -73,7 +73,11 @@
 	}
 	for _, x := range e.Report.Targets {
 		t, ok := m.state.Target(x.ID)
-		if !ok || x.Answers == 0 {
+		if !ok {
+			continue
+		}
+		m.noteHealth(lifeOf(t), x)
+		if x.Answers == 0 {
 			continue
 		}
 		l := m.loadOf(t.Service)
--- a/internal/leader/messages.go
+++ b/internal/leader/messages.go
@@ -134,9 +134,11 @@
 
 // NoteShares reports how a keyed service's load falls on its targets.
 type NoteShares struct {
-	Service string
-	Shares  []TargetShare
-	Hot     []HotKeys // busiest first
+	Service         string
+	Targets, Pieces int
+	Utilization     float64       // mean of all targets
+	Shares          []TargetShare // of the busiest targets, busiest first
+	Hot             []HotKeys     // busiest first
 }
 
 // HotKeys is the rate of a few neighbouring keys.
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -39,6 +39,7 @@
 	advised timer.Instant            // last advice to entries
 	blames  []deployment.Blame       // to be committed
 	accused map[string]timer.Instant // when a suspect was first seen, by fingerprint
+	health  map[deployment.Life]health
 }
 
 // arrivals tells when a service's targets came, before its keys are shared out.
@@ -118,6 +119,7 @@
 		seen:    make(map[string]arrivals),
 		entries: make(map[string]timer.Instant),
 		accused: make(map[string]timer.Instant),
+		health:  make(map[deployment.Life]health),
 	}
 }
 
--- a/internal/leader/notes.go
+++ b/internal/leader/notes.go
@@ -8,6 +8,10 @@
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
 )
 
+// maxShares bounds how many targets a report of the load names: log collectors
+// cut long lines.
+const maxShares = 16
+
 // notePeriod is the time between two reports of the load in the log.
 const notePeriod = 2 * time.Second
 
@@ -19,8 +23,14 @@
 	m.noted = m.now
 	var out []Effect
 	for _, table := range m.state.Tables() {
-		note := NoteShares{Service: table.Service}
-		for _, s := range m.shares(table.Service) {
+		shares := m.shares(table.Service)
+		note := NoteShares{Service: table.Service, Targets: len(shares), Pieces: len(table.Pieces)}
+		slices.SortFunc(shares, func(a, b share) int { return cmp.Compare(b.utilization(), a.utilization()) })
+		for i, s := range shares {
+			note.Utilization += s.utilization() / float64(len(shares))
+			if i >= maxShares {
+				continue
+			}
 			note.Shares = append(note.Shares, TargetShare{
 				Target: s.target.ID, Keys: s.width, Rate: s.rate, WorkMillis: 1000 * s.work, Utilization: s.utilization(),
 			})
--- a/internal/targethttp/exchange.go
+++ b/internal/targethttp/exchange.go
@@ -17,6 +17,8 @@
 	Body    []byte
 	ID      string // that the answer has to echo
 	Careful bool   // must not run twice: avoids connections that may be closing
+	// Connect bounds how long a new connection may take; 0 for dialTimeout.
+	Connect time.Duration
 	// BodyContext lets a large body come in after Do has returned, until the
 	// context ends. Nil asks for whole answers.
 	BodyContext context.Context
@@ -49,7 +51,7 @@
 // address may be open. IDHeader names the header that repeats the request's ID.
 // The connection is closed where ctx ends first.
 func (p *Pool) Do(ctx context.Context, address string, most int, idHeader string, r Request) (*Answer, error) {
-	c, err := p.get(ctx, address, most, r.Careful)
+	c, err := p.get(ctx, address, most, r)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/targethttp/pool.go
+++ b/internal/targethttp/pool.go
@@ -7,6 +7,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -118,15 +119,15 @@
 }
 
 // get returns a connection to the address: the one that was used last, or a new
-// one. Careful asks for one that is unlikely to be closing.
-func (p *Pool) get(ctx context.Context, address string, most int, careful bool) (*conn, error) {
+// one.
+func (p *Pool) get(ctx context.Context, address string, most int, r Request) (*conn, error) {
 	for {
-		c, err := p.reserve(address, most, careful)
+		c, err := p.reserve(address, most, r.Careful)
 		if err != nil {
 			return nil, err
 		}
 		if c == nil {
-			return p.dial(ctx, address)
+			return p.dial(ctx, address, cmp.Or(r.Connect, dialTimeout))
 		}
 		if c.alive() {
 			c.reused = true
@@ -166,8 +167,8 @@
 	return nil, nil
 }
 
-func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+func (p *Pool) dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
+	d := net.Dialer{Timeout: timeout, KeepAlive: -1}
 	raw, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		p.release(address)
