Prefer idle connections to targets, and keep them for longer

An idle connection was not used again after 0.6 of its target's own timeout, and the choice did not know of it.

Change: of the targets drawn by lot (three instead of two) one without an idle connection costs the mean time of connecting; idle connections are used up to 0.85 of their timeout.

--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
@@ -23,8 +24,8 @@
 	// overdueShare is taken as a target's share of failures while requests of this
 	// entry are overdue there.
 	overdueShare = 0.5
-	// draws is how many targets are drawn of which the better one is taken.
-	draws = 2
+	// draws is how many targets are drawn of which the best one is taken.
+	draws = 3
 )
 
 // choice is a request that any target of a service may get.
@@ -36,6 +37,9 @@
 	// spread asks for targets drawn by lot. Many entries that each know little
 	// would all choose the target that looks best, and fill its queue.
 	spread bool
+	// connecting returns how long a connection to an address takes; nil counts it
+	// as nothing.
+	connecting func(address string) time.Duration
 }
 
 // awayCost is what a target in another availability zone costs, as a share of
@@ -81,6 +85,9 @@
 	if t.Status == deployment.Silent {
 		cost += silentCost * s.work
 	}
+	if c.connecting != nil {
+		cost += c.connecting(t.Address).Seconds()
+	}
 	return cost + s.failureShare(now)*failureCost*c.route.Objective.Seconds()
 }
 
--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -226,6 +226,8 @@
 		zone:   s.cfg.AvailabilityZone,
 		route:  c.route,
 		spread: s.entries() > fewEntries,
+
+		connecting: s.cfg.Pool.Connecting,
 	})
 	if !ok {
 		return fail("no target takes requests", comeBack)
--- a/internal/targethttp/exchange_test.go
+++ b/internal/targethttp/exchange_test.go
@@ -165,6 +165,18 @@
 			time.Sleep(10 * time.Millisecond) // lets the close arrive
 		}
 	})
+	t.Run("an idle connection is worth what connecting takes", func(t *testing.T) {
+		address := listen(t, func(_ int, c net.Conn, r *http.Request) bool {
+			return write(c, whole(r.Header.Get(idHeader), "hello"))
+		})
+		p := newTestPool(t)
+		p.noteConnecting(time.Second)
+		assert.Assert(t, p.Connecting(address) > 0)
+		_, err := do(t, p, address, "one")
+		assert.NilError(t, err)
+		assert.Equal(t, p.Connecting(address), time.Duration(0))
+		assert.Assert(t, p.Connecting("127.0.0.1:1") > 0)
+	})
 	t.Run("a refused connection proves that nothing was sent", func(t *testing.T) {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
--- a/internal/targethttp/pool.go
+++ b/internal/targethttp/pool.go
@@ -44,8 +44,11 @@
 	defaultIdle = 4 * time.Second
 	// idleShare is the share of the target's own idle timeout after which a
 	// connection is not used again: its close may be on the way.
-	idleShare  = 0.6
-	bufferSize = 4 << 10 // bytes read from a connection at a time
+	idleShare = 0.85
+	// connectWeight is the weight of one connection in the moving average of the
+	// time that connecting takes.
+	connectWeight = 0.1
+	bufferSize    = 4 << 10 // bytes read from a connection at a time
 )
 
 // Pool keeps idle connections to targets. Its methods are safe for concurrent
@@ -55,6 +58,8 @@
 	reset bool
 	mu    sync.Mutex
 	hosts map[string]*host
+	// connecting is the moving average of the time that connecting takes.
+	connecting time.Duration
 }
 
 // host is what the pool knows of one address.
@@ -169,11 +174,13 @@
 
 func (p *Pool) dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
 	d := net.Dialer{Timeout: timeout, KeepAlive: -1}
+	began := p.clock.Now()
 	raw, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		p.release(address)
 		return nil, fmt.Errorf("%w: %w", ErrNoConnection, err)
 	}
+	p.noteConnecting(p.clock.Now().Sub(began))
 	if err := p.prepare(raw); err != nil {
 		p.release(address)
 		return nil, errors.Join(fmt.Errorf("%w: %w", ErrNoConnection, err), raw.Close())
@@ -195,6 +202,23 @@
 	return nil
 }
 
+func (p *Pool) noteConnecting(took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.connecting += time.Duration(connectWeight * float64(took-p.connecting))
+}
+
+// Connecting returns how long it is expected to take until there is a connection
+// to the address: nothing where one is idle.
+func (p *Pool) Connecting(address string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h, ok := p.hosts[address]; ok && len(h.idle) > 0 && p.clock.Now().Sub(h.idle[len(h.idle)-1].used) <= h.idle[len(h.idle)-1].idle {
+		return 0
+	}
+	return p.connecting
+}
+
 func (p *Pool) release(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
