--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -17,6 +17,7 @@
 	"github.com/cranberrywind/cranberrywind/internal/settings"
 	"github.com/cranberrywind/cranberrywind/internal/view"
 	"github.com/cranberrywind/cranberrywind/internal/wire"
+	"github.com/cranberrywind/cranberrywind/pkg/disk"
 	"github.com/cranberrywind/cranberrywind/pkg/replica"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
@@ -31,6 +32,7 @@
 	log     *log.Logger
 	heard   heardLives
 	running atomic.Pointer[running]
+	fs      disk.FS // nil for the operating system's
 	seeds   atomic.Pointer[[]string]
 }
 
--- a/internal/fleet/reopen.go
+++ b/internal/fleet/reopen.go
@@ -26,16 +26,24 @@
 	return group.Timing{Tick: 25 * time.Millisecond, ElectionTicks: 16, StartTicks: 5, HeartbeatTicks: 3}
 }
 
-// startReplica runs this instance's replica until ctx ends. After its disk has
+// startReplica runs this instance's replica until its clean-up function is
+// called. After its disk has
 // failed, what the disk holds is read anew before the replica goes on: nobody
 // knows what became of the last writes. Meanwhile calls go to the other
 // replicas.
 func startReplica(ctx context.Context, cfg settings.Routed, targets leader.Targets, pool *instance.Pool, clock timer.Service, logger *log.Logger) (*Control, func(), error) {
 	c := &Control{cfg: cfg, targets: targets, pool: pool, clock: clock, log: logger}
-	c.seeds.Store(&cfg.Seeds)
+	stop, err := c.start(ctx)
+	return c, stop, err
+}
+
+// start opens the replica and supervises it until the returned function is
+// called.
+func (c *Control) start(ctx context.Context) (func(), error) {
+	c.seeds.Store(&c.cfg.Seeds)
 	stop, err := c.open(ctx)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	go c.tellHeard(ctx)
@@ -44,7 +52,7 @@
 		defer close(ended)
 		c.supervise(ctx, stop)
 	}()
-	return c, func() {
+	return func() {
 		cancel()
 		<-ended
 	}, nil
@@ -86,6 +94,7 @@
 		Transport: c.pool,
 		Clock:     c.clock,
 		Timing:    groupTiming(),
+		FS:        c.fs,
 	})
 	if err != nil {
 		cancel()
--- /dev/null
+++ b/internal/fleet/reopen_test.go
@@ -0,0 +1,131 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/internal/instance"
+	"github.com/cranberrywind/cranberrywind/internal/leader"
+	"github.com/cranberrywind/cranberrywind/internal/settings"
+	"github.com/cranberrywind/cranberrywind/pkg/disk"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
+)
+
+// failingDisk refuses syncs while it is broken.
+type failingDisk struct {
+	disk.OS
+	broken atomic.Bool
+}
+
+type failingFile struct {
+	disk.File
+	disk *failingDisk
+}
+
+var errDisk = errors.New("injected failure of the disk")
+
+func (d *failingDisk) Append(path string) (disk.File, error) {
+	f, err := d.OS.Append(path)
+	return failingFile{f, d}, err
+}
+
+func (d *failingDisk) Create(path string) (disk.File, error) {
+	f, err := d.OS.Create(path)
+	return failingFile{f, d}, err
+}
+
+func (f failingFile) Sync() error {
+	if f.disk.broken.Load() {
+		return errDisk
+	}
+	return f.File.Sync()
+}
+
+// noTargets takes no calls of a leader.
+type noTargets struct{}
+
+func (noTargets) Grant(context.Context, string, leader.Grant) error { return errDisk }
+
+func (noTargets) Release(context.Context, string, leader.Grant) (string, error) { return "", errDisk }
+
+// startControl runs a control group of one.
+func startControl(t *testing.T, fs disk.FS) *Control {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	pool, closePool := instance.NewPool(ctx, instance.Security{}, &instance.Traffic{})
+	t.Cleanup(closePool)
+	address := l.Addr().String()
+	c := &Control{
+		cfg: settings.Routed{
+			Name: "control", Address: address, Seeds: []string{address}, Bootstrap: true, Control: true, DataDir: t.TempDir(),
+		},
+		targets: noTargets{},
+		pool:    pool,
+		clock:   timer.NewSystem(ctx),
+		log:     log.New(io.Discard),
+		fs:      fs,
+	}
+	stop, err := c.start(ctx)
+	assert.NilError(t, err)
+	t.Cleanup(stop)
+	t.Cleanup(instance.ServeDeployment(l, c, instance.Security{}, &instance.Traffic{}))
+	return c
+}
+
+// eventually tries until there is no error.
+func eventually(t *testing.T, try func() error) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if err := try(); err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+func (c *Control) order(version, base uint64) error {
+	result, err := c.Order(context.Background(), deployment.Order{
+		Digest: string(rune('a' + version)), Version: version, Base: base, Whole: true,
+	})
+	if err == nil && result.Outcome != deployment.Accepted {
+		err = errors.New(result.Reason)
+	}
+	return err
+}
+
+// TestReplicaIsOpenedAgain breaks the disk under a replica for a while: it
+// acknowledges nothing meanwhile, and afterwards has all that it had acknowledged.
+func TestReplicaIsOpenedAgain(t *testing.T) {
+	fs := &failingDisk{}
+	c := startControl(t, fs)
+	eventually(t, func() error { return c.order(1, 0) })
+	fs.broken.Store(true)
+	err := c.order(2, 1)
+	assert.Assert(t, errors.Is(err, ErrUnavailable), "%v", err)
+	assert.Assert(t, c.stopped() || !c.leads())
+	fs.broken.Store(false)
+	eventually(t, func() error {
+		doc, ok, err := c.Document(context.Background())
+		if err == nil && (!ok || doc.Version < 1) {
+			err = errors.New("the configuration is gone")
+		}
+		return err
+	})
+	// The order that was not acknowledged may have been kept: it is one or other.
+	eventually(t, func() error { return c.order(2, 1) })
+	doc, _, err := c.Document(context.Background())
+	assert.NilError(t, err)
+	assert.Equal(t, doc.Version, uint64(2))
+}
--- /dev/null
+++ b/internal/leader/leader_test.go
@@ -0,0 +1,52 @@
+package leader
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/pkg/loop"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
+)
+
+// countedTargets counts the calls that leave.
+type countedTargets struct{ calls atomic.Int32 }
+
+func (c *countedTargets) Grant(context.Context, string, Grant) error {
+	c.calls.Add(1)
+	return nil
+}
+
+func (c *countedTargets) Release(context.Context, string, Grant) (string, error) {
+	c.calls.Add(1)
+	return "", nil
+}
+
+// TestNoOrdersWithoutAQuorum wakes a leader from a suspension, of which the steady
+// clock knows nothing: what it had decided before must not leave any more.
+func TestNoOrdersWithoutAQuorum(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	targets := &countedTargets{}
+	l := &Leader{targets: targets, clock: timer.NewManual(), log: log.New(io.Discard), ctx: ctx}
+	lp, stop := loop.New(ctx, NewModel(DefaultTiming()), l.run)
+	defer stop()
+	l.loop = lp
+	piece := deployment.PieceRef{Service: testService, To: deployment.MaxKey, Fence: 7}
+	calls := func() int32 {
+		before := targets.calls.Load()
+		l.grant(SendGrant{Piece: piece})
+		l.release(SendRelease{Piece: piece})
+		return targets.calls.Load() - before
+	}
+	l.quorum.Store(int64(bootTime()))
+	assert.Equal(t, calls(), int32(2))
+	l.quorum.Store(int64(bootTime() - quorumValid - time.Millisecond))
+	assert.Equal(t, calls(), int32(0))
+}
