--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -133,16 +133,7 @@
 
 // askLoads has the router report its load regularly.
 func (e *Entry) askLoads(ctx context.Context) {
-	ticks, stop := e.cfg.Clock.Subscribe(loadPeriod)
-	defer stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks:
-			e.loop.TrySend(router.LoadAsked{})
-		}
-	}
+	timer.Every(ctx, e.cfg.Clock, loadPeriod, func() { e.loop.TrySend(router.LoadAsked{}) })
 }
 
 // run carries out the router's effects.
--- a/internal/fleet/heard.go
+++ b/internal/fleet/heard.go
@@ -9,6 +9,7 @@
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
 	"github.com/cranberrywind/cranberrywind/internal/instance"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
 // heardPeriod is the time for which heartbeats are gathered before the leader is
@@ -41,21 +42,14 @@
 // tellHeard brings the gathered heartbeats to the leader until ctx ends. Those
 // of a call that fails are lost: the targets' next ones follow.
 func (c *Control) tellHeard(ctx context.Context) {
-	ticks, stop := c.clock.Subscribe(heardPeriod)
-	defer stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks:
-		}
+	timer.Every(ctx, c.clock, heardPeriod, func() {
 		lives := c.heard.take()
 		if len(lives) == 0 {
-			continue
+			return
 		}
 		req := &instance.HeardRequest{Lives: lives}
 		if _, err := toLeader[instance.HeardRequest, instance.Empty](ctx, c, "Heard", req, c.Heard); err != nil {
 			c.log.Warn("heartbeats not passed on to the leader", "targets", len(lives), "error", err)
 		}
-	}
+	})
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -131,16 +131,9 @@
 
 // confirm keeps proving that this replica still leads.
 func (l *Leader) confirm(ctx context.Context) {
-	ticks, stop := l.clock.Subscribe(quorumPeriod)
-	defer stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks:
-		}
+	timer.Every(ctx, l.clock, quorumPeriod, func() {
 		if l.group.Role().Role != replica.Leader {
-			continue
+			return
 		}
 		began := bootTime()
 		round, cancel := context.WithTimeout(ctx, quorumValid)
@@ -148,7 +141,7 @@
 			l.quorum.Store(int64(began))
 		}
 		cancel()
-	}
+	})
 }
 
 // leads reports whether a quorum confirmed the leadership a moment ago.
--- a/internal/membership/manager.go
+++ b/internal/membership/manager.go
@@ -64,16 +64,7 @@
 
 // Run works until ctx ends.
 func (m *Manager) Run(ctx context.Context) {
-	ticks, stop := m.clock.Subscribe(period)
-	defer stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks:
-			m.once(ctx)
-		}
-	}
+	timer.Every(ctx, m.clock, period, func() { m.once(ctx) })
 }
 
 func (m *Manager) once(ctx context.Context) {
--- a/pkg/timer/timer.go
+++ b/pkg/timer/timer.go
@@ -75,6 +75,20 @@
 	}
 }
 
+// Every calls f once in each period until ctx ends.
+func Every(ctx context.Context, s Service, period time.Duration, f func()) {
+	ticks, stop := s.Subscribe(period)
+	defer stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks:
+			f()
+		}
+	}
+}
+
 // Sleep waits for the time to pass and reports whether ctx is still alive.
 func Sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/pkg/timer/timer_test.go
+++ b/pkg/timer/timer_test.go
@@ -1,6 +1,7 @@
 package timer_test
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -15,3 +16,20 @@
 	fmt.Println(time.Duration(<-ticks))
 	// Output: 25ms
 }
+
+func ExampleEvery() {
+	clock := timer.NewManual()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		timer.Every(ctx, clock, 10*time.Millisecond, cancel)
+	}()
+	for ctx.Err() == nil {
+		clock.Advance(10 * time.Millisecond)
+		time.Sleep(time.Millisecond)
+	}
+	<-ended
+	fmt.Println("called")
+	// Output: called
+}
