Tell an entry what changed only from a state that it has

After all control instances had lost power their replicas had applied nothing yet when entries came back; updates were then worked out from that empty state, in which nothing had to be dropped.

Ruled out: entries that stayed without a stream (all had the version in force within 0.1 s of the new leader).

Change: until a replica has caught up with the entry's version, each update is worked out from that version, as the first one is.

Shown failing before: TestPublisherThatCatchesUp.

--- a/internal/view/publish.go
+++ b/internal/view/publish.go
@@ -45,7 +45,10 @@
 		if err := send(u); err != nil {
 			return err
 		}
-		sent = &state
+		// What changed can be told from a state that the entry has, no earlier.
+		if state.Version() >= have.Version {
+			sent = &state
+		}
 		if !awaitVisible(ctx, src, state.Version(), changed, pings) {
 			return ctx.Err()
 		}
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/cranberrywind/cranberrywind/internal/instance"
 	"github.com/cranberrywind/cranberrywind/internal/view"
 	"github.com/cranberrywind/cranberrywind/internal/wire"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
 func route(n, version int) deployment.Route {
@@ -93,6 +95,65 @@
 	})
 }
 
+// source is a replica whose state changes.
+type source struct {
+	view.Source
+	now     deployment.State
+	changed chan struct{}
+}
+
+func (s *source) State() deployment.State { return s.now }
+
+func (s *source) Changed() <-chan struct{} { return s.changed }
+
+func (s *source) Current() bool { return true }
+
+func (s *source) Control() []string { return nil }
+
+// TestPublisherThatCatchesUp sends an entry updates from a replica that was just
+// started: at first it has less than the entry.
+func TestPublisherThatCatchesUp(t *testing.T) {
+	apply := func(s deployment.State, index uint64, c deployment.Command) deployment.State {
+		s, _ = s.Apply(index, wire.Encode(c))
+		return s
+	}
+	announce := func(n int) deployment.Command {
+		return deployment.Command{Announce: &deployment.Target{
+			ID: fmt.Sprintf("t%d", n), Born: 1, Service: "catalog", Address: fmt.Sprint(n), Slots: 3, Status: deployment.Live, Sequence: 1,
+		}}
+	}
+	first := apply(deployment.State{}, 1, deployment.Command{Order: &deployment.Order{
+		Digest: "first", Version: 1, Whole: true, Routes: []deployment.Route{route(0, 1), route(1, 1)},
+		Services: []deployment.Service{{Name: "catalog"}},
+	}})
+	entryHas := apply(apply(first, 2, announce(1)), 3, announce(2))
+	newest := apply(entryHas, 4, deployment.Command{Order: &deployment.Order{Digest: "second", Version: 2, Base: 1, DropRoutes: []string{"r1"}}})
+	newest = apply(newest, 5, deployment.Command{Withdraw: &deployment.Life{ID: "t1", Born: 1}})
+	newest = apply(newest, 6, deployment.Command{Forget: []deployment.Life{{ID: "t1", Born: 1}}})
+
+	src := &source{changed: make(chan struct{})}
+	close(src.changed)
+	have := (&view.View{}).With(received(view.Since(nil, entryHas)))
+	req := &instance.WatchRequest{Version: have.Version, DocIndex: have.DocIndex}
+	states := []deployment.State{first, newest}
+	err := view.Publish(t.Context(), src, timer.NewManual(), req, func(u *instance.ViewUpdate) error {
+		if u.Version >= have.Version {
+			have = have.With(received(u))
+		}
+		if len(states) == 0 {
+			return io.EOF
+		}
+		src.now, states = states[0], states[1:]
+		return nil
+	})
+	assert.Equal(t, err, io.EOF)
+	whole := (&view.View{}).With(received(view.Since(nil, newest)))
+	assert.DeepEqual(t, have.Document, whole.Document)
+	assert.DeepEqual(t, have.Usable("catalog"), whole.Usable("catalog"))
+	_, known := have.Target("t1")
+	assert.Assert(t, !known)
+}
+
 // received is an update as it arrives at an entry.
 func received(u *instance.ViewUpdate) *instance.ViewUpdate {
 	out := new(instance.ViewUpdate)
