Catch hang-up signals until a planned stop has ended

The handler of the signal ended with the beginning of the stop, so that the signal ended the process. One that came right after the start did the same.

Ruled out: the entry's own stop (no line of it, grace not used up), memory.

Change: the signal is caught from before the instance starts until it has ended.

Shown failing before: TestHangUpDuringAPlannedStop (signal: hangup).

--- a/cmd/cranberrywind/route.go
+++ b/cmd/cranberrywind/route.go
@@ -36,6 +36,9 @@
 
 // route runs an instance until ctx ends, then stops it as planned.
 func route(ctx context.Context, cfg settings.Routed, path string) error {
+	// A hang-up signal that is not caught ends the process, also in its stop.
+	hangUp, stopSignals := reloadSignal()
+	defer stopSignals()
 	lines, closeLines := logwriter.New(os.Stdout)
 	defer closeLines()
 	logger := newLogger(lines.Important(), cfg.LogLevel)
@@ -48,7 +51,7 @@
 	defer stop()
 	watching, stopWatching := context.WithCancel(ctx)
 	defer stopWatching()
-	go watchSettings(watching, path, logger, f.Reload)
+	go watchSettings(watching, hangUp, path, logger, f.Reload)
 	select {
 	case err := <-f.Failed():
 		logger.Error("instance failed", "error", err)
@@ -65,9 +68,7 @@
 
 // watchSettings reloads the settings at a hang-up signal and whenever the file
 // has changed. Settings that can't be read are logged, and the old ones stay.
-func watchSettings(ctx context.Context, path string, logger *log.Logger, reload func(settings.Routed)) {
-	hangUp, stopSignals := reloadSignal()
-	defer stopSignals()
+func watchSettings(ctx context.Context, hangUp <-chan os.Signal, path string, logger *log.Logger, reload func(settings.Routed)) {
 	ticks := time.NewTicker(settingsPeriod)
 	defer ticks.Stop()
 	last := modified(path)
--- a/cmd/cranberrywind/route_test.go
+++ b/cmd/cranberrywind/route_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -14,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cranberrywind/cranberrywind/internal/settings"
+	"github.com/cranberrywind/cranberrywind/platform"
 )
 
 // writeSeeds writes the settings of an entry with one seed.
@@ -50,12 +52,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	reloaded := make(chan settings.Routed, 1)
-	go watchSettings(ctx, path, log.New(io.Discard), func(cfg settings.Routed) { reloaded <- cfg })
+	hangUp, stopSignals := reloadSignal()
+	defer stopSignals()
+	go watchSettings(ctx, hangUp, path, log.New(io.Discard), func(cfg settings.Routed) { reloaded <- cfg })
 	time.Sleep(50 * time.Millisecond) // a change of the file needs another time
 	writeSeeds(t, path, "10.0.0.2:1")
 	assertSeed(t, reloaded, "10.0.0.2:1")
 
-	// By now the signal is caught. The old settings stay where new ones are wrong.
+	// The old settings stay where new ones are wrong.
 	assert.NilError(t, os.WriteFile(path, []byte("[instance]\nroles = unknown\n"), 0o600))
 	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
 	time.Sleep(100 * time.Millisecond)
@@ -64,3 +68,29 @@
 	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
 	assertSeed(t, reloaded, "10.0.0.3:1")
 }
+
+// TestHangUpDuringAPlannedStop sends the signal to this process, which ends the
+// test where nobody catches it.
+func TestHangUpDuringAPlannedStop(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "entry.ini")
+	var free [3]string
+	for i := range free {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		free[i] = l.Addr().String()
+		assert.NilError(t, l.Close())
+	}
+	text := fmt.Sprintf("[instance]\nname = entry-1\navailability_zone = a\nroles = entry\naddress = %s\ncaller_address = %s\nbalancer_address = %s\ndrain = 400ms\n\n[control]\nseeds = 127.0.0.1:1\n",
+		free[0], free[1], free[2])
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	cfg, err := platform.LoadSettings(path)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- route(ctx, cfg, path) }()
+	time.Sleep(200 * time.Millisecond) // lets it start
+	cancel()
+	time.Sleep(100 * time.Millisecond) // lets the stop begin
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	assert.NilError(t, <-ended)
+}
