Put grants into a file of their own, and name what their fields hold

No change of behaviour: grants, renewals and releases move from model.go to grants.go; an ending carries sentAt; the leader's index of addresses is named for the latest life there.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return s.failed(ctx, c, t, err, took)
 	}
-	e := ending{began: c.sentAt, took: took}
+	e := ending{sentAt: c.sentAt, took: took}
 	if s.cfg.Dialect.ParseLoad != nil {
 		e.load, e.loadKnown = s.cfg.Dialect.ParseLoad(a.Header.Get(s.cfg.Dialect.Load))
 	}
@@ -125,7 +125,7 @@
 		failed: !left && !errors.Is(err, targethttp.ErrFull),
 		broken: errors.Is(err, targethttp.ErrBroken) && !errors.Is(err, targethttp.ErrTimeout),
 		took:   took,
-		began:  c.sentAt,
+		sentAt: c.sentAt,
 	}
 	s.targets.ended(t, e)
 	c.last = fmt.Sprintf("target %s: %v", t.ID, err)
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -244,7 +244,7 @@
 	s := ts.state(t)
 	now := ts.clock.Now()
 	s.inflight = max(0, s.inflight-1)
-	if overdue := s.landed(e.began); !overdue && (e.failed || e.ran && !e.good) {
+	if overdue := s.landed(e.sentAt); !overdue && (e.failed || e.ran && !e.good) {
 		s.missed++
 	}
 	if s.freed != nil {
@@ -317,11 +317,11 @@
 
 // ending is what became of one request to a target.
 type ending struct {
-	failed    bool // no answer although one was due
-	broken    bool // the failure was an answer that broke or was spoilt
-	ran       bool // the target answered
-	good      bool // with a success
-	began     timer.Instant
+	failed    bool          // no answer although one was due
+	broken    bool          // the failure was an answer that broke or was spoilt
+	ran       bool          // the target answered
+	good      bool          // with a success
+	sentAt    timer.Instant // as began returned it
 	took      time.Duration
 	load      Load
 	loadKnown bool
--- a/internal/forward/targets_test.go
+++ b/internal/forward/targets_test.go
@@ -19,7 +19,7 @@
 
 // answered plays one request to a target.
 func answered(ts *targets, clock *timer.Manual, t deployment.Target, took time.Duration, e ending) {
-	e.began = ts.began(t)
+	e.sentAt = ts.began(t)
 	clock.Advance(took)
 	e.took = took
 	ts.ended(t, e)
@@ -160,7 +160,7 @@
 		at := ts.began(list[0])
 		clock.Advance(leastOverdue)
 		assert.Equal(t, chosen(ts, list, deployment.Booking)["t1"], 0)
-		ts.ended(list[0], ending{began: at, took: leastOverdue, failed: true})
+		ts.ended(list[0], ending{sentAt: at, took: leastOverdue, failed: true})
 		assert.Assert(t, chosen(ts, list, deployment.Booking)["t1"] > 0)
 	})
 	t.Run("an overdue request is reported once", func(t *testing.T) {
@@ -168,7 +168,7 @@
 		at := ts.began(list[0])
 		clock.Advance(leastOverdue)
 		assert.Equal(t, failures(ts, "t1"), uint32(1))
-		ts.ended(list[0], ending{began: at, took: leastOverdue, failed: true})
+		ts.ended(list[0], ending{sentAt: at, took: leastOverdue, failed: true})
 		assert.Equal(t, failures(ts, "t1"), uint32(0))
 	})
 	t.Run("while all entries together see it failing", func(t *testing.T) {
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -1,10 +1,7 @@
 package leader
 
 import (
-	"cmp"
 	"errors"
-	"math"
-	"slices"
 	"time"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
@@ -17,29 +14,29 @@
 // Model decides what the leader does next. It belongs to its loop alone and
 // changes in place: a copy for each heartbeat would cost more than all decisions.
 type Model struct {
-	timing  Timing
-	leading bool
-	since   timer.Instant
-	index   uint64 // last log index of earlier leaders
-	now     timer.Instant
-	state   deployment.State
-	heard   map[deployment.Life]timer.Instant
-	left    map[deployment.Life]timer.Instant    // when a target was first seen to have left
-	holds   map[fenceID]map[deployment.Key]*hold // by first key
-	young   map[string]deployment.Target         // latest life at each address
-	youngAt uint64                               // state version that young was made from
-	loads   map[string]*load                     // by service
-	plans   uint64                               // number of plans made
-	pending bool                                 // a command is being committed
-	looked  timer.Instant                        // last look at the load
-	noted   timer.Instant                        // last report of the load
-	seen    map[string]arrivals
-	flights []deployment.PieceRef    // grants that are under way
-	entries map[string]timer.Instant // last reports
-	advised timer.Instant            // last advice to entries
-	blames  []deployment.Blame       // to be committed
-	accused map[string]timer.Instant // when a suspect was first seen, by fingerprint
-	health  map[deployment.Life]health
+	timing   Timing
+	leading  bool
+	since    timer.Instant
+	index    uint64 // last log index of earlier leaders
+	now      timer.Instant
+	state    deployment.State
+	heard    map[deployment.Life]timer.Instant
+	left     map[deployment.Life]timer.Instant    // when a target was first seen to have left
+	holds    map[fenceID]map[deployment.Key]*hold // by first key
+	latest   map[string]deployment.Target         // latest life at each address
+	latestAt uint64                               // state version that latest was made from
+	loads    map[string]*load                     // by service
+	plans    uint64                               // number of plans made
+	pending  bool                                 // a command is being committed
+	looked   timer.Instant                        // last look at the load
+	noted    timer.Instant                        // last report of the load
+	seen     map[string]arrivals
+	flights  []deployment.PieceRef    // grants that are under way
+	entries  map[string]timer.Instant // last reports
+	advised  timer.Instant            // last advice to entries
+	blames   []deployment.Blame       // to be committed
+	accused  map[string]timer.Instant // when a suspect was first seen, by fingerprint
+	health   map[deployment.Life]health
 }
 
 // arrivals tells when a service's targets came, before its keys are shared out.
@@ -156,70 +153,6 @@
 	return h
 }
 
-func (m *Model) granted(e Granted) {
-	if i := slices.Index(m.flights, e.Piece); i >= 0 {
-		m.flights = slices.Delete(m.flights, i, i+1)
-	}
-	if e.Sent {
-		m.noteSent(e)
-	}
-	h := m.known(e.Piece.Service, e.Piece.From, e.Piece.Fence)
-	if h == nil {
-		return
-	}
-	h.calling = false
-	switch {
-	case e.Err == nil:
-		h.failures = 0
-		h.next = e.At.Add(m.timing.Renewal)
-		if h.confirmed == 0 {
-			h.confirmed = e.At
-		}
-	case errors.Is(e.Err, ErrFenced):
-		h.fenced = true
-	case !e.Sent:
-		// It says nothing of the target, and is due as before.
-	default:
-		h.failures++
-		h.failedAt = e.At
-		h.next = e.At.Add(m.timing.Renewal / 4)
-	}
-}
-
-// noteSent extends what a grant may have given. It may have been sent for keys
-// that were cut into several pieces since.
-func (m *Model) noteSent(e Granted) {
-	for from, h := range m.holds[fenceID{service: e.Piece.Service, fence: e.Piece.Fence}] {
-		if from < e.Piece.From || from > e.Piece.To {
-			continue
-		}
-		h.end = max(h.end, m.timing.outlasts(e.At))
-		if e.Err != nil && !errors.Is(e.Err, ErrFenced) {
-			h.unanswered = max(h.unanswered, m.timing.outlasts(e.At))
-		}
-	}
-}
-
-// granting reports whether a grant of any of the keys is under way.
-func (m *Model) granting(ref deployment.PieceRef) bool {
-	return slices.ContainsFunc(m.flights, func(x deployment.PieceRef) bool {
-		return x.Service == ref.Service && x.Fence == ref.Fence && x.From <= ref.To && ref.From <= x.To
-	})
-}
-
-func (m *Model) released(e Released) {
-	h := m.known(e.Piece.Service, e.Piece.From, e.Piece.Fence)
-	if h == nil {
-		return
-	}
-	h.calling = false
-	h.nextAsk = e.At.Add(m.timing.Renewal / 4)
-	if e.Err == nil {
-		h.released = true
-		h.handover = e.Handover
-	}
-}
-
 // plan returns the calls that are due and at most one command.
 func (m *Model) plan() []Effect {
 	m.plans++
@@ -365,67 +298,6 @@
 // calls of its predecessor have ended.
 func (m *Model) calm() bool { return m.now > m.since.Add(m.timing.Quiet) }
 
-func (m *Model) renew(t deployment.Target, ref deployment.PieceRef, h *hold, handover string) pieceStep {
-	if h.calling || m.now < h.next {
-		return pieceStep{}
-	}
-	if h.failures > 0 && !m.heardSince(t, h.failedAt) {
-		// Another life may have the address by now. It must not be granted keys
-		// under the fence of the one before.
-		return pieceStep{}
-	}
-	grant := SendGrant{Target: t, Piece: ref, Hold: m.timing.Hold, Handover: handover}
-	return pieceStep{grant: &dueGrant{SendGrant: grant, hold: h}}
-}
-
-// dueGrant is a grant that may be sent now.
-type dueGrant struct {
-	SendGrant
-	hold *hold
-}
-
-// grantBurst is the least number of grants that one plan may send, and
-// grantSpread the share of the time between two renewals over which a new
-// leader's first renewals of all keys are spread.
-const (
-	grantBurst  = 16
-	grantSpread = 0.6
-)
-
-// sendGrants sends the grants that are due: those of new holders first, then
-// those that have waited longest. A leader that sends all at once has no time
-// left to prove that it still leads.
-func (m *Model) sendGrants(due []dueGrant, pieces int) []Effect {
-	perPlan := int(math.Ceil(float64(pieces) * float64(planPeriod) / (grantSpread * float64(m.timing.Renewal))))
-	if most := max(grantBurst, perPlan); len(due) > most {
-		slices.SortStableFunc(due, func(a, b dueGrant) int { return cmp.Compare(a.rank(), b.rank()) })
-		due = due[:most]
-	}
-	out := make([]Effect, 0, len(due))
-	for _, g := range due {
-		g.hold.calling = true
-		m.flights = append(m.flights, g.Piece)
-		out = append(out, g.SendGrant)
-	}
-	return out
-}
-
-// rank orders grants that are due; the lowest goes first.
-func (g dueGrant) rank() timer.Instant {
-	if g.hold.end == 0 {
-		return 0
-	}
-	return g.hold.next
-}
-
-func (m *Model) release(t deployment.Target, ref deployment.PieceRef, h *hold) pieceStep {
-	if h.calling || m.now < h.nextAsk || !m.calm() {
-		return pieceStep{}
-	}
-	h.calling = true
-	return pieceStep{effects: []Effect{SendRelease{Target: t, Piece: ref}}}
-}
-
 // answers reports whether the target still answers grants or sends heartbeats.
 func (m *Model) answers(t deployment.Target, h *hold) bool {
 	return h.failures == 0 || m.recentlyHeard(t)
@@ -449,20 +321,20 @@
 
 // indexAddresses notes the latest life at each address.
 func (m *Model) indexAddresses() {
-	if m.young != nil && m.youngAt == m.state.Version() {
+	if m.latest != nil && m.latestAt == m.state.Version() {
 		return
 	}
-	m.young, m.youngAt = make(map[string]deployment.Target, len(m.state.Targets())), m.state.Version()
+	m.latest, m.latestAt = make(map[string]deployment.Target, len(m.state.Targets())), m.state.Version()
 	for _, t := range m.state.Targets() {
-		if known, ok := m.young[t.Address]; !ok || t.Born > known.Born {
-			m.young[t.Address] = t
+		if known, ok := m.latest[t.Address]; !ok || t.Born > known.Born {
+			m.latest[t.Address] = t
 		}
 	}
 }
 
 // addressTaken reports whether a later life has the target's address.
 func (m *Model) addressTaken(t deployment.Target) bool {
-	y, ok := m.young[t.Address]
+	y, ok := m.latest[t.Address]
 	return ok && y.ID != t.ID && y.Born > t.Born
 }
 
