Ask right before a leader's call leaves whether it still may

Leadership is checked on the clock that counts suspension, but before connecting: a call that was connecting when the leader was suspended went on after it woke, as timeouts run on the steady clock.

Change: the check is made once more after connecting, right before the call is written. What is left is a suspension between that check and the write.

Shown by: TestNoOrdersWithoutAQuorum (suspended while it connects), TestExchange (a request that was withdrawn while connecting is not sent).

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -32,6 +32,9 @@
 	Fence    uint64
 	Hold     time.Duration
 	Handover string
+	// Allowed is asked right before the call leaves: a leader that was suspended
+	// while it connected may have been replaced.
+	Allowed func() bool
 }
 
 const (
@@ -172,7 +175,7 @@
 	done := Granted{Piece: e.Piece}
 	if l.leads() {
 		ctx, cancel := context.WithTimeout(l.ctx, grantTimeout)
-		g := Grant{Target: e.Target.ID, From: e.Piece.From, To: e.Piece.To, Fence: e.Piece.Fence, Hold: e.Hold, Handover: e.Handover}
+		g := Grant{Target: e.Target.ID, From: e.Piece.From, To: e.Piece.To, Fence: e.Piece.Fence, Hold: e.Hold, Handover: e.Handover, Allowed: l.leads}
 		done.Sent = true
 		done.Err = l.targets.Grant(ctx, e.Target.Address, g)
 		cancel()
@@ -191,7 +194,7 @@
 	done := Released{Piece: e.Piece, Err: replica.ErrNotLeader}
 	if l.leads() {
 		ctx, cancel := context.WithTimeout(l.ctx, releaseTimeout)
-		g := Grant{Target: e.Target.ID, From: e.Piece.From, To: e.Piece.To, Fence: e.Piece.Fence}
+		g := Grant{Target: e.Target.ID, From: e.Piece.From, To: e.Piece.To, Fence: e.Piece.Fence, Allowed: l.leads}
 		done.Handover, done.Err = l.targets.Release(ctx, e.Target.Address, g)
 		cancel()
 	}
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -16,16 +16,23 @@
 )
 
 // countedTargets counts the calls that leave.
-type countedTargets struct{ calls atomic.Int32 }
+type countedTargets struct {
+	calls   atomic.Int32
+	connect func() // before a call leaves
+}
 
-func (c *countedTargets) Grant(context.Context, string, Grant) error {
-	c.calls.Add(1)
+func (c *countedTargets) Grant(_ context.Context, _ string, g Grant) error {
+	if c.connect != nil {
+		c.connect()
+	}
+	if g.Allowed() {
+		c.calls.Add(1)
+	}
 	return nil
 }
 
-func (c *countedTargets) Release(context.Context, string, Grant) (string, error) {
-	c.calls.Add(1)
-	return "", nil
+func (c *countedTargets) Release(ctx context.Context, address string, g Grant) (string, error) {
+	return "", c.Grant(ctx, address, g)
 }
 
 // TestNoOrdersWithoutAQuorum wakes a leader from a suspension, of which the steady
@@ -47,6 +54,11 @@
 	}
 	l.quorum.Store(int64(bootTime()))
 	assert.Equal(t, calls(), int32(2))
-	l.quorum.Store(int64(bootTime() - quorumValid - time.Millisecond))
+	tooOld := func() { l.quorum.Store(int64(bootTime() - quorumValid - time.Millisecond)) }
+	tooOld()
+	assert.Equal(t, calls(), int32(0))
+	// Suspended after the decision, while it connects.
+	l.quorum.Store(int64(bootTime()))
+	targets.connect = tooOld
 	assert.Equal(t, calls(), int32(0))
 }
--- a/internal/targethttp/exchange.go
+++ b/internal/targethttp/exchange.go
@@ -19,6 +19,9 @@
 	Careful bool   // must not run twice: avoids connections that may be closing
 	// Connect bounds how long a new connection may take; 0 for dialTimeout.
 	Connect time.Duration
+	// Allowed is asked right before the request is written; nil always allows it.
+	// Connecting may have taken long, or the process been suspended meanwhile.
+	Allowed func() bool
 	// BodyContext lets a large body come in after Do has returned, until the
 	// context ends. Nil asks for whole answers.
 	BodyContext context.Context
@@ -59,6 +62,10 @@
 		p.put(c)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	if r.Allowed != nil && !r.Allowed() {
+		p.put(c)
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrNotAllowed)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	resp, reusable, err := c.exchange(idHeader, r)
 	a := &Answer{Reused: c.reused}
--- a/internal/targethttp/exchange_test.go
+++ b/internal/targethttp/exchange_test.go
@@ -177,6 +177,19 @@
 		assert.Equal(t, p.Connecting(address), time.Duration(0))
 		assert.Assert(t, p.Connecting("127.0.0.1:1") > 0)
 	})
+	t.Run("a request that was withdrawn while connecting is not sent", func(t *testing.T) {
+		asked := make(chan struct{}, 1)
+		address := listen(t, func(_ int, c net.Conn, r *http.Request) bool {
+			asked <- struct{}{}
+			return write(c, whole(r.Header.Get(idHeader), "hello"))
+		})
+		p := newTestPool(t)
+		r := Request{Method: http.MethodPost, Head: []byte("POST /x HTTP/1.1\r\nHost: h\r\n\r\n"), Allowed: func() bool { return false }}
+		_, err := p.Do(t.Context(), address, 2, idHeader, r)
+		assert.Assert(t, errors.Is(err, ErrNotSent))
+		assert.Assert(t, errors.Is(err, ErrNotAllowed))
+		assert.Equal(t, len(asked), 0)
+	})
 	t.Run("a refused connection proves that nothing was sent", func(t *testing.T) {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
--- a/internal/targethttp/pool.go
+++ b/internal/targethttp/pool.go
@@ -30,6 +30,8 @@
 	ErrNoConnection = fmt.Errorf("no connection: %w", ErrNotSent)
 	// ErrFull is an ErrNotSent where all connections allowed are in use.
 	ErrFull = fmt.Errorf("all connections are in use: %w", ErrNotSent)
+	// ErrNotAllowed is the reason of an ErrNotSent whose sender withdrew it.
+	ErrNotAllowed = errors.New("its sender withdrew it")
 	// ErrBroken reports a request that was sent and got no whole answer: it may
 	// have run.
 	ErrBroken = errors.New("no whole answer")
