Log what a lost view stream had received

Cause: an entry whose view stream is given up can't tell whether control sent nothing or the update was still arriving: instance_bytes_in counts complete messages only.

--- a/internal/instance/client.go
+++ b/internal/instance/client.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -39,6 +41,7 @@
 	traffic    *Traffic
 	mu         sync.Mutex
 	conns      map[string]*grpc.ClientConn
+	received   map[string]*atomic.Int64 // bytes received, by address
 	sendQueues map[string]chan group.Envelope
 }
 
@@ -51,6 +54,7 @@
 		security:   security,
 		traffic:    traffic,
 		conns:      make(map[string]*grpc.ClientConn),
+		received:   make(map[string]*atomic.Int64),
 		sendQueues: make(map[string]chan group.Envelope),
 	}
 	return p, func() {
@@ -71,10 +75,14 @@
 	if c, ok := p.conns[address]; ok {
 		return c, nil
 	}
+	received := new(atomic.Int64)
 	reconnect := backoff.Config{BaseDelay: reconnectDelay, Multiplier: 2, MaxDelay: maxReconnectDelay}
 	c, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(p.security.clientCredentials()),
 		grpc.WithStatsHandler(p.traffic),
+		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			return dial(ctx, address, received)
+		}),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
 		grpc.WithNoProxy(),
@@ -89,10 +97,21 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
-	p.conns[address] = c
+	p.conns[address], p.received[address] = c, received
 	return c, nil
 }
 
+// BytesReceived returns the bytes received from an address so far, including those of
+// messages that are not complete.
+func (p *Pool) BytesReceived(address string) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n, ok := p.received[address]; ok {
+		return n.Load()
+	}
+	return 0
+}
+
 // Call calls a method of the instance at the address once, without retries.
 func Call[Req, Res any](ctx context.Context, p *Pool, address, method string, req *Req) (*Res, error) {
 	c, err := p.conn(address)
--- a/internal/view/follow.go
+++ b/internal/view/follow.go
@@ -172,10 +172,12 @@
 func (f *Follower) watch(s *stream, ready chan<- *stream) {
 	watchdog := time.AfterFunc(openTimeout, func() { s.cancel(errStalled) })
 	defer watchdog.Stop()
-	first, reported := true, false
+	first, reported, updates := true, false, 0
+	opened, bytesBefore := time.Now(), f.cfg.Pool.BytesReceived(s.address)
 	view := f.View()
 	req := &instance.WatchRequest{Instance: f.cfg.Name, Version: view.Version, ConfigIndex: view.ConfigIndex}
 	err := f.cfg.Pool.Watch(s.ctx, s.address, req, func(u *instance.ViewUpdate) error {
+		updates++
 		if u.Current || first {
 			watchdog.Reset(streamTimeout)
 		}
@@ -198,7 +200,8 @@
 	}
 	s.cancel(err)
 	if !errors.Is(err, errNotNeeded) && !errors.Is(err, context.Canceled) {
-		f.cfg.Log.Warn("view stream lost; asking another control instance", "control", s.address, "version", f.View().Version, "error", err)
+		f.cfg.Log.Warn("view stream lost; asking another control instance", "control", s.address, "version", f.View().Version,
+			"open_ms", time.Since(opened).Milliseconds(), "updates", updates, "received_bytes", f.cfg.Pool.BytesReceived(s.address)-bytesBefore, "error", err)
 	}
 }
 
