Send large view updates in compressed parts and keep a stalled stream

Cause: an update had to arrive whole within 0.9 s, or 1.5 s on a new stream. A configuration of 1,148 routes takes 200 to 240 KB, more than a full link of 6.1 Mbit/s leaves for it. The stream was given up and the next one sent the whole configuration again from its start, up to three side by side, which kept the link full after the burst too. Change: a large update is compressed once for all entries and sent in parts of 4 KB, each of which counts as progress. The change of a configuration is sent against the one that the entry has, also on a new stream, if it is among the last 16. A stream that stalls is kept until another instance answers. Old entries don't ask for parts and get whole updates.

--- a/internal/deployment/commands.go
+++ b/internal/deployment/commands.go
@@ -135,7 +135,7 @@
 	if err != nil {
 		return s, Result{Outcome: Invalid, Version: current, Reason: err.Error()}
 	}
-	s.config, s.configIndex, s.version = next, index, index
+	s = s.withConfig(index, next)
 	s.digests = append(slices.Clone(s.digests), change.Digest)
 	if len(s.digests) > maxDigests {
 		s.digests = s.digests[1:]
--- a/internal/deployment/state.go
+++ b/internal/deployment/state.go
@@ -51,8 +51,21 @@
 	tables        []KeyTable
 	suspects      []Suspect
 	suspectsIndex uint64 // log index of the last change of the suspects
+	// earlierConfigs are the configurations before the one in force, oldest first.
+	// They are not part of a snapshot.
+	earlierConfigs []indexedConfig
 }
 
+// indexedConfig is a configuration with the log index at which it was accepted.
+type indexedConfig struct {
+	index  uint64
+	config Config
+}
+
+// maxEarlierConfigs is the number of replaced configurations that are kept. An entry
+// that has one of them gets the changes since, and else the whole configuration.
+const maxEarlierConfigs = 16
+
 // Suspect is a kind of request that was in flight when targets crashed.
 type Suspect = suspect.Suspect[Incarnation]
 
@@ -67,6 +80,31 @@
 // accepted, 0 if there is none yet.
 func (s State) Config() (Config, uint64) { return s.config, s.configIndex }
 
+// ConfigAt returns the configuration that was accepted at the log index, if it is in
+// force or was replaced not long ago.
+func (s State) ConfigAt(index uint64) (Config, bool) {
+	if index == s.configIndex {
+		return s.config, true
+	}
+	i := slices.IndexFunc(s.earlierConfigs, func(c indexedConfig) bool { return c.index == index })
+	if i < 0 {
+		return Config{}, false
+	}
+	return s.earlierConfigs[i].config, true
+}
+
+// withConfig returns the state after a configuration was accepted at the log index.
+func (s State) withConfig(index uint64, cfg Config) State {
+	if s.configIndex > 0 {
+		s.earlierConfigs = append(slices.Clone(s.earlierConfigs), indexedConfig{index: s.configIndex, config: s.config})
+	}
+	if len(s.earlierConfigs) > maxEarlierConfigs {
+		s.earlierConfigs = s.earlierConfigs[1:]
+	}
+	s.config, s.configIndex, s.version = cfg, index, index
+	return s
+}
+
 // Targets returns the targets sorted by ID. The slice is shared and must not be
 // changed.
 func (s State) Targets() []Target { return s.targets }
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -30,6 +30,7 @@
 	pool           *instance.Pool
 	clock          timer.Clock
 	log            *log.Logger
+	publisher      *view.Publisher
 	heartbeatBatch heartbeatBatch
 	openReplica    atomic.Pointer[openReplica]
 	fs             disk.FS // nil for the operating system's file system
@@ -298,7 +299,7 @@
 // Watch streams updates of the view to an entry.
 func (c *Control) Watch(ctx context.Context, req *instance.WatchRequest, send func(*instance.ViewUpdate) error) error {
 	c.log.Info("entry subscribed to the view", "entry", req.Instance, "view_version", req.Version)
-	return view.Publish(ctx, c, c.clock, req, send)
+	return c.publisher.Publish(ctx, req, send)
 }
 
 // State returns the state that this replica has applied.
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -13,6 +13,7 @@
 	"github.com/cranberrywind/cranberrywind/internal/leader"
 	"github.com/cranberrywind/cranberrywind/internal/membership"
 	"github.com/cranberrywind/cranberrywind/internal/settings"
+	"github.com/cranberrywind/cranberrywind/internal/view"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
@@ -33,6 +34,7 @@
 // calls go to the other replicas.
 func startControl(ctx context.Context, cfg settings.Routed, targets leader.Targets, pool *instance.Pool, clock timer.Clock, logger *log.Logger) (*Control, func(), error) {
 	c := &Control{cfg: cfg, targets: targets, pool: pool, clock: clock, log: logger}
+	c.publisher = view.NewPublisher(c, clock)
 	stop, err := c.start(ctx)
 	return c, stop, err
 }
--- a/internal/instance/deployment_messages.go
+++ b/internal/instance/deployment_messages.go
@@ -100,6 +100,8 @@
 	// Version and ConfigIndex are those of the entry's current view; 0 if it has none.
 	Version     uint64 `msgpack:"version"`
 	ConfigIndex uint64 `msgpack:"doc_index"`
+	// Parts reports that the entry can assemble an update from parts.
+	Parts bool `msgpack:"parts"`
 }
 
 // ViewUpdate holds changes of an entry's view. The first update of a stream holds
@@ -121,4 +123,12 @@
 	SuspectsChanged bool                 `msgpack:"suspects_changed"`
 	// Current reports that the sender leads or receives its leader's heartbeats.
 	Current bool `msgpack:"current"`
+	// Part is one part of an update that was compressed and split. Beside it only
+	// Version, ConfigIndex, Control and Current are set.
+	Part []byte `msgpack:"part,omitempty"`
+	// MoreParts reports that further parts of the same update follow.
+	MoreParts bool `msgpack:"more_parts,omitempty"`
 }
+
+// IsPart reports whether the message is a part of a split update.
+func (u *ViewUpdate) IsPart() bool { return len(u.Part) > 0 }
--- a/internal/view/busy_link_test.go
+++ b/internal/view/busy_link_test.go
@@ -98,11 +98,11 @@
 // publishingControl is a control instance that publishes a replica's state.
 type publishingControl struct {
 	instance.DeploymentHandler
-	source *replicaSource
+	publisher *view.Publisher
 }
 
 func (c publishingControl) Watch(ctx context.Context, req *instance.WatchRequest, send func(*instance.ViewUpdate) error) error {
-	return view.Publish(ctx, c.source, timer.NewSystem(ctx), req, send)
+	return c.publisher.Publish(ctx, req, send)
 }
 
 // replicaSource is a replica that applies the commands of a test.
@@ -165,7 +165,8 @@
 	var addresses []string
 	for range 3 {
 		listener := listen(t)
-		t.Cleanup(instance.ServeDeployment(listener, publishingControl{source: source}, instance.Security{}, &instance.Traffic{}))
+		control := publishingControl{publisher: view.NewPublisher(source, timer.NewSystem(t.Context()))}
+		t.Cleanup(instance.ServeDeployment(listener, control, instance.Security{}, &instance.Traffic{}))
 		addresses = append(addresses, l.relayTo(t, listener.Addr().String()))
 	}
 	return startFollower(t, addresses)
--- a/internal/view/follow.go
+++ b/internal/view/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -12,7 +13,6 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/cranberrywind/cranberrywind/internal/instance"
-	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
 // Follower keeps an entry's view up to date from the update stream of one control
@@ -21,7 +21,8 @@
 	cfg         FollowerConfig
 	view        atomic.Pointer[View]
 	seeds       atomic.Pointer[[]string]
-	confirmedAt atomic.Int64 // Unix nanoseconds of the last update with Current set
+	confirmedAt atomic.Int64    // Unix nanoseconds of the last update with Current set
+	done        <-chan struct{} // closed when the follower stops
 	mu          sync.Mutex
 	changed     chan struct{}
 }
@@ -35,12 +36,16 @@
 }
 
 const (
-	// streamTimeout is the time without an update with Current set after which the
-	// follower gives up a stream. It counts from the first update.
-	streamTimeout = 900 * time.Millisecond
-	// openTimeout is the time limit for the first update of a stream: a few round
-	// trips over a link that is full of other traffic.
+	// stallTimeout is the time without a current update after which other control
+	// instances are asked as well. The stream that stalled is kept until one of them
+	// answers: on a link that is full of other traffic a new one would do no better.
+	stallTimeout = 900 * time.Millisecond
+	// openTimeout is the time limit for the first message of a stream, and for each
+	// further one until one is current: a few round trips over a full link.
 	openTimeout = 1500 * time.Millisecond
+	// silenceTimeout ends a stream that brings no message. Its connection may have
+	// failed without a reset, and another stream to the same instance would share it.
+	silenceTimeout = 3 * time.Second
 	// openStagger is the delay before another control instance is asked in
 	// parallel, since one that is powered off never responds.
 	openStagger = 250 * time.Millisecond
@@ -49,12 +54,12 @@
 	retryDelay = 50 * time.Millisecond
 )
 
-// errStalled ends a stream after streamTimeout or openTimeout.
+// errStalled ends a stream after openTimeout or silenceTimeout.
 var errStalled = errors.New("control instance sends no updates or has no leader")
 
 // Follow starts a follower, which runs until ctx ends.
 func Follow(ctx context.Context, cfg FollowerConfig) *Follower {
-	f := &Follower{cfg: cfg, changed: make(chan struct{})}
+	f := &Follower{cfg: cfg, done: ctx.Done(), changed: make(chan struct{})}
 	f.view.Store(&View{Control: cfg.Seeds})
 	f.SetSeeds(cfg.Seeds)
 	go f.run(ctx)
@@ -86,60 +91,65 @@
 	return f.changed
 }
 
-// run follows one control instance after another. The first one depends on the
-// entry's name, so that entries spread over the control instances.
+// run follows one control instance at a time. The first one depends on the entry's
+// name, so that entries spread over the control instances.
 func (f *Follower) run(ctx context.Context) {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(f.cfg.Name))
 	pos := int(h.Sum32() >> 1)
-	for ctx.Err() == nil {
-		f.follow(ctx, &pos)
-		timer.Sleep(ctx, retryDelay)
-	}
-}
-
-// follow opens streams from up to maxOpening control instances until one sends an
-// update with Current set. It keeps that stream until it ends, and cancels the
-// others.
-func (f *Follower) follow(ctx context.Context, pos *int) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	opening := make(map[string]*stream)
-	ready := make(chan *stream, maxOpening)
-	lost := make(chan *stream, maxOpening)
+	streams := make(map[string]*stream) // the one that is followed, and those that are opened beside it
+	var followed *stream
+	current := make(chan *stream) // brought a current message
+	ended := make(chan *stream)
+	open := time.NewTimer(0) // when the next stream is opened
+	defer open.Stop()
 	for {
-		if address := f.nextCandidate(pos, opening); address != "" {
-			s := &stream{address: address}
-			s.ctx, s.cancel = context.WithCancelCause(ctx)
-			opening[address] = s
-			go func() {
-				f.watch(s, ready)
-				lost <- s
-			}()
-		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(openStagger):
-		case s := <-lost:
-			delete(opening, s.address)
-			timer.Sleep(ctx, retryDelay)
-		case s := <-ready:
-			for _, other := range opening {
+		case s := <-current:
+			if streams[s.address] != s {
+				continue
+			}
+			followed = s
+			maps.DeleteFunc(streams, func(_ string, other *stream) bool {
 				if other != s {
 					other.cancel(errNotNeeded)
 				}
+				return other != s
+			})
+			open.Reset(stallTimeout)
+		case s := <-ended:
+			if streams[s.address] != s {
+				continue
 			}
-			<-s.ctx.Done()
-			return
+			delete(streams, s.address)
+			if followed == s {
+				followed = nil
+			}
+			if followed == nil {
+				open.Reset(retryDelay)
+			}
+		case <-open.C:
+			if followed != nil && len(streams) == 1 {
+				f.cfg.Log.Warn("view stream stalled; asking other control instances too", "control", followed.address,
+					"version", f.View().Version, "view_age_ms", f.Age().Milliseconds())
+			}
+			if address := f.nextCandidate(&pos, streams); address != "" {
+				s := &stream{address: address}
+				s.ctx, s.cancel = context.WithCancelCause(ctx)
+				streams[address] = s
+				go f.watch(s, current, ended)
+			}
+			open.Reset(openStagger)
 		}
 	}
 }
 
 // nextCandidate returns the address of the next control instance to ask, or "" if
-// maxOpening or all of them are being asked.
-func (f *Follower) nextCandidate(pos *int, opening map[string]*stream) string {
-	if len(opening) >= maxOpening {
+// maxOpening or all of them have a stream.
+func (f *Follower) nextCandidate(pos *int, streams map[string]*stream) string {
+	if len(streams) >= maxOpening {
 		return ""
 	}
 	control := slices.Sorted(slices.Values(f.View().Control))
@@ -150,7 +160,7 @@
 	}
 	for range control {
 		*pos++
-		if address := control[*pos%len(control)]; opening[address] == nil {
+		if address := control[*pos%len(control)]; streams[address] == nil {
 			return address
 		}
 	}
@@ -164,33 +174,39 @@
 	cancel  context.CancelCauseFunc
 }
 
-// errNotNeeded cancels the other attempts once one stream is ready.
+// errNotNeeded cancels the other streams once one is followed.
 var errNotNeeded = errors.New("another control instance answered first")
 
-// watch applies the updates of one control instance until the stream fails or
-// times out. It sends s to ready at the first update with Current set.
-func (f *Follower) watch(s *stream, ready chan<- *stream) {
+// watch applies the updates of one control instance until the stream fails or times
+// out. It sends s to current at each current message, and to ended at the end.
+func (f *Follower) watch(s *stream, current, ended chan<- *stream) {
 	watchdog := time.AfterFunc(openTimeout, func() { s.cancel(errStalled) })
 	defer watchdog.Stop()
-	first, reported, updates := true, false, 0
+	messages := 0
 	opened, bytesBefore := time.Now(), f.cfg.Pool.BytesReceived(s.address)
 	view := f.View()
-	req := &instance.WatchRequest{Instance: f.cfg.Name, Version: view.Version, ConfigIndex: view.ConfigIndex}
+	req := &instance.WatchRequest{Instance: f.cfg.Name, Version: view.Version, ConfigIndex: view.ConfigIndex, Parts: true}
+	var parts assembler
 	err := f.cfg.Pool.Watch(s.ctx, s.address, req, func(u *instance.ViewUpdate) error {
-		updates++
-		if u.Current || first {
-			watchdog.Reset(streamTimeout)
+		if messages++; messages == 1 {
+			f.cfg.Log.Info("view stream open", "control", s.address, "version", u.Version, "current", u.Current)
+			watchdog.Reset(openTimeout)
 		}
 		if u.Current {
-			f.confirmedAt.Store(time.Now().UnixNano())
+			watchdog.Reset(silenceTimeout)
+			select {
+			case current <- s:
+			case <-s.ctx.Done():
+			}
 		}
-		if first {
-			f.cfg.Log.Info("view stream open", "control", s.address, "version", u.Version, "current", u.Current)
-			first = false
+		if u.IsPart() {
+			var err error
+			if u, err = parts.add(u); u == nil {
+				return err
+			}
 		}
-		if u.Current && !reported {
-			reported = true
-			ready <- s
+		if u.Current {
+			f.confirmedAt.Store(time.Now().UnixNano())
 		}
 		f.apply(u)
 		return nil
@@ -201,7 +217,11 @@
 	s.cancel(err)
 	if !errors.Is(err, errNotNeeded) && !errors.Is(err, context.Canceled) {
 		f.cfg.Log.Warn("view stream lost; asking another control instance", "control", s.address, "version", f.View().Version,
-			"open_ms", time.Since(opened).Milliseconds(), "updates", updates, "received_bytes", f.cfg.Pool.BytesReceived(s.address)-bytesBefore, "error", err)
+			"open_ms", time.Since(opened).Milliseconds(), "messages", messages, "received_bytes", f.cfg.Pool.BytesReceived(s.address)-bytesBefore, "error", err)
+	}
+	select {
+	case ended <- s:
+	case <-f.done:
 	}
 }
 
--- a/internal/view/follow_test.go
+++ b/internal/view/follow_test.go
@@ -20,6 +20,7 @@
 	delay    time.Duration // before the first update
 	current  bool
 	version  uint64
+	pause    time.Duration // after the first update, which is followed by the next version
 	requests chan *instance.WatchRequest
 }
 
@@ -29,11 +30,15 @@
 	default:
 	}
 	time.Sleep(c.delay)
-	for ctx.Err() == nil {
-		if err := send(&instance.ViewUpdate{Whole: req.Version == 0, Version: c.version, ConfigIndex: 1, Current: c.current}); err != nil {
+	for version := c.version; ctx.Err() == nil; {
+		if err := send(&instance.ViewUpdate{Whole: req.Version == 0, Version: version, ConfigIndex: 1, Current: c.current}); err != nil {
 			return err
 		}
 		time.Sleep(100 * time.Millisecond)
+		if c.pause > 0 && version == c.version {
+			time.Sleep(c.pause)
+			version++
+		}
 	}
 	return nil
 }
@@ -90,6 +95,13 @@
 		}
 		awaitVersion(t, startFollower(t, seeds), 7)
 	})
+	t.Run("a stream that pauses is kept while no other instance answers", func(t *testing.T) {
+		control := &fakeControl{current: true, version: 7, pause: 1500 * time.Millisecond}
+		seeds := serve(t, control)
+		f := startFollower(t, append(seeds, listen(t).Addr().String()))
+		awaitVersion(t, f, 8)
+		assert.Equal(t, len(control.requests), 1)
+	})
 	t.Run("other instances have no leader", func(t *testing.T) {
 		f := startFollower(t, serve(t, &fakeControl{version: 5}, &fakeControl{version: 5}, &fakeControl{current: true, version: 7}))
 		awaitVersion(t, f, 7)
--- a/internal/view/publish.go
+++ b/internal/view/publish.go
@@ -27,23 +27,30 @@
 	batchDelay = 5 * time.Millisecond
 )
 
+// Publisher publishes a replica's state to entries. Its methods are safe for concurrent
+// use.
+type Publisher struct {
+	source Source
+	clock  timer.Clock
+	packer *packer
+}
+
+// NewPublisher returns a publisher of the source's state.
+func NewPublisher(source Source, clock timer.Clock) *Publisher {
+	return &Publisher{source: source, clock: clock, packer: newPacker()}
+}
+
 // Publish sends an entry the changes since its view, and then an update after each
 // batch of changes and in each ping period, until send fails or ctx ends. It returns
 // the error of send or ctx.
-func Publish(ctx context.Context, src Source, clock timer.Clock, have *instance.WatchRequest, send func(*instance.ViewUpdate) error) error {
-	pings, stop := clock.Subscribe(pingPeriod)
+func (p *Publisher) Publish(ctx context.Context, have *instance.WatchRequest, send func(*instance.ViewUpdate) error) error {
+	pings, stop := p.clock.Subscribe(pingPeriod)
 	defer stop()
 	var sent *deployment.State
 	for {
-		changed := src.Changed()
-		state := src.State()
-		u := DeltaSince(have, state)
-		if sent != nil {
-			u = Delta(sent, state)
-		}
-		u.Current = src.Current()
-		u.Control = src.ControlAddresses()
-		if err := send(u); err != nil {
+		changed := p.source.Changed()
+		state := p.source.State()
+		if err := p.sendUpdate(have, sent, state, send); err != nil {
 			return err
 		}
 		// Delta finds removed routes, services and targets by comparison with the
@@ -52,12 +59,38 @@
 		if state.Version() >= have.Version {
 			sent = &state
 		}
-		if !awaitUpdate(ctx, src, state.Version(), changed, pings) {
+		if !awaitUpdate(ctx, p.source, state.Version(), changed, pings) {
 			return ctx.Err()
 		}
 	}
 }
 
+// sendUpdate sends the changes since the state that was sent last or, if there is none,
+// since the view that the entry has.
+func (p *Publisher) sendUpdate(have *instance.WatchRequest, sent *deployment.State, state deployment.State, send func(*instance.ViewUpdate) error) error {
+	key := packedKey{from: have.Version, fromConfig: have.ConfigIndex, to: state.Version(), sinceRequest: true}
+	u := DeltaSince(have, state)
+	if sent != nil {
+		_, configIndex := sent.Config()
+		key = packedKey{from: sent.Version(), fromConfig: configIndex, to: state.Version()}
+		u = Delta(sent, state)
+	}
+	split := have.Parts && isLarge(u)
+	var data []byte
+	if split {
+		var err error
+		if data, err = p.packer.pack(key, u); err != nil {
+			return err
+		}
+	}
+	u.Current = p.source.Current()
+	u.Control = p.source.ControlAddresses()
+	if split {
+		return sendParts(u, data, send)
+	}
+	return send(u)
+}
+
 // awaitUpdate waits for the next version of the state or the next ping. It returns
 // false if ctx ends first.
 func awaitUpdate(ctx context.Context, src Source, version uint64, changed <-chan struct{}, pings <-chan timer.Instant) bool {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -196,9 +196,10 @@
 		return u
 	}
 	if configIndex != have.ConfigIndex {
-		whole := cfg.ChangeFrom(deployment.Config{})
-		whole.Whole = true
-		u.ConfigChange = &whole
+		before, known := state.ConfigAt(have.ConfigIndex)
+		change := cfg.ChangeFrom(before)
+		change.Whole = !known
+		u.ConfigChange = &change
 	}
 	if suspects, suspectsIndex := state.Suspects(); suspectsIndex > have.Version {
 		u.Suspects, u.SuspectsChanged = suspects, true
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -137,7 +137,7 @@
 	have := (&view.View{}).With(roundTrip(view.Delta(nil, entryHas)))
 	req := &instance.WatchRequest{Version: have.Version, ConfigIndex: have.ConfigIndex}
 	states := []deployment.State{first, newest}
-	err := view.Publish(t.Context(), src, timer.NewManual(), req, func(u *instance.ViewUpdate) error {
+	err := view.NewPublisher(src, timer.NewManual()).Publish(t.Context(), req, func(u *instance.ViewUpdate) error {
 		if u.Version >= have.Version {
 			have = have.With(roundTrip(u))
 		}
