--- a/internal/instance/client.go
+++ b/internal/instance/client.go
@@ -25,9 +25,9 @@
 	sendQueueSize     = 4096 // messages queued for one peer
 	reconnectDelay    = 50 * time.Millisecond
 	maxReconnectDelay = 200 * time.Millisecond
-	// connectTimeout is several round trips between regions. An attempt that takes
-	// longer probably goes to an instance that is powered off.
-	connectTimeout   = 300 * time.Millisecond
+	// connectTimeout covers the round trips of a new connection over a link with a long
+	// queue.
+	connectTimeout   = 1500 * time.Millisecond
 	leaderRetryDelay = 20 * time.Millisecond // after all addresses were tried
 	pingPeriod       = 100 * time.Millisecond
 	pongTimeout      = 400 * time.Millisecond // longest time without a pong
