Reject requests while a newer configuration is known and has not arrived

Callers saw: nothing yet; this bounds what leaves. An entry whose link is slower still could serve by a replaced configuration for as long as the update takes. Cause: an entry did not know of a newer configuration before it had all of it. Evidence: TestReplacedConfigIsNotServed announces a configuration whose parts do not all arrive; before the change a new route got 404, which a caller doesn't send again. Change: each part names the configuration that it belongs to. While that is newer than the entry's own, paths without a route get 503 with Retry-After, and after 1 s all requests. An entry that hears nothing serves on as before. New metric config_lag_milliseconds.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -136,6 +136,7 @@
 		i.metrics.addGauge("view_version", func() any { return v.View().Version })
 		i.metrics.addGauge("view_age_milliseconds", func() any { return v.Age().Milliseconds() })
 		i.metrics.addGauge("config_version", func() any { return v.View().Config.Version })
+		i.metrics.addGauge("config_lag_milliseconds", func() any { return v.ConfigLag().Milliseconds() })
 		i.metrics.addGauge("caller_connections", func() any { return i.entry.Connections() })
 		i.metrics.addGauge("retry_budgets", func() any { return i.entry.RetryBudgets() })
 	}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -35,10 +35,12 @@
 	}
 }
 
-// publisher is a control instance that streams a fixed view.
+// publisher is a control instance that streams a fixed view, and the messages sent on
+// further.
 type publisher struct {
 	instance.DeploymentHandler
-	update instance.ViewUpdate
+	update  instance.ViewUpdate
+	further chan *instance.ViewUpdate
 }
 
 func (p *publisher) Watch(ctx context.Context, _ *instance.WatchRequest, send func(*instance.ViewUpdate) error) error {
@@ -46,7 +48,13 @@
 		if err := send(&p.update); err != nil {
 			return err
 		}
-		time.Sleep(100 * time.Millisecond)
+		select {
+		case u := <-p.further:
+			if err := send(u); err != nil {
+				return err
+			}
+		case <-time.After(100 * time.Millisecond):
+		}
 	}
 	return nil
 }
@@ -92,6 +100,7 @@
 	address     string
 	server      *Server
 	stopControl func()
+	further     chan *instance.ViewUpdate // from the control instance
 
 	mu       sync.Mutex
 	received []string // IDs of the targets that received a request, in order
@@ -100,7 +109,7 @@
 // startEntry starts an entry and a target for each handler. All targets serve the
 // routes /look/, /fetch/ and /book/; the first one owns all keys of /keyed/.
 func startEntry(t *testing.T, link *limit.Link, handlers ...targetHandler) *testEntry {
-	e := &testEntry{t: t}
+	e := &testEntry{t: t, further: make(chan *instance.ViewUpdate)}
 	change := deployment.ConfigChange{Version: 1, Whole: true, Services: []deployment.Service{{Name: "catalog", Connections: 100}}}
 	for kind, name := range map[deployment.Kind]string{deployment.Lookup: "look", deployment.Download: "fetch", deployment.Booking: "book"} {
 		change.Routes = append(change.Routes, deployment.Route{
@@ -126,7 +135,7 @@
 		{To: deployment.MaxKey, Phase: deployment.Owned, Target: "t0", StartMillis: 1, Fence: 1},
 	}}}
 	control := listenLocal(t)
-	e.stopControl = instance.ServeDeployment(control, &publisher{update: update}, instance.Security{}, &instance.Traffic{})
+	e.stopControl = instance.ServeDeployment(control, &publisher{update: update, further: e.further}, instance.Security{}, &instance.Traffic{})
 	t.Cleanup(e.stopControl)
 	e.serveEntry(control.Addr().String(), link)
 	return e
@@ -365,3 +374,22 @@
 	assert.NilError(t, err)
 	assert.Equal(t, got, "hello")
 }
+
+// TestReplacedConfigIsNotServed announces a configuration whose parts do not all arrive.
+func TestReplacedConfigIsNotServed(t *testing.T) {
+	e := startEntry(t, nil, respondOK("fresh"))
+	assertAnswer := func(uri string, status int, retryAfter bool) {
+		t.Helper()
+		resp, _, err := e.request(http.MethodGet, uri).readBody()
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, status)
+		assert.Equal(t, resp.Header.Get("Retry-After") != "", retryAfter)
+	}
+	assertAnswer("/new/1", http.StatusNotFound, false)
+	e.further <- &instance.ViewUpdate{Version: 2, ConfigIndex: 2, Current: true, Part: []byte{0}, MoreParts: true}
+	e.further <- &instance.ViewUpdate{Version: 2, ConfigIndex: 2, Current: true, Part: []byte{0}, MoreParts: true}
+	assertAnswer("/new/1", http.StatusServiceUnavailable, true)
+	assertAnswer("/look/1", http.StatusOK, false)
+	time.Sleep(maxConfigLag)
+	assertAnswer("/look/1", http.StatusServiceUnavailable, true)
+}
--- a/internal/view/follow.go
+++ b/internal/view/follow.go
@@ -21,7 +21,8 @@
 	cfg         FollowerConfig
 	view        atomic.Pointer[View]
 	seeds       atomic.Pointer[[]string]
-	confirmedAt atomic.Int64    // Unix nanoseconds of the last update with Current set
+	confirmedAt atomic.Int64 // Unix nanoseconds of the last update with Current set
+	newerConfig atomic.Pointer[newerConfig]
 	done        <-chan struct{} // closed when the follower stops
 	mu          sync.Mutex
 	changed     chan struct{}
@@ -84,6 +85,38 @@
 	return time.Since(time.Unix(0, confirmedAt))
 }
 
+// newerConfig is a configuration that is known to be in force but has not arrived.
+type newerConfig struct {
+	index uint64    // log index that accepted it
+	since time.Time // when the entry first heard of a configuration newer than its view's
+}
+
+// ConfigLag returns for how long the entry has known that its configuration was replaced
+// without having received the newer one, or 0.
+func (f *Follower) ConfigLag() time.Duration {
+	newer := f.newerConfig.Load()
+	if newer == nil || newer.index <= f.View().ConfigIndex {
+		return 0
+	}
+	return time.Since(newer.since)
+}
+
+// noteConfig records that a configuration is in force, as a message reports before its
+// content is complete.
+func (f *Follower) noteConfig(index uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	have := f.View().ConfigIndex
+	newer := f.newerConfig.Load()
+	switch {
+	case have == 0 || index <= have:
+	case newer == nil || newer.index <= have:
+		f.newerConfig.Store(&newerConfig{index: index, since: time.Now()})
+	case newer.index < index:
+		f.newerConfig.Store(&newerConfig{index: index, since: newer.since})
+	}
+}
+
 // Changed returns a channel that is closed when the view changes next.
 func (f *Follower) Changed() <-chan struct{} {
 	f.mu.Lock()
@@ -200,6 +233,7 @@
 			}
 		}
 		if u.IsPart() {
+			f.noteConfig(u.ConfigIndex)
 			var err error
 			if u, err = parts.add(u); u == nil {
 				return err
