Keep all entries together to the rate limit that a target names

Cause: nothing read the limit. Load was placed by slots and service time only. Entries report the limit; the leader counts it as the target's capacity where keys are placed, and advises all entries of the limit, of the share of requests to admit, and of each entry's part. sharedLimit, an immutable policy, decides at the entry: the share while there is advice, with a token bucket against sudden growth, and the bucket alone without advice. What is beyond the limit is rejected at once; callers are told to return one after another at the rate that the entry may send.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -139,6 +139,7 @@
 		i.metrics.addGauge("config_lag_milliseconds", func() any { return v.ConfigLag().Milliseconds() })
 		i.metrics.addGauge("caller_connections", func() any { return i.entry.Connections() })
 		i.metrics.addGauge("retry_budgets", func() any { return i.entry.RetryBudgets() })
+		i.metrics.addGauge("rate_limits", func() any { return i.entry.RateLimits() })
 	}
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -26,6 +26,7 @@
 	}
 	maxConns := max(minConns, int(connectionShare*float64(c.service.Connections)/float64(s.entryCount())))
 	start := time.Now()
+	c.admittedBy = ""
 	c.sentAt = s.targets.requestSent(t)
 	a, err := s.cfg.Pool.Do(ctx, t.Address, maxConns, s.cfg.Headers.RequestID, targethttp.Request{
 		Method:         c.method,
@@ -45,6 +46,9 @@
 	if s.cfg.Headers.ParseLoad != nil {
 		res.load, res.loadKnown = s.cfg.Headers.ParseLoad(a.Header.Get(s.cfg.Headers.Load))
 	}
+	if s.cfg.Headers.ParseRateLimit != nil {
+		res.rateLimit, res.rateLimitKnown = s.cfg.Headers.ParseRateLimit(a.Header.Get(s.cfg.Headers.RateLimit))
+	}
 	if a.Stream != nil && (a.Status >= http.StatusMultipleChoices || s.isNotRun(a) || s.invalidReason(a) != "") {
 		if a.Body, err = a.Stream.ReadAll(ctx); err != nil {
 			return s.handleFailure(ctx, c, t, err, took)
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -71,7 +71,7 @@
 	best, bestCost := deployment.Target{}, -1.0
 	for _, t := range c.candidates {
 		s := ts.state(t)
-		if slices.Contains(c.excluded, t.ID) || s.circuitOpen(now) || s.windowFull() {
+		if slices.Contains(c.excluded, t.ID) || s.circuitOpen(now) || s.windowFull() || !s.limit.Allows(now) {
 			continue
 		}
 		if cost := s.cost(c, t, now); bestCost < 0 || cost < bestCost {
@@ -96,6 +96,16 @@
 	return cost + s.failureShare(now)*failureCost*c.route.Objective.Seconds()
 }
 
+// capacity returns how many requests a second the target can serve, for all entries
+// together.
+func (s *targetState) capacity(t deployment.Target, now timer.Instant) float64 {
+	capacity := float64(max(t.Slots, 1)) / s.serviceTime
+	if perSecond, ok := s.limit.PerSecond(now); ok {
+		capacity = min(capacity, perSecond)
+	}
+	return capacity
+}
+
 // sample picks sampleSize targets at random, weighted by the rate at which each can
 // serve requests, and returns the one of least cost.
 func (ts *targetStates) sample(c choice, now timer.Instant) (deployment.Target, bool) {
@@ -103,10 +113,10 @@
 	total := 0.0
 	for i, t := range c.candidates {
 		s := ts.state(t)
-		if slices.Contains(c.excluded, t.ID) || s.circuitOpen(now) || s.windowFull() {
+		if slices.Contains(c.excluded, t.ID) || s.circuitOpen(now) || s.windowFull() || !s.limit.Allows(now) {
 			continue
 		}
-		weights[i] = float64(max(t.Slots, 1)) / (s.serviceTime * (1 + c.zoneCost(t)))
+		weights[i] = s.capacity(t, now) / (1 + c.zoneCost(t))
 		total += weights[i]
 	}
 	best, bestCost := deployment.Target{}, -1.0
--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -86,6 +86,7 @@
 	reason         string        // why there is no answer yet
 	expected       time.Duration // expected time until the answer of the target that was chosen last
 	target         deployment.Target
+	admittedBy     string          // ID of the target whose rate limit counts the next attempt already
 	result         attemptResult   // of the last attempt
 	sentAt         timer.Instant   // of the last attempt
 	fence          uint64          // under which target owns the key
@@ -244,5 +245,8 @@
 	if expected > c.maxExpected() {
 		return reject("the chosen target would take too long", expected/2)
 	}
+	if retryAfter, ok := s.targets.admit(t); !ok {
+		return reject(errRateLimit.Error(), retryAfter)
+	}
 	return t, nil
 }
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -26,9 +26,13 @@
 	NotRun    string // set if the target did not run the request
 	Load      string // the target's load, read by ParseLoad
 	Key       string // key of a request to a keyed service
+	RateLimit string // rate limit that a target names in its answers, read by ParseRateLimit
 	// ParseLoad parses the value of the Load header. It returns false for an
 	// invalid one.
 	ParseLoad func(value string) (Load, bool)
+	// ParseRateLimit parses the value of the RateLimit header, in requests a second. It
+	// returns false for an invalid one.
+	ParseRateLimit func(value string) (float64, bool)
 }
 
 // Load is the load that a target reports: running and waiting requests, and how
--- a/internal/forward/owner.go
+++ b/internal/forward/owner.go
@@ -52,6 +52,7 @@
 	errOwnerUnavailable = errors.New("the circuit breaker of the key's owner is open")
 	errKeyOverloaded    = errors.New("the key gets more requests than its owner can serve")
 	errOwnerBusy        = errors.New("the key's owner would take too long")
+	errRateLimit        = errors.New("the target's rate limit is reached")
 	errWindowFull       = errors.New("this entry's window at the key's owner is full")
 )
 
@@ -72,6 +73,12 @@
 	if retryAfter, ok := s.targets.available(t); !ok {
 		return retryAfter, errOwnerUnavailable
 	}
+	if c.admittedBy != t.ID {
+		if retryAfter, ok := s.targets.admit(t); !ok {
+			return retryAfter, errRateLimit
+		}
+		c.admittedBy = t.ID
+	}
 	expected, withinWindow := s.targets.expected(t)
 	c.target, c.expected, c.fence = t, expected, r.Fence
 	switch {
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -176,6 +176,10 @@
 	return out
 }
 
+// RateLimits returns the rate limits of targets that are in force, in requests a second
+// of all entries together, by target.
+func (s *Server) RateLimits() map[string]float64 { return s.targets.rateLimits() }
+
 // shutdownPollInterval is how often Shutdown checks for open connections.
 const shutdownPollInterval = 50 * time.Millisecond
 
@@ -238,6 +242,7 @@
 			if a := s.cfg.Report(req); a != nil {
 				s.advice.Store(a)
 				s.targets.setFailureShares(a.Failing)
+				s.targets.setLimits(a.Limits, v.Target, s.partOf)
 			}
 		}
 		// With many entries each reports less often, so that the leader's load
@@ -260,6 +265,15 @@
 	return defaultEntryCount
 }
 
+// partOf returns this entry's part of the requests to a service. Until the leader knows
+// it, that is an equal part.
+func (s *Server) partOf(service string) float64 {
+	if a := s.advice.Load(); a != nil && a.Parts[service] > 0 {
+		return a.Parts[service]
+	}
+	return 1 / float64(s.entryCount()+1)
+}
+
 // defaultEntryCount is the assumed number of entries until the leader advises it.
 const defaultEntryCount = 10
 
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -83,6 +84,7 @@
 	failures            uint32        // failed, missing or overdue answers since the last report
 	pending             []pendingRequest
 	advisedFailureShare float64 // share of failed requests over all entries, advised by the leader
+	limit               sharedLimit
 }
 
 // pendingRequest is a request in flight at a target.
@@ -99,6 +101,7 @@
 	s, ok := ts.byID[t.ID]
 	if !ok || s.startMillis != t.StartMillis {
 		s = &targetState{startMillis: t.StartMillis, firstSeen: ts.clock.Now(), serviceTime: initialServiceTime.Seconds(), window: initialWindow}
+		s.limit.part = 1.0 / defaultEntryCount
 		if average, ok := ts.targetAverages[t.Service]; ok {
 			s.serviceTime = average.value
 		}
@@ -251,6 +254,59 @@
 	}
 }
 
+// admit decides whether a request may be sent to a target that names a rate limit. If
+// not, it returns the time after which the caller may return.
+func (ts *targetStates) admit(t deployment.Target) (time.Duration, bool) {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	s, now := ts.state(t), ts.clock.Now()
+	var ok bool
+	if s.limit, ok = s.limit.WithRequest(now, rand.Float64()); ok {
+		return 0, true
+	}
+	var retryAfter time.Duration
+	s.limit, retryAfter = s.limit.WithRejection(now)
+	return retryAfter, false
+}
+
+// setLimits stores the leader's advice on rate limits. Targets that are not listed have
+// none. The part is this entry's part of a service's requests.
+func (ts *targetStates) setLimits(list []instance.TargetLimit, target func(id string) (deployment.Target, bool), part func(service string) float64) {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	now := ts.clock.Now()
+	for _, l := range list {
+		if t, ok := target(l.Target); ok {
+			s := ts.state(t)
+			s.limit = s.limit.WithAdvice(l, part(t.Service), now)
+		}
+	}
+	for id, s := range ts.byID {
+		if s.limit.advisedAt != now && (s.limit.advisedAt > 0 || s.limit.limited) {
+			t, ok := target(id)
+			if !ok {
+				continue
+			}
+			s.limit = s.limit.WithAdvice(instance.TargetLimit{}, part(t.Service), now)
+		}
+	}
+}
+
+// rateLimits returns the rate limits that are in force, in requests a second of all
+// entries together, by target.
+func (ts *targetStates) rateLimits() map[string]float64 {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	now := ts.clock.Now()
+	out := make(map[string]float64)
+	for id, s := range ts.byID {
+		if perSecond, ok := s.limit.PerSecond(now); ok {
+			out[id] = perSecond
+		}
+	}
+	return out
+}
+
 // requestEnded updates the target's state from the result of a request.
 func (ts *targetStates) requestEnded(t deployment.Target, res attemptResult) {
 	ts.mu.Lock()
@@ -261,6 +317,9 @@
 	if overdue := s.removePending(res.sentAt); !overdue && (res.failed || res.ran && !res.success) {
 		s.failures++
 	}
+	if res.rateLimitKnown || res.ran && res.success {
+		s.limit = s.limit.WithNamed(res.rateLimit, now)
+	}
 	if s.freed != nil {
 		close(s.freed)
 		s.freed = nil
@@ -340,6 +399,10 @@
 	took      time.Duration
 	load      Load
 	loadKnown bool
+	// rateLimit is the rate limit that the answer named, in requests a second; 0 unless
+	// rateLimitKnown is set.
+	rateLimit      float64
+	rateLimitKnown bool
 }
 
 // overloaded reports whether the target reported at least as many waiting requests
@@ -355,9 +418,14 @@
 	now := ts.clock.Now()
 	for id, s := range ts.byID {
 		s.countOverdue(now)
-		if s.answers > 0 || s.failures > 0 {
-			out = append(out, instance.TargetLoad{ID: id, Successes: s.answers, ServiceTime: s.totalServiceTime, Failures: s.failures})
-			s.answers, s.totalServiceTime, s.failures = 0, 0, 0
+		if s.answers > 0 || s.failures > 0 || s.limit.heard {
+			tl := instance.TargetLoad{ID: id, Successes: s.answers, ServiceTime: s.totalServiceTime, Failures: s.failures}
+			if s.limit.heard {
+				named := s.limit.named
+				tl.RateLimit = &named
+			}
+			out = append(out, tl)
+			s.answers, s.totalServiceTime, s.failures, s.limit = 0, 0, 0, s.limit.WithReport()
 		}
 		if s.inFlight == 0 && !known(id) {
 			delete(ts.byID, id)
--- a/internal/instance/deployment_messages.go
+++ b/internal/instance/deployment_messages.go
@@ -63,6 +63,9 @@
 	ServiceTime time.Duration `msgpack:"busy"`
 	// Failures counts failed, missing and overdue answers.
 	Failures uint32 `msgpack:"failures"`
+	// RateLimit is the rate limit that the target's last answer named, in requests a
+	// second, or 0 if the limit has ended. It is nil if no answer told.
+	RateLimit *float64 `msgpack:"rate_limit,omitempty"`
 }
 
 // ReportResponse is the leader's advice, computed from the reports of all entries.
@@ -70,6 +73,20 @@
 	Entries   int             `msgpack:"entries"` // number of entries that report
 	Overloads []Overload      `msgpack:"overloads"`
 	Failing   []FailingTarget `msgpack:"failing"` // worst first
+	Limits    []TargetLimit   `msgpack:"limits"`
+	// Parts holds the reporting entry's part of the requests to each service, from 0 to
+	// 1. It is set only while there are limits.
+	Parts map[string]float64 `msgpack:"parts,omitempty"`
+}
+
+// TargetLimit is the rate limit that a target names in its answers. All entries share
+// it.
+type TargetLimit struct {
+	Target    string  `msgpack:"target"`
+	PerSecond float64 `msgpack:"per_second"`
+	// Admit is the share of the requests for the target's keys that keeps all entries
+	// together within the limit. It is 0 for a service without keys.
+	Admit float64 `msgpack:"admit"`
 }
 
 // FailingTarget is a target that fails part of its requests, measured over the
--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -35,12 +35,13 @@
 	advice := instance.ReportResponse{Entries: len(m.lastReports), Failing: m.failing()}
 	for _, table := range m.state.Tables() {
 		for _, u := range m.targetUsages(table.Service) {
-			if u.utilization() > maxAdmittedUtilization {
+			if u.utilization() > maxAdmittedUtilization && !u.boundByLimit() {
 				advice.Overloads = append(advice.Overloads, m.overloads(table, u)...)
 			}
 		}
 	}
-	return []Effect{Advise{Advice: advice}}
+	parts := m.adviseLimits(&advice)
+	return []Effect{Advise{Advice: advice, Parts: parts}}
 }
 
 // overloads returns the share of requests that an overloaded target can serve, for
--- a/internal/leader/events.go
+++ b/internal/leader/events.go
@@ -148,13 +148,18 @@
 type TargetUsage struct {
 	Target            string  `json:"target"`
 	Keys              int     `json:"keys"`
-	Rate              float64 `json:"rate"`        // requests a second
-	ServiceTimeMillis float64 `json:"work_ms"`     // time for one request, without waiting for a slot
-	Utilization       float64 `json:"utilization"` // of the target's slots
+	Rate              float64 `json:"rate"`    // requests a second
+	ServiceTimeMillis float64 `json:"work_ms"` // time for one request, without waiting for a slot
+	RateLimit         float64 `json:"rate_limit,omitempty"`
+	Utilization       float64 `json:"utilization"` // of the target's slots, or of its rate limit if that is less
 }
 
 // Advise sets the advice that entries get in response to their reports.
-type Advise struct{ Advice instance.ReportResponse }
+type Advise struct {
+	Advice instance.ReportResponse // the same for all entries
+	// Parts holds the parts that each entry is advised of, by entry and service.
+	Parts map[string]map[string]float64
+}
 
 func (Advise) isEffect()      {}
 func (LogLoad) isEffect()     {}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -62,7 +62,7 @@
 	log         *log.Logger
 	loop        *loop.Loop[*Model, Event, Effect]
 	ctx         context.Context
-	advice      atomic.Pointer[instance.ReportResponse]
+	advice      atomic.Pointer[Advise]
 	confirmedAt atomic.Int64 // boot-clock time at which the last successful barrier began
 }
 
@@ -89,10 +89,13 @@
 // derived from the reports of all entries.
 func (l *Leader) Report(r instance.ReportRequest) instance.ReportResponse {
 	l.loop.TrySend(Reported{At: l.clock.Now(), Report: r})
-	if a := l.advice.Load(); a != nil {
-		return *a
+	a := l.advice.Load()
+	if a == nil {
+		return instance.ReportResponse{}
 	}
-	return instance.ReportResponse{}
+	out := a.Advice
+	out.Parts = a.Parts[r.Instance]
+	return out
 }
 
 // feedModel sends changes of leadership, ticks and the committed state to the model.
@@ -171,7 +174,7 @@
 		case Propose:
 			go l.propose(e)
 		case Advise:
-			l.advice.Store(&e.Advice)
+			l.advice.Store(&e)
 		case LogLoad:
 			l.log.Info("load of keyed service", "service", e.Service, "targets", e.Targets, "pieces", e.Ranges,
 				"utilization", e.Utilization, "shares", e.BusiestTargets, "hot", e.BusiestBuckets)
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -66,6 +66,7 @@
 	m.now = max(m.now, e.At)
 	m.lastReports[e.Report.Instance] = e.At
 	m.crashReports = append(m.crashReports, e.Report.CrashReports...)
+	m.recordEntryLoad(e.Report)
 	for _, k := range e.Report.Keys {
 		stats := m.statsOf(k.Service)
 		stats.decay(m.now)
@@ -80,6 +81,9 @@
 			continue
 		}
 		m.recordHealth(incarnationOf(t), tl)
+		if tl.RateLimit != nil {
+			m.recordLimit(incarnationOf(t), *tl.RateLimit)
+		}
 		if tl.Successes == 0 {
 			continue
 		}
--- a/internal/leader/load_log.go
+++ b/internal/leader/load_log.go
@@ -33,7 +33,8 @@
 				continue
 			}
 			effect.BusiestTargets = append(effect.BusiestTargets, TargetUsage{
-				Target: u.target.ID, Keys: u.width, Rate: u.rate, ServiceTimeMillis: 1000 * u.serviceTime, Utilization: u.utilization(),
+				Target: u.target.ID, Keys: u.width, Rate: u.rate, ServiceTimeMillis: 1000 * u.serviceTime,
+				RateLimit: u.limit, Utilization: u.utilization(),
 			})
 		}
 		effect.BusiestBuckets = m.busiestBuckets(table)
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -42,6 +42,8 @@
 	crashReports     []deployment.CrashReport // to be committed
 	suspectedSince   map[string]timer.Instant // when a suspect was first seen, by fingerprint
 	health           map[deployment.Incarnation]health
+	limits           map[deployment.Incarnation]namedLimit
+	entryLoads       map[string]*entryLoad // by entry
 }
 
 // serviceArrivals records when targets of a service arrived before its keys were first
@@ -126,6 +128,8 @@
 		lastReports:    make(map[string]timer.Instant),
 		suspectedSince: make(map[string]timer.Instant),
 		health:         make(map[deployment.Incarnation]health),
+		limits:         make(map[deployment.Incarnation]namedLimit),
+		entryLoads:     make(map[string]*entryLoad),
 	}
 }
 
--- a/internal/leader/placement.go
+++ b/internal/leader/placement.go
@@ -54,7 +54,7 @@
 		})
 		rate := stats.rateOf(part.From, part.To)
 		// The added 0.01 spreads ranges without load over the targets.
-		planned[best.target.ID] += rate*best.serviceTime/float64(max(best.target.Slots, 1)) + 0.01
+		planned[best.target.ID] += rate*best.perRequest() + 0.01
 		out = append(out, deployment.Assignment{Range: part, To: incarnationOf(best.target), Handover: a.Handover})
 	}
 	return out
--- a/internal/leader/rebalance.go
+++ b/internal/leader/rebalance.go
@@ -43,6 +43,7 @@
 type targetUsage struct {
 	target        deployment.Target
 	serviceTime   float64            // seconds per request
+	limit         float64            // rate limit in requests a second; 0 for none
 	rate          float64            // requests a second
 	width         int                // keys owned
 	movableRanges []deployment.Range // owned ranges that may be moved
@@ -67,7 +68,8 @@
 		if !ok {
 			serviceTime = stats.meanServiceTime()
 		}
-		out = append(out, targetUsage{target: t, serviceTime: serviceTime})
+		limit, _ := m.limitOf(incarnationOf(t))
+		out = append(out, targetUsage{target: t, serviceTime: serviceTime, limit: limit})
 	}
 	index := make(map[deployment.Incarnation]int, len(out))
 	for i, u := range out {
@@ -271,7 +273,21 @@
 }
 
 // perRequest returns the utilization that one request a second causes.
-func (u targetUsage) perRequest() float64 { return u.serviceTime / float64(max(u.target.Slots, 1)) }
+func (u targetUsage) perRequest() float64 {
+	if u.boundByLimit() {
+		return 1 / u.limit
+	}
+	return u.slotsPerRequest()
+}
+
+// slotsPerRequest returns the part of the target's slots that one request a second
+// takes.
+func (u targetUsage) slotsPerRequest() float64 {
+	return u.serviceTime / float64(max(u.target.Slots, 1))
+}
+
+// boundByLimit reports whether the target's rate limit allows less than its slots.
+func (u targetUsage) boundByLimit() bool { return u.limit > 0 && 1/u.limit > u.slotsPerRequest() }
 
 // meanPerRequest is like perRequest, for the mean service time of all targets.
 func (u targetUsage) meanPerRequest(stats *serviceStats) float64 {
