Bound the memory for responses that don't end

An entry with 144 MB of memory would have been killed. Cause: the head of a target's response was read without a limit until the request's deadline, and each body up to 64 MB, or as long as the response said, however many at once. Change: a head may have 64 KB, interim responses included, and a body without a length 8 MB. All bodies that a pool is reading or streaming may take 32 MB together. What exceeds that is no complete response, and its connection is closed: a lookup is sent to another target, a booking ends at once with an unknown outcome.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -50,7 +50,9 @@
 		res.rateLimit, res.rateLimitKnown = s.cfg.Headers.ParseRateLimit(a.Header.Get(s.cfg.Headers.RateLimit))
 	}
 	if a.Stream != nil && (a.Status >= http.StatusMultipleChoices || s.isNotRun(a) || s.invalidReason(a) != "") {
-		if a.Body, err = a.Stream.ReadAll(ctx); err != nil {
+		a.Body, err = a.Stream.ReadAll(ctx)
+		a.Stream.Close()
+		if err != nil {
 			return s.handleFailure(ctx, c, t, err, took)
 		}
 		a.Stream = nil
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -393,3 +393,32 @@
 	time.Sleep(maxConfigLag)
 	assertAnswer("/look/1", http.StatusServiceUnavailable, true)
 }
+
+// TestAnswerWithoutEnd sends requests to a target whose answers never end.
+func TestAnswerWithoutEnd(t *testing.T) {
+	endless := func(head string) targetHandler {
+		return func(w io.Writer, r *http.Request) {
+			writeResponse(w, r, http.StatusOK, "%s", head)
+			for filler := strings.Repeat("x", 64<<10); ; {
+				if _, err := io.WriteString(w, filler); err != nil {
+					return
+				}
+			}
+		}
+	}
+	for name, head := range map[string]string{"head": "Filler: ", "body": "\r\n"} {
+		t.Run("a booking ends with an unknown outcome, "+name, func(t *testing.T) {
+			resp, _, err := startEntry(t, nil, endless(head)).request(http.MethodPost, "/book/1").readBody()
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+		})
+		t.Run("a lookup is answered by another target, "+name, func(t *testing.T) {
+			e := startEntry(t, nil, endless(head), respondOK("fresh"))
+			for i := range 8 {
+				_, got, err := e.request(http.MethodGet, fmt.Sprint("/look/", i)).readBody()
+				assert.NilError(t, err)
+				assert.Equal(t, got, "fresh")
+			}
+		})
+	}
+}
--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -116,6 +116,7 @@
 	} else {
 		out.onWritten = func(err error) {
 			cancelBody()
+			out.stream.Close()
 			s.handleStreamEnd(c, err)
 		}
 	}
--- a/internal/targethttp/exchange.go
+++ b/internal/targethttp/exchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"time"
@@ -45,12 +44,8 @@
 	// StreamThresholdBytes is the length above which a body can be passed on before
 	// it is complete.
 	StreamThresholdBytes = 24 << 10
-	// maxBodyBytes bounds a response's body, which is held in memory.
-	maxBodyBytes = 64 << 20
 )
 
-var errBodyTooLarge = errors.New("response body is too large")
-
 // Do sends a request to the address and returns its response. It reads the whole
 // body, unless the request has a BodyContext and the body is longer than
 // StreamThresholdBytes: such a body is returned as a Stream. At most maxConns
@@ -75,12 +70,16 @@
 	out := &Response{Reused: c.reused}
 	if err == nil {
 		out.Status, out.Header = resp.StatusCode, resp.Header
-		if r.BodyContext != nil && r.Method != http.MethodHead && resp.ContentLength > StreamThresholdBytes && resp.ContentLength <= maxBodyBytes && stop() {
-			out.Stream = newBodyStream(int(resp.ContentLength))
-			go p.fillStream(r.BodyContext, c, resp, out.Stream, reusable)
-			return out, nil
+		if r.BodyContext != nil && r.Method != http.MethodHead && p.reserveStream(resp.ContentLength) {
+			n := int(resp.ContentLength)
+			if stop() {
+				out.Stream = newBodyStream(n, func() { p.bodies.release(n) })
+				go p.fillStream(r.BodyContext, c, resp, out.Stream, reusable)
+				return out, nil
+			}
+			p.bodies.release(n)
 		}
-		if out.Body, err = readBody(resp); err != nil {
+		if out.Body, err = p.readBody(resp); err != nil {
 			err = fmt.Errorf("%w: %w", ErrIncompleteResponse, err)
 		}
 	}
@@ -98,6 +97,12 @@
 	return nil, err
 }
 
+// reserveStream reports whether a body of the length is read as a stream. Its bytes then
+// count as held.
+func (p *Pool) reserveStream(length int64) bool {
+	return length > StreamThresholdBytes && length <= maxHeldBytes && p.bodies.reserve(int(length))
+}
+
 // exchange writes the request and reads the header of its response. It skips
 // responses with another ID; only an error response may lack the ID. It reports
 // whether the connection may be reused once the body has been read.
@@ -109,17 +114,19 @@
 	// The response is read even after a failed write, because a target may respond
 	// and close the connection before it has read a long body.
 	for range maxResponsesRead {
+		c.limiter.limited, c.limiter.remaining = true, maxHeadBytes
 		resp, err := c.readHeader(r.Method)
 		if err != nil {
 			return nil, false, fmt.Errorf("%w: %w", ErrIncompleteResponse, err)
 		}
+		c.limiter.limited = false
 		// A body without a length ends when the connection is closed without a reset.
 		closeDelimited := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 		keepAlive := !resp.Close && !closeDelimited
 		if got := resp.Header.Get(idHeader); got == r.ID || got == "" && resp.StatusCode >= http.StatusBadRequest {
 			return resp, keepAlive && writeErr == nil, nil
 		}
-		if _, err := readBody(resp); err != nil {
+		if err := discardBody(resp); err != nil {
 			return nil, false, fmt.Errorf("%w: %w", ErrIncompleteResponse, err)
 		}
 		if !keepAlive {
@@ -152,25 +159,3 @@
 		return resp, nil
 	}
 }
-
-// readBody reads and closes a response's body. It returns errBodyTooLarge for one
-// longer than maxBodyBytes.
-func readBody(resp *http.Response) ([]byte, error) {
-	defer func() { _ = resp.Body.Close() }()
-	if resp.Request.Method == http.MethodHead {
-		return nil, nil
-	}
-	if resp.ContentLength > maxBodyBytes {
-		return nil, errBodyTooLarge
-	}
-	if resp.ContentLength >= 0 {
-		body := make([]byte, resp.ContentLength)
-		_, err := io.ReadFull(resp.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes+1))
-	if len(body) > maxBodyBytes {
-		return nil, errBodyTooLarge
-	}
-	return body, err
-}
--- a/internal/targethttp/pool.go
+++ b/internal/targethttp/pool.go
@@ -61,6 +61,7 @@
 	hosts        map[string]*host
 	// avgConnectTime is the moving average of connect times to all addresses.
 	avgConnectTime time.Duration
+	bodies         bodyBudget
 }
 
 // host holds the state of the connections to one address.
@@ -73,7 +74,8 @@
 type conn struct {
 	net.Conn
 	address  string
-	reader   *bufio.Reader
+	reader   *bufio.Reader // reads through limiter
+	limiter  *headLimiter
 	lastUsed timer.Instant
 	maxIdle  time.Duration // longest idle time after which it is reused
 	reused   bool
@@ -190,7 +192,8 @@
 		p.releaseSlot(address)
 		return nil, errors.Join(fmt.Errorf("%w: %w", ErrNoConnection, err), raw.Close())
 	}
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferBytes), maxIdle: time.Duration(float64(defaultIdleTimeout) * idleTimeoutFraction)}, nil
+	limiter := &headLimiter{reader: raw}
+	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, maxIdle: time.Duration(float64(defaultIdleTimeout) * idleTimeoutFraction)}, nil
 }
 
 // setSocketOptions applies the pool's options to a new connection.
