Wait in TestReplacedConfigIsNotServed until the entry has heard of the change

Cause: the test took a message that control has sent for one that the entry has received. Change: the test waits until the entry knows of the newer configuration. Its checks are the same.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -387,7 +387,9 @@
 	}
 	assertAnswer("/new/1", http.StatusNotFound, false)
 	e.further <- &instance.ViewUpdate{Version: 2, ConfigIndex: 2, Current: true, Part: []byte{0}, MoreParts: true}
-	e.further <- &instance.ViewUpdate{Version: 2, ConfigIndex: 2, Current: true, Part: []byte{0}, MoreParts: true}
+	for deadline := time.Now().Add(10 * time.Second); e.server.cfg.View.ConfigLag() == 0; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(deadline), "the entry did not hear of the newer configuration")
+	}
 	assertAnswer("/new/1", http.StatusServiceUnavailable, true)
 	assertAnswer("/look/1", http.StatusOK, false)
 	time.Sleep(maxConfigLag)
