Reject a request whose path another configuration matched

Cause: internal/caller matches the path by the last view, and the router admits by its own. Between the two a new view may arrive, and the router checked the service's name only. Change: a request carries its path and the version of the configuration that matched it.

--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -67,6 +67,7 @@
 type call struct {
 	id             string
 	service        config.Service
+	configVersion  uint64 // of the configuration that matched the service
 	request        target.Request
 	permitReq      entry.PermitRequest
 	failedAttempts int // without those that provably did not run
@@ -128,7 +129,7 @@
 		e := invalidRequest(http.StatusNotFound, "path", r.URL.Path, "must begin with the prefix of a service in the accepted configuration")
 		return &e
 	}
-	c.service = service
+	c.service, c.configVersion = service, view.ConfigVersion
 	margin := min(service.Deadline/marginDivisor, maxMargin)
 	c.deadline = c.started.Add(service.Deadline - margin)
 	if errResp := checkRequest(r, service); errResp != nil {
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -99,9 +99,11 @@
 		c.request.IdempotencyKey = r.Header.Get(HeaderIdempotencyKey)
 	}
 	c.permitReq = entry.PermitRequest{
-		Service:     c.service.Name,
-		Fingerprint: fingerprint(r.Method, uri, body),
-		Deadline:    c.deadline,
+		Service:       c.service.Name,
+		Path:          r.URL.Path,
+		ConfigVersion: c.configVersion,
+		Fingerprint:   fingerprint(r.Method, uri, body),
+		Deadline:      c.deadline,
 	}
 	if c.service.Keyed() {
 		c.permitReq.Point = keyspace.PointOf(c.service.Name + "/" + key)
--- a/internal/entry/permits.go
+++ b/internal/entry/permits.go
@@ -10,14 +10,16 @@
 
 // PermitRequest describes a request that needs a target.
 type PermitRequest struct {
-	Service      string
-	Point        keyspace.Point
-	Fingerprint  string
-	Deadline     time.Time     // latest end of the wait for a target
-	Grace        time.Duration // time after Deadline in which an answer is still accepted
-	Retry        bool          // an earlier attempt failed
-	NotRun       bool          // the earlier attempt provably did not run
-	FailedTarget string        // name of the target of the attempt that just failed
+	Service       string
+	Path          string // by which the service was matched
+	ConfigVersion uint64 // of the configuration that matched the path
+	Point         keyspace.Point
+	Fingerprint   string
+	Deadline      time.Time     // latest end of the wait for a target
+	Grace         time.Duration // time after Deadline in which an answer is still accepted
+	Retry         bool          // an earlier attempt failed
+	NotRun        bool          // the earlier attempt provably did not run
+	FailedTarget  string        // name of the target of the attempt that just failed
 }
 
 // Permit allows one attempt. Its user must call End when the attempt has ended.
@@ -42,15 +44,17 @@
 	e.mu.Unlock()
 	now := e.cfg.Clock.Now()
 	event := router.Arrived{
-		ID:           id,
-		Service:      req.Service,
-		Point:        req.Point,
-		Fingerprint:  req.Fingerprint,
-		Deadline:     now.Add(time.Until(req.Deadline)),
-		Now:          now,
-		Retry:        req.Retry,
-		NotRun:       req.NotRun,
-		FailedTarget: req.FailedTarget,
+		ID:            id,
+		Service:       req.Service,
+		Path:          req.Path,
+		ConfigVersion: req.ConfigVersion,
+		Point:         req.Point,
+		Fingerprint:   req.Fingerprint,
+		Deadline:      now.Add(time.Until(req.Deadline)),
+		Now:           now,
+		Retry:         req.Retry,
+		NotRun:        req.NotRun,
+		FailedTarget:  req.FailedTarget,
 	}
 	if err := e.loop.Send(event); err != nil {
 		e.drop(id, cancel)
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -60,6 +60,11 @@
 	if !ok {
 		return service, ReasonNoService
 	}
+	if e.ConfigVersion != r.view.ConfigVersion {
+		if now, ok := r.view.Config.Match(e.Path); e.Path != "" && (!ok || now.Name != e.Service) {
+			return service, ReasonConfigChanged
+		}
+	}
 	if r.view.Blocked[e.Fingerprint] || r.noticedCrashes[e.Fingerprint].blocks(e.Now) {
 		return service, ReasonBlocked
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -25,16 +25,19 @@
 
 // Reasons for rejecting an attempt.
 const (
-	ReasonNoLease    Reason = "no_lease"             // this entry's lease has expired
-	ReasonNoConfig   Reason = "no_text"              // no configuration has been accepted yet
-	ReasonDeadline   Reason = "deadline"             // no target could answer before the deadline
-	ReasonQueueFull  Reason = "queue_full"           // the queue is full, or too long for an answer before the deadline
-	ReasonBlocked    Reason = "held"                 // requests of this kind crashed targets
-	ReasonBudget     Reason = "retry_budget"         // the service's retry budget is exhausted
-	ReasonDependency Reason = "dependency"           // a service it depends on has no live target
-	ReasonNoService  Reason = "unknown_service"      // the configuration in force has no such service
-	ReasonStopping   Reason = "stopping"             // this instance is shutting down
-	ReasonCapacity   Reason = "instance_at_capacity" // this instance is at its request limit
+	ReasonNoLease    Reason = "no_lease"        // this entry's lease has expired
+	ReasonNoConfig   Reason = "no_text"         // no configuration has been accepted yet
+	ReasonDeadline   Reason = "deadline"        // no target could answer before the deadline
+	ReasonQueueFull  Reason = "queue_full"      // the queue is full, or too long for an answer before the deadline
+	ReasonBlocked    Reason = "held"            // requests of this kind crashed targets
+	ReasonBudget     Reason = "retry_budget"    // the service's retry budget is exhausted
+	ReasonDependency Reason = "dependency"      // a service it depends on has no live target
+	ReasonNoService  Reason = "unknown_service" // the configuration in force has no such service
+	// ReasonConfigChanged: the request's path was matched by an earlier configuration,
+	// and is not one of the service by the one in force.
+	ReasonConfigChanged Reason = "config_changed"
+	ReasonStopping      Reason = "stopping"             // this instance is shutting down
+	ReasonCapacity      Reason = "instance_at_capacity" // this instance is at its request limit
 )
 
 // Destination is the target of an admitted attempt and the conditions for sending it.
@@ -51,15 +54,18 @@
 
 // Arrived asks for a target for a request, for its first attempt or another one.
 type Arrived struct {
-	ID           AttemptID
-	Service      string
-	Point        keyspace.Point
-	Fingerprint  string
-	Deadline     timer.Instant
-	Now          timer.Instant
-	Retry        bool   // an earlier attempt failed
-	NotRun       bool   // it provably did not run; such a retry costs no retry budget
-	FailedTarget string // name of the target of the attempt that just failed
+	ID      AttemptID
+	Service string
+	Path    string // by which the service was matched
+	// ConfigVersion is the version of the configuration that matched the path.
+	ConfigVersion uint64
+	Point         keyspace.Point
+	Fingerprint   string
+	Deadline      timer.Instant
+	Now           timer.Instant
+	Retry         bool   // an earlier attempt failed
+	NotRun        bool   // it provably did not run; such a retry costs no retry budget
+	FailedTarget  string // name of the target of the attempt that just failed
 }
 
 // Ended reports that the attempt of an admitted request has ended.
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -261,3 +261,43 @@
 		assert.Equal(t, h.effects[0], router.Effect(router.Cancel{ID: id}))
 	})
 }
+
+// TestRequestMatchedByReplacedConfig sends requests whose paths were matched by the
+// configuration before the one in force.
+func TestRequestMatchedByReplacedConfig(t *testing.T) {
+	withPrefix := func(prefix string) func(v *router.View) {
+		return func(v *router.View) {
+			v.ConfigVersion = 2
+			v.Config.Services = slices.Clone(services)
+			v.Config.Services[0].Prefix = prefix
+		}
+	}
+	matched := func(e *router.Arrived) { e.Path, e.ConfigVersion = "/stock/oil", 1 }
+	t.Run("a path that has moved is rejected", func(t *testing.T) {
+		h := newHarness(t)
+		h.renew(keyspace.Active, withPrefix("/other/"))
+		id := h.arrive("stock", matched)
+		reject, ok := h.effects[0].(router.Reject)
+		assert.Assert(t, ok, "%+v", h.effects)
+		assert.Equal(t, reject.ID, id)
+		assert.Equal(t, reject.Reason, router.ReasonConfigChanged)
+	})
+	t.Run("a path that stays is admitted", func(t *testing.T) {
+		h := newHarness(t)
+		h.renew(keyspace.Active, withPrefix("/stock/"))
+		h.arrive("stock", matched)
+		_, ok := h.effects[0].(router.Admit)
+		assert.Assert(t, ok, "%+v", h.effects)
+	})
+	t.Run("a waiting request is rejected when its path moves", func(t *testing.T) {
+		h := newHarness(t)
+		h.renew(keyspace.Revoking, func(v *router.View) { v.Config.Services = slices.Clone(services) })
+		h.arrive("stock", matched)
+		assert.Equal(t, len(h.effects), 0)
+		h.renew(keyspace.Revoking, withPrefix("/other/"))
+		assert.Assert(t, slices.ContainsFunc(h.effects, func(e router.Effect) bool {
+			reject, ok := e.(router.Reject)
+			return ok && reject.Reason == router.ReasonConfigChanged
+		}), "%+v", h.effects)
+	})
+}
