Say "unknown" of a booking when there is no configuration yet

Cause: without a configuration an entry rejects every request with not_run. For a booking that is sent again this is proved only by its record, which can't be found without the service's name.

--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -121,7 +121,7 @@
 func (h *Handler) readRequest(w http.ResponseWriter, r *http.Request, c *call) *errorResponse {
 	view := h.cfg.Entry.View()
 	if view.ConfigVersion == 0 {
-		e := rejected(entry.Rejection{Reason: router.ReasonNoConfig, RetryAfter: randomRetryAfter()})
+		e := withoutConfig(r)
 		return &e
 	}
 	service, ok := view.Config.Match(r.URL.Path)
@@ -142,6 +142,15 @@
 	return c.fill(r, body)
 }
 
+// withoutConfig returns the response of an entry that has no configuration. Without one
+// it can't look up the record of a booking that is sent again and may have run.
+func withoutConfig(r *http.Request) errorResponse {
+	if len(r.Header.Values(HeaderIdempotencyKey)) > 0 {
+		return unknownOutcome(http.StatusServiceUnavailable, string(router.ReasonNoConfig), randomRetryAfter())
+	}
+	return rejected(entry.Rejection{Reason: router.ReasonNoConfig, RetryAfter: randomRetryAfter()})
+}
+
 // bodyError returns the error response to an error of reading the body.
 func bodyError(err error, limit int) *errorResponse {
 	var tooLarge *http.MaxBytesError
