Let a silent owner keep its keys until its grants have expired, also if fenced

Callers saw: nothing yet. Two targets could hold the same keys (OWNER). Cause: a range whose owner had answered that it knows a higher fence was reassigned at once, to another target if the owner was not live. The owner may still serve its keys under an earlier grant; only its answer to a release, its end or the expiry proves that it does not. The test below gave the keys to another target 100 ms after the owner's last grant. Change: a live owner gets its keys back under a newer fence, as before. One that is silent keeps them until its grants have expired, and gets no call under the fence that it rejects. Result: TestSilentFencedOwnerKeepsKeysUntilExpiry failed before and passes, with the other tests of internal/leader.

--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -293,11 +293,16 @@
 		return rangeStep{}
 	case rs.released && m.now > rs.unansweredExpiry:
 		return reassign
-	case rs.fenced && t.Usable():
-		// Prefer the owner itself, under a newer fence; placeRange chooses another
-		// target if the owner isn't live.
+	case rs.fenced && t.Status == deployment.Live && m.recentHeartbeat(t):
+		// The owner itself, under a newer fence.
 		reassign.reassignable[0].To = incarnationOf(t)
 		return reassign
+	case rs.fenced && t.Usable() && m.now <= rs.expiry:
+		// The owner may still hold the keys, and rejects this fence.
+		return rangeStep{}
+	case rs.fenced && t.Usable():
+		reassign.reassignable[0].Handover = ""
+		return reassign
 	case m.now > rs.expiry && !rs.inFlight && (r.Phase == deployment.Releasing || !m.responsive(t, rs)):
 		reassign.reassignable[0].Handover = ""
 		return reassign
