Forget when a suspect was first seen once it is cleared

Callers saw: nothing yet. A kind of request that crashes targets, was answered once and came back, was sent on to further targets (BUDGET bounds these retries). Cause: the leader kept the time at which it first saw a suspect also after the suspect was cleared. One that came back a minute later had expired in the same moment. Change: the time is dropped with the suspect. Result: TestReturningSuspectIsRememberedAgain failed before and passes.

--- a/internal/leader/health_test.go
+++ b/internal/leader/health_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cranberrywind/cranberrywind/internal/deployment"
 	"github.com/cranberrywind/cranberrywind/internal/instance"
 )
 
@@ -51,3 +53,30 @@
 		assert.Equal(t, len(s.model.health), 0)
 	})
 }
+
+// TestReturningSuspectIsRememberedAgain reports a kind of request that crashed a target,
+// clears it since it was answered, and reports it again a minute later.
+func TestReturningSuspectIsRememberedAgain(t *testing.T) {
+	s := newSim(t)
+	for n := 1; n <= 3; n++ {
+		s.announce(n, nil)
+	}
+	crash := func(n int, fingerprints, cleared []string) {
+		report := deployment.CrashReport{Incarnation: incarnation(n), Fingerprints: fingerprints, Cleared: cleared}
+		s.send(Reported{At: s.now, Report: instance.ReportRequest{Instance: "entry-1", CrashReports: []deployment.CrashReport{report}}})
+		s.tick(50 * time.Millisecond)
+	}
+	suspected := func() bool {
+		list, _ := s.state.Suspects()
+		return slices.ContainsFunc(list, func(x deployment.Suspect) bool { return x.Fingerprint == "a" })
+	}
+	crash(1, []string{"a"}, nil)
+	s.tick(50 * time.Millisecond)
+	assert.Assert(t, suspected())
+	crash(2, []string{"b"}, []string{"a"})
+	assert.Assert(t, !suspected())
+	s.tick(suspectTTL)
+	crash(3, []string{"a"}, nil)
+	s.tick(time.Second)
+	assert.Assert(t, suspected())
+}
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -6,6 +6,8 @@
 
 import (
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
@@ -41,6 +43,7 @@
 	lastAdvice       timer.Instant
 	crashReports     []deployment.CrashReport // to be committed
 	suspectedSince   map[string]timer.Instant // when a suspect was first seen, by fingerprint
+	suspectsIndex    uint64                   // log index of the suspects that suspectedSince was last matched with
 	health           map[deployment.Incarnation]health
 	limits           map[deployment.Incarnation]namedLimit
 	entryLoads       map[string]*entryLoad // by entry
@@ -249,7 +252,13 @@
 // expiredSuspects returns the fingerprints of suspects that this leader first saw
 // longer than suspectTTL ago.
 func (m *Model) expiredSuspects() []string {
-	list, _ := m.state.Suspects()
+	list, index := m.state.Suspects()
+	if index != m.suspectsIndex {
+		m.suspectsIndex = index
+		maps.DeleteFunc(m.suspectedSince, func(fingerprint string, _ timer.Instant) bool {
+			return !slices.ContainsFunc(list, func(s deployment.Suspect) bool { return s.Fingerprint == fingerprint })
+		})
+	}
 	var out []string
 	for _, s := range list {
 		at, ok := m.suspectedSince[s.Fingerprint]
