Answer the first request of a connection opened during a graceful shutdown

Callers saw: a connection closed unread, if the balancer gave it to an instance whose time for draining had just ended. Cause: from the end of that time on, connections were closed as soon as they were accepted. A request that was on its way reset the connection. Change: a connection without a request stays open for 300 ms, also during the shutdown, and its first request is answered with "Connection: close". Result: "a connection opened now gets its request answered" failed before and passes, with "a connection without a request does not hold up the shutdown".

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -88,9 +88,12 @@
 	cancel  context.CancelFunc
 	queue   chan chan response
 
+	opened time.Time
+
 	mu       sync.Mutex
 	pending  int  // requests read, without a response yet
 	reading  bool // part of a request was read
+	used     bool // a request was read
 	stopping bool // no further request is read
 }
 
@@ -126,6 +129,7 @@
 		ctx:     ctx,
 		cancel:  cancel,
 		queue:   make(chan chan response, pipelineDepth),
+		opened:  time.Now(),
 	}
 	s.track(c)
 	defer s.untrack(c)
@@ -449,10 +453,20 @@
 	_ = c.conn.SetReadDeadline(time.Unix(1, 0))
 }
 
+// firstRequestTime is how long a new connection may wait for its first request during a
+// graceful shutdown: a few round trips to a caller. A caller sends it as soon as the
+// connection is open.
+const firstRequestTime = 300 * time.Millisecond
+
 // closeWhenIdle closes the connection for a graceful shutdown: at once if it is idle,
-// else after the responses that are due.
+// else after the responses that are due. A new connection is left open for its first
+// request.
 func (c *callerConn) closeWhenIdle() {
 	c.mu.Lock()
+	if !c.used && !c.reading && time.Since(c.opened) < firstRequestTime {
+		c.mu.Unlock()
+		return
+	}
 	c.stopping = true
 	idle := c.pending == 0 && !c.reading
 	c.mu.Unlock()
@@ -473,11 +487,13 @@
 	c.reading = true
 }
 
-// addPending counts a request that was read and is due a response.
+// addPending counts a request that was read and is due a response. During a graceful
+// shutdown it is the connection's last one.
 func (c *callerConn) addPending() {
+	stopping := c.server.isStopping()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = false
+	c.reading, c.used, c.stopping = false, true, c.stopping || stopping
 	c.pending++
 }
 
--- a/internal/forward/conn_test.go
+++ b/internal/forward/conn_test.go
@@ -166,6 +166,18 @@
 		stopped <- s.Shutdown(ctx)
 	}()
 	t.Run("idle connections are closed", func(*testing.T) { idle.assertClosed() })
+	t.Run("a connection opened now gets its request answered", func(t *testing.T) {
+		late := dial(t, address)
+		time.Sleep(2 * shutdownPollInterval)
+		late.send(get("late"))
+		_, id, resp := late.readResponse()
+		assert.Equal(t, id, "late")
+		assert.Assert(t, resp.Close)
+		late.assertClosed()
+	})
+	t.Run("a connection without a request does not hold up the shutdown", func(t *testing.T) {
+		dial(t, address).assertClosed()
+	})
 	t.Run("a partly read request is answered", func(t *testing.T) {
 		busy.send("cd")
 		_, id, resp := busy.readResponse()
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -110,9 +110,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = true
-	if s.stopping {
-		c.stopping = true
-	}
 }
 
 func (s *Server) untrack(c *callerConn) {
@@ -134,8 +131,8 @@
 }
 
 // Shutdown closes idle connections, and the others once their responses are written.
-// It returns when all are closed, or with an error when ctx ends. New connections are
-// closed at once.
+// It returns when all are closed, or with an error when ctx ends. A new connection may
+// still send one request.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.mu.Lock()
 	s.stopping = true
@@ -158,6 +155,12 @@
 	}
 }
 
+func (s *Server) isStopping() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopping
+}
+
 // Connections returns the number of open connections of callers.
 func (s *Server) Connections() int {
 	s.mu.Lock()
