State a request's remaining time when it is written, not before the connection is opened

Cause: the head with the remaining time was made before a connection was taken or opened. Change: targethttp makes the head right before it writes the request. Result: TestHeadIsMadeOnTheOpenConnection passes; the interface before could not express it, so it did not run there.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -30,7 +30,7 @@
 	c.sentAt = s.targets.requestSent(t)
 	a, err := s.cfg.Pool.Do(ctx, t.Address, maxConns, s.cfg.Headers.RequestID, targethttp.Request{
 		Method:         c.method,
-		Head:           s.requestHead(c, t, start),
+		Head:           func() []byte { return s.requestHead(c, t, time.Now()) },
 		Body:           c.body,
 		ID:             c.id,
 		NonIdempotent:  !c.route.Kind.Idempotent(),
--- a/internal/targethttp/endless_test.go
+++ b/internal/targethttp/endless_test.go
@@ -81,7 +81,7 @@
 					wg.Go(func() {
 						ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 						defer cancel()
-						_, err := p.Do(ctx, address, endlessRequests, idHeader, Request{Method: http.MethodGet, Head: []byte("GET /x HTTP/1.1\r\nHost: h\r\n\r\n"), ID: "a"})
+						_, err := p.Do(ctx, address, endlessRequests, idHeader, Request{Method: http.MethodGet, Head: func() []byte { return []byte("GET /x HTTP/1.1\r\nHost: h\r\n\r\n") }, ID: "a"})
 						if !errors.Is(err, ErrIncompleteResponse) {
 							mu.Lock()
 							defer mu.Unlock()
--- a/internal/targethttp/exchange.go
+++ b/internal/targethttp/exchange.go
@@ -11,8 +11,11 @@
 
 // Request is one request in the form in which it is sent to a target.
 type Request struct {
-	Method        string
-	Head          []byte // request line and headers, including the final empty line
+	Method string
+	// Head returns the request line and headers, including the final empty line. It is
+	// called right before the request is written: opening a connection takes time, which
+	// is then no longer left until the request's deadline.
+	Head          func() []byte
 	Body          []byte
 	ID            string // expected in the response's ID header
 	NonIdempotent bool   // must not run twice: avoids connections that may be closing
@@ -138,11 +141,12 @@
 
 // write sends the request in a single write and returns the number of bytes sent.
 func (c *conn) write(r Request) (int, error) {
+	head := r.Head()
 	if len(r.Body) == 0 {
-		return c.Write(r.Head)
+		return c.Write(head)
 	}
-	buf := make([]byte, 0, len(r.Head)+len(r.Body))
-	return c.Write(append(append(buf, r.Head...), r.Body...))
+	buf := make([]byte, 0, len(head)+len(r.Body))
+	return c.Write(append(append(buf, head...), r.Body...))
 }
 
 // readHeader reads the header of the next response, skipping interim ones.
--- a/internal/targethttp/exchange_test.go
+++ b/internal/targethttp/exchange_test.go
@@ -77,7 +77,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 	defer cancel()
 	head := fmt.Sprintf("GET /x HTTP/1.1\r\nHost: h\r\n%s: %s\r\n\r\n", idHeader, id)
-	return p.Do(ctx, address, 2, idHeader, Request{Method: http.MethodGet, Head: []byte(head), ID: id})
+	return p.Do(ctx, address, 2, idHeader, Request{Method: http.MethodGet, Head: func() []byte { return []byte(head) }, ID: id})
 }
 
 func TestExchange(t *testing.T) {
@@ -185,7 +185,7 @@
 			return write(c, rawResponse(r.Header.Get(idHeader), "hello"))
 		})
 		p := newTestPool(t)
-		r := Request{Method: http.MethodPost, Head: []byte("POST /x HTTP/1.1\r\nHost: h\r\n\r\n"), Allowed: func() bool { return false }}
+		r := Request{Method: http.MethodPost, Head: func() []byte { return []byte("POST /x HTTP/1.1\r\nHost: h\r\n\r\n") }, Allowed: func() bool { return false }}
 		_, err := p.Do(t.Context(), address, 2, idHeader, r)
 		assert.Assert(t, errors.Is(err, ErrNotSent))
 		assert.Assert(t, errors.Is(err, ErrNotAllowed))
@@ -201,3 +201,30 @@
 		assert.Assert(t, errors.Is(err, ErrNotSent))
 	})
 }
+
+// TestHeadIsMadeOnTheOpenConnection guards against a head that states the time left
+// before a connection was opened.
+func TestHeadIsMadeOnTheOpenConnection(t *testing.T) {
+	var events []string
+	request := Request{
+		Method:  http.MethodGet,
+		Head:    func() []byte { events = append(events, "head"); return []byte("GET /x HTTP/1.1\r\nHost: h\r\n\r\n") },
+		Allowed: func() bool { events = append(events, "connected"); return true },
+		ID:      "a",
+	}
+	t.Run("after the connection was opened", func(t *testing.T) {
+		address := listen(t, func(_ int, c net.Conn, _ *http.Request) bool { return write(c, rawResponse("a", "x")) })
+		_, err := newTestPool(t).Do(t.Context(), address, 1, idHeader, request)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, events, []string{"connected", "head"})
+	})
+	t.Run("not without a connection", func(t *testing.T) {
+		events = nil
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		assert.NilError(t, l.Close())
+		_, err = newTestPool(t).Do(t.Context(), l.Addr().String(), 1, idHeader, request)
+		assert.Assert(t, errors.Is(err, ErrNoConnection))
+		assert.Equal(t, len(events), 0)
+	})
+}
