--- /dev/null
+++ b/internal/forward/response.go
@@ -0,0 +1,149 @@
+package forward
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cranberrywind/cranberrywind/internal/targethttp"
+	"github.com/cranberrywind/cranberrywind/pkg/limit"
+)
+
+// response is the final response to a caller.
+type response struct {
+	status    int
+	header    http.Header
+	body      []byte
+	stream    *targethttp.BodyStream // body that is still arriving; body is empty then
+	onWritten func(error)            // called after the response was written, or failed to be
+	closeConn bool                   // the connection closes after it
+	abort     bool                   // close the connection without a response
+	isHead    bool                   // answers a HEAD request
+}
+
+// size returns the length of the body.
+func (r response) size() int {
+	if r.stream != nil {
+		return r.stream.Size()
+	}
+	return len(r.body)
+}
+
+// written calls onWritten, if set, with the result of writing the response.
+func (r response) written(err error) {
+	if r.onWritten != nil {
+		r.onWritten(err)
+	}
+}
+
+// errConnectionClosed reports a response that came after the caller's connection was
+// closed.
+var errConnectionClosed = errors.New("caller's connection is closed")
+
+// writeResponses writes the responses in the order of their requests.
+func (c *callerConn) writeResponses() {
+	closed := false
+	for respCh := range c.queue {
+		r := <-respCh
+		isLast := c.removePending()
+		if closed {
+			r.written(errConnectionClosed)
+			continue
+		}
+		closeAfter := r.closeConn || isLast
+		err := c.write(r, closeAfter)
+		r.written(err)
+		if r.abort || err != nil || closeAfter {
+			closed = true
+			c.closeWrite()
+		}
+	}
+}
+
+// write writes one response. The connection closes after it if closeAfter is set.
+func (c *callerConn) write(r response, closeAfter bool) error {
+	if r.abort {
+		return nil
+	}
+	link, size := c.server.cfg.Link, r.size()
+	small := r.stream == nil && (link == nil || size <= targethttp.StreamThresholdBytes)
+	out := c.responseHead(r, closeAfter)
+	if small && !r.isHead {
+		out = append(out, r.body...)
+	}
+	link.Count(len(out))
+	if err := c.send(out); err != nil || small || r.isHead {
+		return err
+	}
+	return c.writeLarge(r)
+}
+
+// writeLarge writes a body in chunks, as it arrives and as the link permits.
+func (c *callerConn) writeLarge(r response) error {
+	size := r.size()
+	for sent := 0; sent < size; {
+		part := r.body[min(sent, len(r.body)):]
+		if r.stream != nil {
+			var err error
+			if part, err = r.stream.Next(c.ctx, sent); err != nil {
+				return err
+			}
+		}
+		if c.server.cfg.Link != nil {
+			part = part[:min(len(part), limit.ChunkBytes)]
+		}
+		if err := c.server.cfg.Link.Wait(c.ctx, len(part), size-sent); err != nil {
+			return err
+		}
+		if err := c.send(part); err != nil {
+			return err
+		}
+		sent += len(part)
+	}
+	return nil
+}
+
+func (c *callerConn) send(data []byte) error {
+	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := c.conn.Write(data)
+	return err
+}
+
+// responseHead returns the status line and headers of a response.
+func (c *callerConn) responseHead(r response, closeAfter bool) []byte {
+	out := make([]byte, 0, 512+len(r.body))
+	out = fmt.Appendf(out, "HTTP/1.1 %03d %s\r\n", r.status, http.StatusText(r.status))
+	for name, values := range r.header {
+		for _, v := range values {
+			out = append(out, name...)
+			out = append(out, ": "...)
+			out = append(out, v...)
+			out = append(out, "\r\n"...)
+		}
+	}
+	if r.status != http.StatusNoContent && r.status != http.StatusNotModified && (!r.isHead || r.header.Get("Content-Length") == "") {
+		out = append(out, "Content-Length: "...)
+		out = strconv.AppendInt(out, int64(r.size()), 10)
+		out = append(out, "\r\n"...)
+	}
+	if closeAfter {
+		out = append(out, "Connection: close\r\n"...)
+	}
+	return append(out, "\r\n"...)
+}
+
+// closeWrite stops reading and closes the write side. The connection is closed later:
+// closing it at once might reset it and lose the last response.
+func (c *callerConn) closeWrite() {
+	c.mu.Lock()
+	c.stopping = true
+	c.mu.Unlock()
+	if tcp, ok := c.conn.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+	c.cancel()
+	_ = c.conn.SetReadDeadline(time.Unix(1, 0))
+}
