Keep the known rate limits until a new leader has heard from all entries

Callers saw: nothing yet. After an election a target that names a limit could get more. Cause: a new leader knows neither limits nor entries. Its first advice said that there are no limits, and an entry that does not know its part takes an equal one among the entries that the leader has heard from so far. Change: advice says whether its limits are complete, which is so once the grace period after an election has passed. Until then entries keep the advice that they have. The leader drops its advice of an earlier term. An entry's requests are counted in the same pass over its report as before. Result: TestNewLeaderAdvisesNoLimitsAtFirst and TestNamedRateLimitHolds pass.

--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -245,7 +245,9 @@
 			if a := s.cfg.Report(req); a != nil {
 				s.advice.Store(a)
 				s.targets.setFailureShares(a.Failing)
-				s.targets.setLimits(a.Limits, v.Target, s.partOf)
+				if a.LimitsKnown {
+					s.targets.setLimits(a.Limits, v.Target, s.partOf)
+				}
 			}
 		}
 		// With many entries each reports less often, so that the leader's load
--- a/internal/instance/deployment_messages.go
+++ b/internal/instance/deployment_messages.go
@@ -74,6 +74,9 @@
 	Overloads []Overload      `msgpack:"overloads"`
 	Failing   []FailingTarget `msgpack:"failing"` // worst first
 	Limits    []TargetLimit   `msgpack:"limits"`
+	// LimitsKnown reports that Limits and Parts are complete. A new leader first has to
+	// hear from all entries.
+	LimitsKnown bool `msgpack:"limits_known"`
 	// Parts holds the reporting entry's part of the requests to each service, from 0 to
 	// 1. It is set only while there are limits.
 	Parts map[string]float64 `msgpack:"parts,omitempty"`
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -138,6 +138,7 @@
 		return 0
 	}
 	l.confirmedAt.Store(int64(start))
+	l.advice.Store(nil) // that of an earlier term
 	_ = l.loop.Send(LeadershipTaken{At: l.clock.Now(), Index: applied.Index})
 	l.log.Info("control leadership taken", "term", term, "applied", applied.Index)
 	return term
--- a/internal/leader/limits.go
+++ b/internal/leader/limits.go
@@ -30,7 +30,9 @@
 	at        timer.Instant // last report of it
 }
 
-// entryLoad counts the requests of one entry by service, with exponential decay.
+// entryLoad counts the requests of one entry by service, with exponential decay. Those to
+// keyed services are counted by key, also if they were rejected, and the others by their
+// results.
 type entryLoad struct {
 	decayedAt timer.Instant
 	requests  map[string]float64
@@ -53,25 +55,15 @@
 	delete(m.limits, incarnation)
 }
 
-// recordEntryLoad adds an entry's requests. Those to keyed services are counted by key,
-// also if they were rejected, and the others by their results.
-func (m *Model) recordEntryLoad(r instance.ReportRequest) {
-	l, ok := m.entryLoads[r.Instance]
+// entryLoadOf returns the load of an entry, decayed up to now.
+func (m *Model) entryLoadOf(name string) *entryLoad {
+	l, ok := m.entryLoads[name]
 	if !ok {
 		l = &entryLoad{decayedAt: m.now, requests: make(map[string]float64)}
-		m.entryLoads[r.Instance] = l
+		m.entryLoads[name] = l
 	}
 	l.decay(m.now)
-	for _, k := range r.Keys {
-		l.requests[k.Service] += float64(k.Count)
-	}
-	for _, tl := range r.Targets {
-		t, ok := m.state.Target(tl.ID)
-		if _, keyed := m.state.Table(t.Service); !ok || keyed {
-			continue
-		}
-		l.requests[t.Service] += float64(tl.Successes + tl.Failures)
-	}
+	return l
 }
 
 // limitOf returns the rate limit of a target, and false if it has none.
@@ -98,7 +90,8 @@
 // part of the requests, by entry and service; nil if there are no limits.
 func (m *Model) adviseLimits(advice *instance.ReportResponse) map[string]map[string]float64 {
 	m.dropStaleLimits()
-	if len(m.limits) == 0 {
+	advice.LimitsKnown = m.graceOver()
+	if len(m.limits) == 0 || !advice.LimitsKnown {
 		return nil
 	}
 	parts := m.entryParts()
--- a/internal/leader/limits_test.go
+++ b/internal/leader/limits_test.go
@@ -104,3 +104,18 @@
 		assert.Equal(t, len(s.advice.Limits), 0)
 	})
 }
+
+// TestNewLeaderAdvisesNoLimitsAtFirst guards against a new leader that has heard from few
+// entries and tells them that there are no limits, or that their parts are large.
+func TestNewLeaderAdvisesNoLimitsAtFirst(t *testing.T) {
+	s := newSim(t)
+	s.announce(1, nil)
+	s.settle(1)
+	s.startTerm()
+	s.reportLimited(20, 1, 12, 1)
+	assert.Assert(t, !s.advice.LimitsKnown)
+	assert.Equal(t, len(s.advice.Limits), 0)
+	s.reportLimited(20, 1, 12, 1)
+	assert.Assert(t, s.advice.LimitsKnown)
+	assert.Equal(t, len(s.advice.Limits), 1)
+}
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -66,8 +66,9 @@
 	m.now = max(m.now, e.At)
 	m.lastReports[e.Report.Instance] = e.At
 	m.crashReports = append(m.crashReports, e.Report.CrashReports...)
-	m.recordEntryLoad(e.Report)
+	load := m.entryLoadOf(e.Report.Instance)
 	for _, k := range e.Report.Keys {
+		load.requests[k.Service] += float64(k.Count)
 		stats := m.statsOf(k.Service)
 		stats.decay(m.now)
 		b := int(k.Bucket) / deployment.KeysPerBucket
@@ -81,6 +82,9 @@
 			continue
 		}
 		m.recordHealth(incarnationOf(t), tl)
+		if _, keyed := m.state.Table(t.Service); !keyed {
+			load.requests[t.Service] += float64(tl.Successes + tl.Failures)
+		}
 		if tl.RateLimit != nil {
 			m.recordLimit(incarnationOf(t), *tl.RateLimit)
 		}
