Count an ended attempt only at the incarnation that it was sent to

Callers saw: nothing by itself; an entry sent a restarted target more requests than it has slots. Cause: the end of an attempt at the earlier incarnation replaced the state of the new one, so that its requests in flight were forgotten. Change: such an end no longer touches the state of the new incarnation.

--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -165,7 +165,7 @@
 		return nil
 	}
 	delete(r.attempts, e.ID)
-	s := r.stateOf(a.destination.Target)
+	s := r.stateOfAttempt(a)
 	s.inFlight--
 	s.recordResult(e.Result, e.Now)
 	if e.Result == ResultAnswered {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -301,3 +301,27 @@
 		}), "%+v", h.effects)
 	})
 }
+
+// TestSlotsAfterRestart ends attempts at a target that has restarted since, while the new
+// incarnation's slots are in use.
+func TestSlotsAfterRestart(t *testing.T) {
+	h := newHarness(t)
+	old := []router.AttemptID{h.arrive("stock"), h.arrive("stock")}
+	h.renew(keyspace.Active, func(v *router.View) {
+		restarted := target("a", "stock")
+		restarted.Incarnation = "2"
+		v.Targets["a"] = restarted
+		table, err := keyspace.FromRanges([]keyspace.Range{{Owner: restarted.Owner(), Epoch: 6, Phase: keyspace.Active}})
+		assert.NilError(t, err)
+		v.Tables["stock"] = table
+	})
+	for range 2 {
+		h.arrive("stock")
+		h.assertAdmitted("a")
+	}
+	for _, id := range old {
+		h.end(id, router.ResultAbandoned)
+	}
+	h.arrive("stock")
+	h.assertNoEffects()
+}
--- a/internal/router/targets.go
+++ b/internal/router/targets.go
@@ -137,6 +137,16 @@
 	return queueWaitFactor*time.Duration(ahead)*s.answerGap + s.expectedLatency()
 }
 
+// stateOfAttempt returns the state of the incarnation that the attempt was sent to. If
+// the target has restarted since, that is a state which nothing uses any more.
+func (r *Router) stateOfAttempt(a *attempt) *targetState {
+	t := a.destination.Target
+	if s, ok := r.targetStates[t.Name]; ok && s.incarnation == t.Incarnation {
+		return s
+	}
+	return &targetState{incarnation: t.Incarnation, limiter: limit.Fixed(t.Slots)}
+}
+
 // stateOf returns the state of the target's incarnation, and creates it if needed.
 func (r *Router) stateOf(t control.Target) *targetState {
 	s, ok := r.targetStates[t.Name]
