Don't count the time for writing to a slow caller as a stall of the target

Callers saw: a download that broke off, if they took more than 2 s for a part of it. Cause: the timer that ends a download from a silent target also ran while a part was written to the caller. Change: the timer runs during reads only.

--- a/internal/caller/download.go
+++ b/internal/caller/download.go
@@ -17,7 +17,7 @@
 
 const (
 	copyBufferBytes = 64 << 10
-	stallTimeout    = 2 * time.Second // longest time between two reads of the target's answer
+	stallTimeout    = 2 * time.Second // longest time for one read of the target's answer
 )
 
 // transfer is a download in progress.
@@ -147,15 +147,16 @@
 // errCallerDisconnected reports that writing to the caller failed.
 var errCallerDisconnected = errors.New("caller disconnected")
 
-// copyBody copies the body to the caller. It closes the body, and so fails, if no
-// read returns for stallTimeout.
+// copyBody copies the body to the caller. It closes the body, and so fails, if a read
+// takes longer than stallTimeout.
 func (t *transfer) copyBody(permit *entry.Permit, body io.ReadCloser) error {
 	stall := time.AfterFunc(stallTimeout, func() { _ = body.Close() })
 	defer stall.Stop()
 	buf := make([]byte, copyBufferBytes)
 	for {
-		n, err := body.Read(buf)
 		stall.Reset(stallTimeout)
+		n, err := body.Read(buf)
+		stall.Stop() // a slow caller is not the target's fault
 		if n > 0 {
 			if _, writeErr := t.w.Write(buf[:n]); writeErr != nil {
 				return errors.Join(errCallerDisconnected, writeErr)
