Take back the longer time limit of reports to the leader

Cause: not traced. Reports of entries with full links reach the leader with 1 s, and its advice then rejects more, or they are sent less often, as the next one waits for the last. Change: 300 ms again.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -232,9 +232,8 @@
 	return limit.NewLink(mbps * bytesPerMbit * responseShare)
 }
 
-// reportTimeout limits one report to the leader: two round trips over a full link. A
-// report is sent once, since a second one would be counted again.
-const reportTimeout = time.Second
+// reportTimeout limits one report to the leader.
+const reportTimeout = 300 * time.Millisecond
 
 // sendReport sends measurements to the leader and returns its response, or nil if the
 // call fails. Those measurements are then lost; the next report follows soon.
