Leave no copies of a body that is given up

Callers saw: nothing; the heap of an entry grew beyond what a small instance has. Cause: a body without a length was read into a buffer that was copied to one of twice the size as it grew, so that each body that was given up left as many bytes of garbage again. Change: such a body is read in chunks and joined at its end. It may have 4 MB instead of 8, and all bodies together 24 MB instead of 32.

--- a/internal/targethttp/bounds.go
+++ b/internal/targethttp/bounds.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 )
 
@@ -11,14 +12,15 @@
 	// maxHeadBytes bounds the head of a response, interim responses before it included.
 	maxHeadBytes = 64 << 10
 	// maxHeldBytes bounds the bytes of response bodies that a pool holds in memory, a
-	// quarter of the memory of the smallest instances. A single body may take all of
-	// it if its response says how long it is.
-	maxHeldBytes = 32 << 20
+	// sixth of the memory of the smallest instances: the heap grows to several times
+	// that before it is collected. A single body may take all of it if its response
+	// says how long it is.
+	maxHeldBytes = 24 << 20
 	// maxUnknownLength bounds a body whose response does not say how long it is: the
 	// target may be sending bytes without end.
-	maxUnknownLength = 8 << 20
+	maxUnknownLength = 4 << 20
 	// bodyChunkBytes is how many bytes of such a body are reserved and read at a time.
-	bodyChunkBytes = 32 << 10
+	bodyChunkBytes = 64 << 10
 )
 
 var (
@@ -93,30 +95,30 @@
 	return body, err
 }
 
-// readUnknownLength reads a body to its end.
+// readUnknownLength reads a body to its end, in chunks, so that one which is given up
+// leaves no copies of itself.
 func (p *Pool) readUnknownLength(r io.Reader) ([]byte, error) {
-	var body []byte
-	reserved := 0
-	defer func() { p.bodies.release(reserved) }()
+	var chunks [][]byte
+	total := 0
+	defer func() { p.bodies.release(len(chunks) * bodyChunkBytes) }()
 	for {
-		if len(body) == cap(body) {
-			grow := max(bodyChunkBytes, len(body))
-			if len(body) >= maxUnknownLength {
-				return nil, errBodyTooLarge
-			}
-			if !p.bodies.reserve(grow) {
-				return nil, errBodiesHeld
-			}
-			reserved += grow
-			next := make([]byte, len(body), len(body)+grow)
-			copy(next, body)
-			body = next
+		if total >= maxUnknownLength {
+			return nil, errBodyTooLarge
 		}
-		n, err := r.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
+		if !p.bodies.reserve(bodyChunkBytes) {
+			return nil, errBodiesHeld
+		}
+		chunk, n := make([]byte, bodyChunkBytes), 0
+		var err error
+		for n < len(chunk) && err == nil {
+			var read int
+			read, err = r.Read(chunk[n:])
+			n += read
+		}
+		chunks, total = append(chunks, chunk[:n]), total+n
 		switch {
 		case errors.Is(err, io.EOF):
-			return body, nil
+			return slices.Concat(chunks...), nil
 		case err != nil:
 			return nil, err
 		}
--- a/internal/targethttp/exchange_test.go
+++ b/internal/targethttp/exchange_test.go
@@ -228,3 +228,32 @@
 		assert.Equal(t, len(events), 0)
 	})
 }
+
+// TestBodyWithoutLength reads bodies whose response does not say how long they are.
+func TestBodyWithoutLength(t *testing.T) {
+	body := strings.Repeat("0123456789abcdef", bodyChunkBytes/8)
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
+	head := "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+	get := func(text string) (*Response, error) {
+		p := newTestPool(t)
+		resp, err := do(t, p, listen(t, func(_ int, c net.Conn, _ *http.Request) bool { write(c, text); return false }), "a")
+		assert.Equal(t, p.bodies.held, 0)
+		return resp, err
+	}
+	t.Run("complete", func(t *testing.T) {
+		resp, err := get(head + chunk + chunk + "0\r\n\r\n")
+		assert.NilError(t, err)
+		assert.Equal(t, string(resp.Body), body+body)
+	})
+	t.Run("empty", func(t *testing.T) {
+		resp, err := get(head + "0\r\n\r\n")
+		assert.NilError(t, err)
+		assert.Equal(t, len(resp.Body), 0)
+	})
+	t.Run("broken off", func(t *testing.T) {
+		for _, text := range []string{head + chunk, head + chunk + chunk[:100], head + chunk[:len(chunk)/2]} {
+			_, err := get(text)
+			assert.Assert(t, errors.Is(err, ErrIncompleteResponse), "%v", err)
+		}
+	})
+}
