Apply a change of the configuration only to the one that it was made from

Callers saw: nothing yet. An entry could have kept a route in a form that was in force only for a moment. Cause: since a stalled stream is kept while another one opens. Each sends changes against the view that it knows; a route that was changed and changed back in between is in neither, if the view has been advanced by the other stream. Evidence: found while reading the diff. Change: a change names the configuration that it applies to. If the view has another one, the stream ends, and the next one asks for what the view lacks. Changes of earlier builds, which name none, are applied as before.

--- a/internal/instance/deployment_messages.go
+++ b/internal/instance/deployment_messages.go
@@ -131,8 +131,11 @@
 	Version      uint64                   `msgpack:"version"`   // log index up to which the view is complete
 	ConfigIndex  uint64                   `msgpack:"doc_index"` // log index that accepted the configuration
 	ConfigChange *deployment.ConfigChange `msgpack:"document"`  // change of the configuration; nil if none
-	Targets      []deployment.Target      `msgpack:"targets"`   // new and changed targets
-	Removed      []string                 `msgpack:"gone"`      // IDs of removed targets
+	// ConfigBase is the log index that accepted the configuration to which ConfigChange
+	// applies; 0 for a whole one.
+	ConfigBase uint64              `msgpack:"config_base"`
+	Targets    []deployment.Target `msgpack:"targets"` // new and changed targets
+	Removed    []string            `msgpack:"gone"`    // IDs of removed targets
 	// AllTargets holds the sorted IDs of all targets. It is set instead of Removed if
 	// the sender no longer has the state that the entry's view was made from.
 	AllTargets []string              `msgpack:"known"`
--- a/internal/view/follow.go
+++ b/internal/view/follow.go
@@ -242,8 +242,7 @@
 		if u.Current {
 			f.confirmedAt.Store(time.Now().UnixNano())
 		}
-		f.apply(u)
-		return nil
+		return f.apply(u)
 	})
 	if cause := context.Cause(s.ctx); cause != nil {
 		err = cause
@@ -259,23 +258,31 @@
 	}
 }
 
+// errOtherConfig ends a stream whose next change applies to another configuration than
+// the view's, which another stream has brought meanwhile.
+var errOtherConfig = errors.New("change applies to another configuration")
+
 // apply applies an update, unless it is older than the view because its sender has
 // not caught up yet.
-func (f *Follower) apply(u *instance.ViewUpdate) {
+func (f *Follower) apply(u *instance.ViewUpdate) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	old := f.view.Load()
 	if u.Version < old.Version {
-		return
+		return nil
+	}
+	if u.ConfigBase != 0 && u.ConfigBase != old.ConfigIndex {
+		return errOtherConfig
 	}
 	next := old.With(u)
 	f.view.Store(next)
 	if u.Version == old.Version && !u.Whole {
-		return
+		return nil
 	}
 	if u.ConfigIndex != old.ConfigIndex {
 		f.cfg.Log.Info("configuration in force", "version", next.Config.Version, "index", u.ConfigIndex)
 	}
 	close(f.changed)
 	f.changed = make(chan struct{})
+	return nil
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -158,7 +158,7 @@
 	}
 	if before, index := old.Config(); index != configIndex {
 		change := cfg.ChangeFrom(before)
-		u.ConfigChange = &change
+		u.ConfigChange, u.ConfigBase = &change, index
 	}
 	addChanges(u, old.Version(), state)
 	for _, t := range old.Targets() {
@@ -200,6 +200,9 @@
 		change := cfg.ChangeFrom(before)
 		change.Whole = !known
 		u.ConfigChange = &change
+		if known {
+			u.ConfigBase = have.ConfigIndex
+		}
 	}
 	if suspects, suspectsIndex := state.Suspects(); suspectsIndex > have.Version {
 		u.Suspects, u.SuspectsChanged = suspects, true
