Give the requests of TestEndlessResponses time to connect

Cause: the test left the connect timeout at 250 ms. On a busy machine a request was not sent at all, and the test took ErrNotSent, which is true of it, for an unclear outcome. Change: 4 s to connect, 5 s in all.

--- a/internal/targethttp/endless_test.go
+++ b/internal/targethttp/endless_test.go
@@ -79,9 +79,14 @@
 				var wg sync.WaitGroup
 				for range endlessRequests {
 					wg.Go(func() {
-						ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+						ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 						defer cancel()
-						_, err := p.Do(ctx, address, endlessRequests, idHeader, Request{Method: http.MethodGet, Head: func() []byte { return []byte("GET /x HTTP/1.1\r\nHost: h\r\n\r\n") }, ID: "a"})
+						_, err := p.Do(ctx, address, endlessRequests, idHeader, Request{
+							Method:         http.MethodGet,
+							Head:           func() []byte { return []byte("GET /x HTTP/1.1\r\nHost: h\r\n\r\n") },
+							ID:             "a",
+							ConnectTimeout: 4 * time.Second,
+						})
 						if !errors.Is(err, ErrIncompleteResponse) {
 							mu.Lock()
 							defer mu.Unlock()
