--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -99,7 +99,11 @@
 		return nil, nil, fmt.Errorf("start instance %s: %w", cfg.Name, err)
 	}
 	i.log.Info("instance started", "availability_zone", cfg.AvailabilityZone, "entry", cfg.Entry, "control", cfg.Control,
-		"bootstrap", cfg.Bootstrap, "seeds", cfg.Seeds)
+		"bootstrap", cfg.Bootstrap, "seeds", cfg.Seeds, "grace", cfg.Grace, "retry_ratio", cfg.RetryRatio, "retry_slack", cfg.RetrySlack,
+		"config_apply", cfg.ConfigApply, "target_drain", cfg.TargetDrain, "max_lease", cfg.MaxLease, "grants", cfg.Grants, "link_mbps", cfg.LinkMbps)
+	if len(cfg.Unknown) > 0 {
+		i.log.Warn("unknown settings of the platform ignored", "names", cfg.Unknown)
+	}
 	return i, i.cleanups.Run, nil
 }
 
@@ -205,8 +209,9 @@
 		Observer:         i.metrics,
 		Report:           func(r instance.ReportRequest) *instance.ReportResponse { return i.sendReport(ctx, leaderClient, r) },
 		RetryRatio:       i.cfg.RetryRatio,
-		RetryBurst:       i.cfg.RetryBurst,
+		RetrySlack:       i.cfg.RetrySlack,
 		RetryShare:       retryShare,
+		MaxConfigLag:     i.cfg.ConfigApply / 2,
 		Link:             newLink(i.cfg.LinkMbps),
 	})
 	i.entry = server
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -8,14 +8,8 @@
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
 )
 
-const (
-	// maxConfigLag is for how long requests are served by a configuration that is known
-	// to be replaced: half of the 2 s within which a change must be in force, because
-	// its operator learned of it earlier than the entry.
-	maxConfigLag = time.Second
-	// configRetryAfter is the time after which the newer configuration is expected.
-	configRetryAfter = 300 * time.Millisecond
-)
+// configRetryAfter is the time after which the newer configuration is expected.
+const configRetryAfter = 300 * time.Millisecond
 
 // admit finds the route, service, key and deadline of a request, or rejects it.
 func (s *Server) admit(r *request) (*call, *response) {
@@ -25,7 +19,7 @@
 		return reject(unavailableResponse("no configuration is known yet", defaultRetryAfter))
 	}
 	route, ok := v.Routes.Find(r.host, r.path)
-	if lag := s.cfg.View.ConfigLag(); lag > maxConfigLag || lag > 0 && !ok {
+	if lag := s.cfg.View.ConfigLag(); lag > s.cfg.MaxConfigLag || lag > 0 && !ok {
 		return reject(unavailableResponse("the configuration was replaced and the newer one has not arrived yet", configRetryAfter))
 	}
 	if !ok {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -148,6 +148,9 @@
 	return l
 }
 
+// maxConfigLag is the longest lag of the configuration at a testEntry.
+const maxConfigLag = time.Second
+
 func (e *testEntry) serveEntry(control string, link *limit.Link) {
 	ctx, cancel := context.WithCancel(context.Background())
 	e.t.Cleanup(cancel)
@@ -162,7 +165,7 @@
 	server, stop := Serve(ctx, l, Config{
 		Name: "entry", AvailabilityZone: "a", Headers: testHeaderNames(), View: follower, Pool: targetPool, Clock: clock, Log: quiet, RoutineLog: quiet,
 		Observer: nopObserver{}, Report: func(instance.ReportRequest) *instance.ReportResponse { return nil },
-		RetryRatio: 1, RetryBurst: 10, RetryShare: 1, Link: link,
+		RetryRatio: 1, RetrySlack: 10, RetryShare: 1, MaxConfigLag: maxConfigLag, Link: link,
 	})
 	e.t.Cleanup(stop)
 	e.server, e.address = server, l.Addr().String()
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -35,8 +35,12 @@
 	Observer   Observer
 	Report     Reporter
 	RetryRatio float64 // retries of all entries together, as a share of requests
-	RetryBurst float64 // most retries that one entry may save up
-	RetryShare float64 // part of RetryRatio that this entry uses
+	RetrySlack float64 // retries of all entries together beyond RetryRatio
+	RetryShare float64 // part of both that the entries use
+	// MaxConfigLag is for how long requests are served by a configuration that is known
+	// to be replaced. It is shorter than the time within which a change must be in force,
+	// because its operator learned of it earlier than the entry.
+	MaxConfigLag time.Duration
 	// Link shares the bandwidth of a narrow link among responses. It is nil for a
 	// wide one.
 	Link *limit.Link
@@ -214,9 +218,23 @@
 func (s *Server) retryBudget(service string) limit.Budget {
 	b, ok := s.retryBudgets[service]
 	if !ok {
-		b = limit.NewBudget(s.cfg.RetryRatio*s.cfg.RetryShare, s.cfg.RetryBurst)
+		b = limit.NewBudget(s.cfg.RetryRatio*s.cfg.RetryShare, unadvisedRetries)
 	}
-	return b
+	return b.WithBurst(s.retryBurst())
+}
+
+// unadvisedRetries is the number of retries that an entry may save up until the leader
+// has advised the number of entries.
+const unadvisedRetries = 1.0
+
+// retryBurst returns the number of retries that this entry may save up: an equal part of
+// the retries that all entries together have beyond their share of the requests.
+func (s *Server) retryBurst() float64 {
+	a := s.advice.Load()
+	if a == nil || a.Entries == 0 {
+		return unadvisedRetries
+	}
+	return max(unadvisedRetries, s.cfg.RetrySlack*s.cfg.RetryShare/float64(a.Entries))
 }
 
 // reportLoop sends measurements to the leader until ctx ends, and stores the advice
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -28,15 +28,35 @@
 	Drain      time.Duration // wait for the balancer after readiness is withdrawn
 	Grace      time.Duration // time limit of a graceful shutdown, until the process has exited
 	RetryRatio float64       // retries of all entries together, as a share of requests
-	RetryBurst float64       // most retries that one entry may save up
+	RetrySlack float64       // retries of all entries together beyond that share
 	LinkMbps   float64       // bandwidth of the instance's network link; 0 if it is not a bottleneck
+
+	ConfigApply time.Duration // time within which an acknowledged configuration is in force at entries
+	TargetDrain time.Duration // time for which a target that is leaving still serves requests
+	MaxLease    time.Duration // longest lease of keys that targets accept
+	Grants      GrantMode     // how targets are granted keys
+	Unknown     []string      // names of the platform's settings that are ignored
 }
 
+// GrantMode is the way in which targets are granted keys.
+type GrantMode string
+
+// Ways of granting keys.
+const (
+	GrantByCall      GrantMode = "call"      // the leader calls targets
+	GrantByHeartbeat GrantMode = "heartbeat" // in the responses to targets' heartbeats
+)
+
 const (
 	defaultGrace      = 6 * time.Second
 	maxGrace          = 5 * time.Minute
 	defaultRetryRatio = 0.1
-	defaultRetryBurst = 3
+	defaultRetrySlack = 30
+
+	defaultConfigApply = 2 * time.Second
+	defaultTargetDrain = 2 * time.Second
+	defaultMaxLease    = 10 * time.Second
+	maxPlatformTime    = 10 * time.Minute
 )
 
 // LoadRouted reads and checks the settings file of an instance of a routed
@@ -60,8 +80,12 @@
 		Drain:            s.Duration("drain", defaultDrain, 0, maxDrain),
 		Grace:            s.Duration("grace", defaultGrace, 0, maxGrace),
 		RetryRatio:       s.Float("retry_ratio", defaultRetryRatio, 0, 1),
-		RetryBurst:       s.Float("retry_burst", defaultRetryBurst, 0, 1e6),
+		RetrySlack:       s.Float("retry_slack", defaultRetrySlack, 0, 1e6),
 		LinkMbps:         s.Float("link_mbps", 0, 0, 1e6),
+		ConfigApply:      s.Duration("config_apply", defaultConfigApply, 0, maxPlatformTime),
+		TargetDrain:      s.Duration("target_drain", defaultTargetDrain, 0, maxPlatformTime),
+		MaxLease:         s.Duration("max_lease", defaultMaxLease, time.Second, maxPlatformTime),
+		Grants:           GrantMode(s.OneOf("grants", string(GrantByCall), string(GrantByCall), string(GrantByHeartbeat))),
 	}
 	out.readRolesAndAddresses(s)
 	out.readSeeds(f.Section("control"))
--- a/pkg/limit/budget.go
+++ b/pkg/limit/budget.go
@@ -22,6 +22,15 @@
 // Available returns the number of retries that the budget allows now.
 func (b Budget) Available() float64 { return b.available }
 
+// WithBurst returns the budget with another maximum of available retries. A higher one
+// is filled by requests only.
+func (b Budget) WithBurst(burst float64) Budget {
+	if b.ratio > 0 {
+		b.burst, b.available = burst, min(b.available, burst)
+	}
+	return b
+}
+
 // WithRequest returns the budget after the first attempt of a request.
 func (b Budget) WithRequest() Budget {
 	b.available = min(b.available+b.ratio, b.burst)
