Grant an owner nothing of keys whose reassignment was proposed

What callers may see: two targets run requests for the same key.

Cause: when the grants of a silent owner have expired, the leader proposes a new owner. While that command is being committed, a heartbeat of the old owner makes it responsive again, and the next plan renews its grant under the old fence. The command then commits and the new owner is granted the keys too. The window is the time of a commit, so a slow disk or an overloaded leader widens it. A command that seems to have failed may commit later still.

Change: a range whose reassignment was proposed stays reassignable in this leader's term, and its previous owner is granted nothing more of it.

--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -76,6 +76,7 @@
 	failedAt         timer.Instant // last failure
 	fenced           bool          // the target has seen a higher fence
 	released         bool
+	reassigned       bool                   // a new owner was proposed; the command may be committed at any time
 	handover         string                 // data that the owner handed over
 	nextOwner        deployment.Incarnation // zero if none was chosen
 	lastPlan         uint64                 // number of the last plan that included the range
@@ -234,7 +235,7 @@
 		return m.propose(deployment.Command{ClearSuspects: expired}, "suspects expired")
 	}
 	if assign := m.placeRanges(reassignable); len(assign) > 0 {
-		return m.propose(deployment.Command{Assign: &deployment.Assign{Ranges: assign}}, "keys without an owner")
+		return m.proposeAssign(assign)
 	}
 	if len(moves) > 0 {
 		return m.propose(deployment.Command{Move: moves}, "owner is leaving")
@@ -277,6 +278,17 @@
 	return []Effect{Propose{Command: c, Reason: reason}}
 }
 
+// proposeAssign proposes new owners. From then on the previous owners are granted nothing
+// of these keys: also a command that seems to have failed may be committed later.
+func (m *Model) proposeAssign(assign []deployment.Assignment) []Effect {
+	for _, a := range assign {
+		for from, rs := range m.rangeStates[fenceID{service: a.Range.Service, fence: a.Range.Fence}] {
+			rs.reassigned = rs.reassigned || a.Range.From <= from && from <= a.Range.To
+		}
+	}
+	return m.propose(deployment.Command{Assign: &deployment.Assign{Ranges: assign}}, "keys without an owner")
+}
+
 // rangeStep holds the next actions for one range.
 type rangeStep struct {
 	effects      []Effect
@@ -300,6 +312,8 @@
 		return reassign
 	case m.grantInFlight(ref):
 		return rangeStep{}
+	case rs.reassigned:
+		return reassign
 	case rs.released && m.now > rs.unansweredExpiry:
 		return reassign
 	case rs.fenced && t.Status == deployment.Live && m.recentHeartbeat(t):
