Grant keys in the responses to targets' heartbeats

Change: one reducer decides who owns what; a granter, chosen by the setting "grants", decides how an owner is told. With heartbeats, any control instance passes a heartbeat of a keyed target to the leader, which answers with all keys that the target is to hold. Leases count from the sending of the heartbeat, so no late answer outlasts what the leader assumes; an answer is given only while a quorum confirmed the leader within 300 ms, and a target takes it for a second at most, which is over before a later leader moves anything. What a target releases counts only if the heartbeat is later than the assignment that it releases; the sequence is committed with it.

A target learns of keys only at its own next heartbeat, so a move planned for a given target would leave keys without an owner for up to two periods. Instead, each heartbeat decides for its sender: a busy or leaving target gives keys up in the answer to its own heartbeat, and keys without an owner go to the next target to send one that is among the least busy. The command is committed before the answer, which waits 300 ms for it at most. Entries don't ask the old owner of a moving key then, and ask a new owner once more after 60 ms. Responses stay within 4 KiB; load moves nothing any more once a service has 64 ranges for each target.

--- a/internal/deployment/commands.go
+++ b/internal/deployment/commands.go
@@ -58,6 +58,8 @@
 	Range    RangeRef    `msgpack:"piece" json:"Piece"`
 	To       Incarnation `msgpack:"to"`
 	Handover string      `msgpack:"handover"`
+	// Sequence is that of the last heartbeat received from the new owner.
+	Sequence uint64 `msgpack:"sequence,omitempty"`
 }
 
 // ChangeOutcome is the outcome of a configuration change.
@@ -216,6 +218,8 @@
 			StartMillis: t.StartMillis,
 			Fence:       index,
 			Handover:    x.Handover,
+
+			OwnerSequence: x.Sequence,
 		}))
 	}
 	return s
--- a/internal/deployment/keys.go
+++ b/internal/deployment/keys.go
@@ -43,6 +43,9 @@
 	Fence    uint64 `msgpack:"fence"`
 	Handover string `msgpack:"handover"` // data that the previous owner handed over
 	Changed  uint64 `msgpack:"changed"`  // log index of the last change
+	// OwnerSequence is the sequence of the owner's last heartbeat that was known when
+	// the range was assigned. Earlier heartbeats say nothing of this fence.
+	OwnerSequence uint64 `msgpack:"owner_sequence"`
 }
 
 // Width returns the number of keys in the range.
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +36,9 @@
 	openReplica    atomic.Pointer[openReplica]
 	fs             disk.FS // nil for the operating system's file system
 	seeds          atomic.Pointer[[]string]
+
+	invalidKeyReports atomic.Uint64
+	invalidKeysOf     sync.Map // targets whose invalid reports were logged
 }
 
 // openReplica is an open replica with the leader and the membership manager that use
@@ -91,6 +95,41 @@
 	return err
 }
 
+// heartbeatTimeout limits a heartbeat of a target that is granted keys in the response:
+// targets wait for a second, and then send it elsewhere.
+const heartbeatTimeout = 600 * time.Millisecond
+
+// AnnounceWithKeys is like Announce for a target that reports its keys. It returns the
+// keys that the target is to hold, or nil to renew nothing, if the deployment grants keys
+// in the responses to heartbeats.
+func (c *Control) AnnounceWithKeys(ctx context.Context, t deployment.Target, keys deployment.KeyReport) (*deployment.KeyLeases, error) {
+	if _, keyed := c.State().Table(t.Service); !keyed || c.cfg.Grants != settings.GrantByHeartbeat {
+		return nil, c.Announce(ctx, t)
+	}
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	req := &instance.KeyHeartbeatRequest{Target: t, Keys: keys}
+	res, err := callLeader[instance.KeyHeartbeatRequest, instance.KeyHeartbeatResponse](ctx, c, "KeyHeartbeat", req, c.KeyHeartbeat)
+	if err != nil {
+		return nil, err
+	}
+	return res.Leases, nil
+}
+
+// KeyHeartbeat handles a heartbeat of a target that is granted keys in the response. Only
+// the leader accepts the call; AnnounceWithKeys makes it.
+func (c *Control) KeyHeartbeat(ctx context.Context, req *instance.KeyHeartbeatRequest) (*instance.KeyHeartbeatResponse, error) {
+	if _, err := c.AnnounceTarget(ctx, &instance.AnnounceTargetRequest{Target: req.Target}); err != nil {
+		return nil, err
+	}
+	incarnation := deployment.Incarnation{ID: req.Target.ID, StartMillis: req.Target.StartMillis}
+	leases, err := c.lastReplica().leader.KeyHeartbeat(ctx, incarnation, req.Target.Sequence, req.Keys)
+	if errors.Is(err, replica.ErrNotLeader) {
+		return nil, c.notLeaderError()
+	}
+	return &instance.KeyHeartbeatResponse{Leases: leases}, err
+}
+
 // Withdraw sends a target's withdrawal to the leader. It may be called at any control
 // instance. A startMillis of 0 withdraws the incarnation that is known.
 func (c *Control) Withdraw(ctx context.Context, id string, startMillis int64) error {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -134,6 +134,7 @@
 		i.metrics.addGauge("replica_term", func() any { return c.lastReplica().group.Role().Term })
 		i.metrics.addGauge("applied_index", func() any { return c.lastReplica().group.State().Index })
 		i.metrics.addGauge("config_version", func() any { cfg, _ := c.State().Config(); return cfg.Version })
+		i.metrics.addGauge("invalid_key_reports", func() any { return c.invalidKeyReports.Load() })
 		i.metrics.addGauge("targets", func() any { return countTargets(c.State().Targets()) })
 	}
 	if v := i.follower; v != nil {
@@ -212,7 +213,9 @@
 		RetrySlack:       i.cfg.RetrySlack,
 		RetryShare:       retryShare,
 		MaxConfigLag:     i.cfg.ConfigApply / 2,
-		Link:             newLink(i.cfg.LinkMbps),
+
+		GrantsByHeartbeat: i.cfg.Grants == settings.GrantByHeartbeat,
+		Link:              newLink(i.cfg.LinkMbps),
 	})
 	i.entry = server
 	i.cleanups.Add(stopServer)
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -104,7 +104,7 @@
 		cancel()
 		return nil, err
 	}
-	lead, stopLead := leader.Start(ctx, g, c.targets, c.clock, leader.DefaultTiming(), c.log)
+	lead, stopLead := leader.Start(ctx, g, c.targets, c.clock, newModel(c.cfg), c.log)
 	m := membership.New(g, c.pool, c.clock, c.log, nil).
 		WithSeeds(membership.Seeds{Peers: seedPeers(*c.seeds.Load()), Bootstrap: c.cfg.Bootstrap})
 	go m.Run(ctx)
@@ -116,6 +116,16 @@
 	}, nil
 }
 
+// newModel returns the leader's model for the way in which targets are granted keys.
+func newModel(cfg settings.Routed) *leader.Model {
+	timing := leader.DefaultTiming()
+	if cfg.Grants == settings.GrantByHeartbeat {
+		return leader.NewHeartbeatModel(timing.WithHeartbeat(cfg.Heartbeat, cfg.MaxLease))
+	}
+	timing.LeaseDuration = min(timing.LeaseDuration, cfg.MaxLease)
+	return leader.NewModel(timing)
+}
+
 // SetSeeds replaces the addresses at which the replica looks for its group.
 func (c *Control) SetSeeds(seeds []string) {
 	c.seeds.Store(&seeds)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -83,7 +83,11 @@
 		return false
 	}
 	if status == http.StatusMisdirectedRequest {
-		if c.service.Keyed {
+		switch {
+		case !c.service.Keyed:
+		case s.cfg.GrantsByHeartbeat:
+			c.ownerRetryAt = time.Now().Add(ownerRetryDelay)
+		default:
 			// The target won't run it under this fence. Another owner may, or the
 			// same one under a later fence.
 			c.excluded = append(c.excluded, c.rangeID)
--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -38,6 +38,10 @@
 	// oldOwnerDelay is how long a request waits for a moving key before it goes to
 	// the old owner: about the service time of two requests.
 	oldOwnerDelay = 150 * time.Millisecond
+	// ownerRetryDelay is the time after which an owner that does not hold the key yet
+	// is asked again, if it learns of its keys at its heartbeats. It was sent the key at
+	// the same time as this entry learned of its owner.
+	ownerRetryDelay = 60 * time.Millisecond
 	// defaultRetryAfter is the time after which a caller may try again, without a
 	// better estimate.
 	defaultRetryAfter = 150 * time.Millisecond
@@ -92,6 +96,7 @@
 	fence          uint64          // under which target owns the key
 	fingerprint    string          // of the kind of request
 	rangeID        string          // target and fence of the key's range
+	ownerRetryAt   time.Time       // earliest next attempt at the owner under rangeID
 	bodyCtx        context.Context // ends when the caller disconnects, and bodyGrace after the deadline
 }
 
--- a/internal/forward/owner.go
+++ b/internal/forward/owner.go
@@ -17,7 +17,10 @@
 func (s *Server) findOwner(ctx context.Context, c *call) (deployment.Target, time.Duration, string) {
 	waitCtx, cancel := context.WithTimeout(ctx, time.Duration(ownerWaitShare*float64(time.Until(c.deadline))))
 	defer cancel()
-	oldOwnerTimer := time.After(min(oldOwnerDelay, time.Until(c.deadline)/2))
+	var oldOwnerTimer <-chan time.Time
+	if !s.cfg.GrantsByHeartbeat {
+		oldOwnerTimer = time.After(min(oldOwnerDelay, time.Until(c.deadline)/2))
+	}
 	askOldOwner := false
 	for {
 		changed := s.cfg.View.Changed()
@@ -27,6 +30,8 @@
 		switch {
 		case r.Phase == deployment.Unowned || !known || t.StartMillis != r.StartMillis:
 			return t, defaultRetryAfter, "the key has no owner"
+		case r.Phase == deployment.Owned && c.rangeID == rangeID(r) && time.Until(c.ownerRetryAt) > 0:
+			// Wait for the owner to learn of the key.
 		case (r.Phase == deployment.Owned || askOldOwner && t.Usable()) && !c.excludesRange(r):
 			retryAfter, err := s.checkOwner(c, t, r)
 			if !errors.Is(err, errWindowFull) || !s.awaitWindow(waitCtx, c, t) {
@@ -42,10 +47,20 @@
 		case <-waitCtx.Done():
 			return t, defaultRetryAfter, "the key is moving to another target"
 		case <-changed:
+		case <-waitUntil(c.ownerRetryAt):
 		}
 	}
 }
 
+// waitUntil returns a channel that receives the time at the given one, or nil if that has
+// passed.
+func waitUntil(at time.Time) <-chan time.Time {
+	if d := time.Until(at); d > 0 {
+		return time.After(d)
+	}
+	return nil
+}
+
 // Reasons why a request is not sent to its key's owner.
 var (
 	errOwnerDraining    = errors.New("the key's owner is draining")
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -41,6 +41,9 @@
 	// to be replaced. It is shorter than the time within which a change must be in force,
 	// because its operator learned of it earlier than the entry.
 	MaxConfigLag time.Duration
+	// GrantsByHeartbeat reports that targets learn only at their heartbeats which keys
+	// to hold.
+	GrantsByHeartbeat bool
 	// Link shares the bandwidth of a narrow link among responses. It is nil for a
 	// wide one.
 	Link *limit.Link
--- a/internal/instance/deployment_messages.go
+++ b/internal/instance/deployment_messages.go
@@ -28,6 +28,19 @@
 // AnnounceTargetResponse confirms that any change in the announcement is committed.
 type AnnounceTargetResponse struct{}
 
+// KeyHeartbeatRequest forwards to the leader a heartbeat of a target that is granted its
+// keys in the response.
+type KeyHeartbeatRequest struct {
+	Target deployment.Target    `msgpack:"target"`
+	Keys   deployment.KeyReport `msgpack:"keys"`
+}
+
+// KeyHeartbeatResponse holds the keys that the target is to hold. Leases is nil if the
+// leader renews nothing.
+type KeyHeartbeatResponse struct {
+	Leases *deployment.KeyLeases `msgpack:"leases"`
+}
+
 // BarrierRequest asks the leader for a log index that covers everything
 // acknowledged before the call.
 type BarrierRequest struct{}
--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -49,6 +49,7 @@
 	Barrier(ctx context.Context, req *BarrierRequest) (*BarrierResponse, error)
 	Report(ctx context.Context, req *ReportRequest) (*ReportResponse, error)
 	ReportHeartbeats(ctx context.Context, req *HeartbeatsRequest) (*Empty, error)
+	KeyHeartbeat(ctx context.Context, req *KeyHeartbeatRequest) (*KeyHeartbeatResponse, error)
 	// Watch sends updates until send fails or ctx ends, and returns the error.
 	Watch(ctx context.Context, req *WatchRequest, send func(*ViewUpdate) error) error
 }
@@ -128,6 +129,7 @@
 			unary("Barrier", DeploymentHandler.Barrier),
 			unary("Report", DeploymentHandler.Report),
 			unary("Heard", DeploymentHandler.ReportHeartbeats),
+			unary("KeyHeartbeat", DeploymentHandler.KeyHeartbeat),
 		),
 		Streams: []grpc.StreamDesc{deliverStream(), {StreamName: "Watch", Handler: handleWatch, ServerStreams: true}},
 	}
--- a/internal/leader/events.go
+++ b/internal/leader/events.go
@@ -33,6 +33,17 @@
 	return at.Add(t.LeaseDuration*leaseMarginNumerator/leaseMarginDenominator + deliverySlack)
 }
 
+// leasePeriods is the duration of a lease in periods of targets' heartbeats, if leases are
+// granted in the answers: two heartbeats may be lost, or one and an election.
+const leasePeriods = 3.5
+
+// WithHeartbeat returns the timing for targets that send a heartbeat each period, with
+// leases that are granted in the answers and last no longer than maxLease.
+func (t Timing) WithHeartbeat(period, maxLease time.Duration) Timing {
+	t.LeaseDuration = min(time.Duration(leasePeriods*float64(period)), maxLease)
+	return t
+}
+
 // DefaultTiming suits targets that send a heartbeat about once a second.
 func DefaultTiming() Timing {
 	return Timing{
@@ -54,6 +65,7 @@
 type LeadershipTaken struct {
 	At    timer.Instant
 	Index uint64 // last log index of earlier leaders
+	State deployment.State
 }
 
 // LeadershipLost reports that this instance no longer leads.
@@ -71,6 +83,17 @@
 	Incarnation deployment.Incarnation
 }
 
+// KeyHeartbeatReceived reports a heartbeat of a target that is granted keys in the
+// answer.
+type KeyHeartbeatReceived struct {
+	At          timer.Instant
+	ID          uint64           // identifies the heartbeat in AnswerKeyHeartbeat
+	State       deployment.State // committed state, with what the heartbeat changed
+	Incarnation deployment.Incarnation
+	Sequence    uint64
+	Keys        deployment.KeyReport
+}
+
 // Reported carries an entry's measurements.
 type Reported struct {
 	At     timer.Instant
@@ -96,14 +119,15 @@
 // ProposeEnded reports that a Propose has ended, successfully or not.
 type ProposeEnded struct{ Err error }
 
-func (LeadershipTaken) isEvent()   {}
-func (LeadershipLost) isEvent()    {}
-func (Ticked) isEvent()            {}
-func (HeartbeatReceived) isEvent() {}
-func (Reported) isEvent()          {}
-func (GrantEnded) isEvent()        {}
-func (ReleaseEnded) isEvent()      {}
-func (ProposeEnded) isEvent()      {}
+func (LeadershipTaken) isEvent()      {}
+func (KeyHeartbeatReceived) isEvent() {}
+func (LeadershipLost) isEvent()       {}
+func (Ticked) isEvent()               {}
+func (HeartbeatReceived) isEvent()    {}
+func (Reported) isEvent()             {}
+func (GrantEnded) isEvent()           {}
+func (ReleaseEnded) isEvent()         {}
+func (ProposeEnded) isEvent()         {}
 
 // Effect is an action that a Model requests.
 type Effect interface{ isEffect() }
@@ -128,6 +152,15 @@
 	Reason  string
 }
 
+// AnswerKeyHeartbeat answers a KeyHeartbeatReceived.
+type AnswerKeyHeartbeat struct {
+	ID      uint64
+	Target  string
+	Leases  *deployment.KeyLeases // nil to renew nothing
+	Granted []deployment.RangeRef // ranges that the target is granted for the first time in the term
+	LeftOut int                   // ranges that are assigned to the target and not granted
+}
+
 // LogLoad logs how the load of a keyed service is distributed over its targets.
 type LogLoad struct {
 	Service         string
@@ -161,8 +194,9 @@
 	Parts map[string]map[string]float64
 }
 
-func (Advise) isEffect()      {}
-func (LogLoad) isEffect()     {}
-func (SendGrant) isEffect()   {}
-func (SendRelease) isEffect() {}
-func (Propose) isEffect()     {}
+func (AnswerKeyHeartbeat) isEffect() {}
+func (Advise) isEffect()             {}
+func (LogLoad) isEffect()            {}
+func (SendGrant) isEffect()          {}
+func (SendRelease) isEffect()        {}
+func (Propose) isEffect()            {}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -64,13 +65,15 @@
 	ctx         context.Context
 	advice      atomic.Pointer[Advise]
 	confirmedAt atomic.Int64 // boot-clock time at which the last successful barrier began
+	heartbeatID atomic.Uint64
+	answers     sync.Map // channels for answers to heartbeats, by their ID
 }
 
 // Start runs a leader until the returned function is called.
-func Start(ctx context.Context, g *group.Group[deployment.State], targets Targets, clock timer.Clock, timing Timing, logger *log.Logger) (*Leader, func()) {
+func Start(ctx context.Context, g *group.Group[deployment.State], targets Targets, clock timer.Clock, model *Model, logger *log.Logger) (*Leader, func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	l := &Leader{group: g, targets: targets, clock: clock, log: logger, ctx: ctx}
-	lp, stopLoop := loop.New(ctx, NewModel(timing), l.runEffects)
+	lp, stopLoop := loop.New(ctx, model, l.runEffects)
 	l.loop = lp
 	go l.feedModel(ctx)
 	go l.confirmLeadership(ctx)
@@ -85,6 +88,45 @@
 	l.loop.TrySend(HeartbeatReceived{At: l.clock.Now(), Incarnation: incarnation})
 }
 
+// KeyHeartbeat handles a heartbeat of a target that is granted keys in the answer. It
+// returns nil leases if the heartbeat renews nothing, and replica.ErrNotLeader if this
+// instance may have been replaced as the leader meanwhile: a later leader may have given
+// the keys to others.
+func (l *Leader) KeyHeartbeat(ctx context.Context, incarnation deployment.Incarnation, sequence uint64, keys deployment.KeyReport) (*deployment.KeyLeases, error) {
+	if !l.leadershipConfirmed() {
+		return nil, replica.ErrNotLeader
+	}
+	id := l.heartbeatID.Add(1)
+	answer := make(chan *deployment.KeyLeases, 1)
+	l.answers.Store(id, answer)
+	defer l.answers.Delete(id)
+	err := l.loop.Send(KeyHeartbeatReceived{At: l.clock.Now(), ID: id, State: l.group.State().State, Incarnation: incarnation, Sequence: sequence, Keys: keys})
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case leases := <-answer:
+		if !l.leadershipConfirmed() {
+			return nil, replica.ErrNotLeader
+		}
+		return leases, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-l.loop.Done():
+		return nil, loop.ErrStopped
+	}
+}
+
+// answerKeyHeartbeat passes the answer to a heartbeat to the call that waits for it.
+func (l *Leader) answerKeyHeartbeat(e AnswerKeyHeartbeat) {
+	if len(e.Granted) > 0 {
+		l.log.Info("keys granted by heartbeat", "target", e.Target, "ranges", abbreviate(e.Granted), "not_granted", e.LeftOut)
+	}
+	if answer, ok := l.answers.LoadAndDelete(e.ID); ok {
+		answer.(chan *deployment.KeyLeases) <- e.Leases
+	}
+}
+
 // Report records an entry's measurements and returns the current advice, which is
 // derived from the reports of all entries.
 func (l *Leader) Report(r instance.ReportRequest) instance.ReportResponse {
@@ -139,7 +181,7 @@
 	}
 	l.confirmedAt.Store(int64(start))
 	l.advice.Store(nil) // that of an earlier term
-	_ = l.loop.Send(LeadershipTaken{At: l.clock.Now(), Index: applied.Index})
+	_ = l.loop.Send(LeadershipTaken{At: l.clock.Now(), Index: applied.Index, State: l.group.State().State})
 	l.log.Info("control leadership taken", "term", term, "applied", applied.Index)
 	return term
 }
@@ -174,6 +216,8 @@
 			go l.release(e)
 		case Propose:
 			go l.propose(e)
+		case AnswerKeyHeartbeat:
+			l.answerKeyHeartbeat(e)
 		case Advise:
 			l.advice.Store(&e)
 		case LogLoad:
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -22,6 +22,7 @@
 // it in place: copying it for each heartbeat would cost more than all decisions.
 type Model struct {
 	timing           Timing
+	granter          granter
 	leading          bool
 	leadingSince     timer.Instant
 	startIndex       uint64 // last log index of earlier leaders
@@ -80,10 +81,21 @@
 	handover         string                 // data that the owner handed over
 	nextOwner        deployment.Incarnation // zero if none was chosen
 	lastPlan         uint64                 // number of the last plan that included the range
+
+	// With grants by heartbeat: sequences of the first and the last heartbeat that was
+	// answered with the range, and the number of heartbeats since that don't list it.
+	firstAnswered, lastAnswered uint64
+	missing                     int
 }
 
-// NewModel returns a model that is not leading.
-func NewModel(timing Timing) *Model { return &Model{timing: timing} }
+// NewModel returns a model that is not leading, and that grants keys by calls to targets.
+func NewModel(timing Timing) *Model { return &Model{timing: timing, granter: callGranter{}} }
+
+// NewHeartbeatModel returns a model that is not leading, and that grants keys in the
+// answers to targets' heartbeats.
+func NewHeartbeatModel(timing Timing) *Model {
+	return &Model{timing: timing, granter: newHeartbeatGranter()}
+}
 
 // Update applies an event and returns the effects to run. While the model is not
 // leading it ignores every event but LeadershipTaken.
@@ -93,6 +105,9 @@
 		return m, nil
 	}
 	if !m.leading {
+		if e, ok := event.(KeyHeartbeatReceived); ok {
+			return m, []Effect{AnswerKeyHeartbeat{ID: e.ID}}
+		}
 		return m, nil
 	}
 	switch e := event.(type) {
@@ -110,20 +125,52 @@
 		return m, m.plan()
 	case ProposeEnded:
 		m.commandPending = false
+	case KeyHeartbeatReceived:
+		return m, m.handleKeyHeartbeat(e)
 	case Ticked:
-		m.now, m.state = e.At, e.State
-		return m, m.plan()
+		m.now = e.At
+		m.adoptState(e.State)
+		return m, append(m.answerHeartbeats(), m.plan()...)
 	}
 	return m, nil
 }
 
+// adoptState replaces the state unless it is older: events with the state are not
+// always received in the order of its changes.
+func (m *Model) adoptState(s deployment.State) {
+	if s.Version() >= m.state.Version() {
+		m.state = s
+	}
+}
+
+// handleKeyHeartbeat passes a heartbeat to the granter. With grants by calls, heartbeats
+// are answered without keys.
+func (m *Model) handleKeyHeartbeat(e KeyHeartbeatReceived) []Effect {
+	m.now = max(m.now, e.At)
+	m.adoptState(e.State)
+	if g, ok := m.granter.(*heartbeatGranter); ok {
+		return g.handle(m, e)
+	}
+	return []Effect{AnswerKeyHeartbeat{ID: e.ID}}
+}
+
+// answerHeartbeats returns the answers to heartbeats that waited for a command.
+func (m *Model) answerHeartbeats() []Effect {
+	if g, ok := m.granter.(*heartbeatGranter); ok {
+		return g.answerWaiting(m)
+	}
+	return nil
+}
+
 func (m *Model) startTerm(e LeadershipTaken) {
 	*m = Model{
 		timing:         m.timing,
+		granter:        m.granter.forTerm(),
 		leading:        true,
 		leadingSince:   e.At,
 		now:            e.At,
 		startIndex:     e.Index,
+		state:          e.State,
 		lastHeartbeat:  make(map[deployment.Incarnation]timer.Instant),
 		leftAt:         make(map[deployment.Incarnation]timer.Instant),
 		rangeStates:    make(map[fenceID]map[deployment.Key]*rangeState),
@@ -160,7 +207,9 @@
 	rs := &rangeState{nextGrant: m.now}
 	if r.Fence <= m.startIndex {
 		rs.expiry = m.timing.latestExpiry(m.leadingSince)
-		rs.unansweredExpiry = rs.expiry
+		if m.granter.lateGrants() {
+			rs.unansweredExpiry = rs.expiry
+		}
 	}
 	for _, other := range m.rangeStates[fenceID{service: service, fence: r.Fence}] {
 		rs.expiry = max(rs.expiry, other.expiry)
@@ -240,7 +289,7 @@
 	if len(moves) > 0 {
 		return m.propose(deployment.Command{Move: moves}, "owner is leaving")
 	}
-	if moves := m.rebalance(); len(moves) > 0 {
+	if moves := m.granter.rebalance(m); len(moves) > 0 {
 		return m.propose(deployment.Command{Move: moves}, "load is unbalanced")
 	}
 	return nil
@@ -326,30 +375,25 @@
 	case rs.fenced && t.Usable():
 		reassign.reassignable[0].Handover = ""
 		return reassign
-	case m.now > rs.expiry && !rs.inFlight && (r.Phase == deployment.Releasing || !m.responsive(t, rs)):
+	case m.now > rs.expiry && !rs.inFlight && (r.Phase == deployment.Releasing || !m.granter.responsive(m, t, rs)):
 		reassign.reassignable[0].Handover = ""
 		return reassign
 	case r.Phase == deployment.Releasing && rs.released:
 		return rangeStep{}
 	case r.Phase == deployment.Releasing:
-		return m.releaseIfDue(t, ref, rs)
+		return m.granter.release(m, t, ref, rs)
 	case !t.Usable() && m.graceOver():
 		return rangeStep{moves: []deployment.RangeRef{ref}}
-	case !m.responsive(t, rs):
+	case !m.granter.responsive(m, t, rs):
 		return rangeStep{}
 	}
-	return m.grantIfDue(t, ref, rs, r.Handover)
+	return m.granter.keep(m, t, ref, rs, r.Handover)
 }
 
 // graceOver reports whether the grace period after the election has passed, so that
 // the previous leader's calls have ended and keys may be moved.
 func (m *Model) graceOver() bool { return m.now > m.leadingSince.Add(m.timing.ElectionGrace) }
 
-// responsive reports whether the target still answers grants or sends heartbeats.
-func (m *Model) responsive(t deployment.Target, rs *rangeState) bool {
-	return rs.failures == 0 || m.recentHeartbeat(t)
-}
-
 // heartbeatSince reports whether a heartbeat of the target was received after at.
 func (m *Model) heartbeatSince(t deployment.Target, at timer.Instant) bool {
 	last, ok := m.lastHeartbeat[incarnationOf(t)]
--- a/internal/leader/placement.go
+++ b/internal/leader/placement.go
@@ -16,11 +16,7 @@
 			out = append(out, m.assignInitially(table)...)
 		}
 	}
-	planned := make(map[string]float64) // utilization already planned, by target ID
-	for _, a := range reassignable {
-		out = append(out, m.placeRange(a, planned)...)
-	}
-	return out
+	return append(out, m.granter.place(m, reassignable)...)
 }
 
 // placeRange assigns a range to its planned owner if that is live, or else in parts to
@@ -36,9 +32,7 @@
 	stats := m.statsOf(a.Range.Service)
 	// Each range costs renewals for as long as it exists, so only a range that
 	// would load its next owner heavily is split.
-	rangeUtilization := stats.rateOf(a.Range.From, a.Range.To) * usages[0].meanPerRequest(stats)
-	n := min(int(math.Ceil(rangeUtilization/maxPartUtilization)), maxParts, len(usages), a.Range.Width())
-	parts := split(a.Range, max(n, 1))
+	parts := split(a.Range, m.partsOf(a.Range, usages))
 	var out []deployment.Assignment
 	for _, part := range parts {
 		best := slices.MinFunc(usages, func(x, y targetUsage) int {
@@ -60,6 +54,13 @@
 	return out
 }
 
+// partsOf returns the number of parts in which a range gets new owners.
+func (m *Model) partsOf(ref deployment.RangeRef, usages []targetUsage) int {
+	stats := m.statsOf(ref.Service)
+	utilization := stats.rateOf(ref.From, ref.To) * usages[0].meanPerRequest(stats)
+	return max(1, min(int(math.Ceil(utilization/maxPartUtilization)), maxParts, len(usages), ref.Width()))
+}
+
 // split divides a range into n parts of about the same width.
 func split(ref deployment.RangeRef, n int) []deployment.RangeRef {
 	total := ref.Width()
--- a/internal/leader/rebalance.go
+++ b/internal/leader/rebalance.go
@@ -128,7 +128,12 @@
 }
 
 func (m *Model) rebalanceService(table deployment.KeyTable) []deployment.RangeRef {
-	usages := m.targetUsages(table.Service)
+	return m.rebalanceUsages(table, m.targetUsages(table.Service))
+}
+
+// rebalanceUsages moves movable ranges of the targets whose usages are given, and
+// changes the usages accordingly.
+func (m *Model) rebalanceUsages(table deployment.KeyTable, usages []targetUsage) []deployment.RangeRef {
 	stats := m.statsOf(table.Service)
 	out := m.moveHotKeys(table, usages)
 	for len(out) < maxMovesPerRound {
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -35,6 +35,7 @@
 	TargetDrain time.Duration // time for which a target that is leaving still serves requests
 	MaxLease    time.Duration // longest lease of keys that targets accept
 	Grants      GrantMode     // how targets are granted keys
+	Heartbeat   time.Duration // time between two heartbeats of a target
 	Unknown     []string      // names of the platform's settings that are ignored
 }
 
@@ -56,6 +57,7 @@
 	defaultConfigApply = 2 * time.Second
 	defaultTargetDrain = 2 * time.Second
 	defaultMaxLease    = 10 * time.Second
+	defaultHeartbeat   = time.Second
 	maxPlatformTime    = 10 * time.Minute
 )
 
@@ -85,6 +87,7 @@
 		ConfigApply:      s.Duration("config_apply", defaultConfigApply, 0, maxPlatformTime),
 		TargetDrain:      s.Duration("target_drain", defaultTargetDrain, 0, maxPlatformTime),
 		MaxLease:         s.Duration("max_lease", defaultMaxLease, time.Second, maxPlatformTime),
+		Heartbeat:        s.Duration("heartbeat", defaultHeartbeat, 10*time.Millisecond, maxPlatformTime),
 		Grants:           GrantMode(s.OneOf("grants", string(GrantByCall), string(GrantByCall), string(GrantByHeartbeat))),
 	}
 	out.readRolesAndAddresses(s)
