Reject requests that may outlast a graceful shutdown

Cause: callers use open connections until the process is gone, and the balancer sends new ones while fewer than half of a zone's entries are ready.

What is taken ends in time, by its own deadline.

Test: TestRequestThatOutlastsShutdown got 200 instead of 503 before.

--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -40,6 +40,9 @@
 			c.deadline = callerDeadline
 		}
 	}
+	if s.mayOutlastShutdown(c.deadline) {
+		return reject(unavailableResponse("the instance is stopping and might cut the request off", defaultRetryAfter))
+	}
 	if service.Keyed {
 		key, err := strconv.ParseUint(r.header.Get(s.cfg.Headers.Key), 10, 16)
 		if err != nil {
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -71,6 +71,7 @@
 
 // Serve accepts callers on the listener until the returned clean-up function is
 // called, which closes all connections at once. Call Shutdown first for a graceful
+	stopBy       time.Time // when a graceful shutdown ends; zero if unknown
 // shutdown.
 func Serve(ctx context.Context, listener net.Listener, cfg Config) (*Server, func()) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -150,6 +151,7 @@
 		s.forEachConn(func(c *callerConn) { c.closeWhenIdle() })
 		s.mu.Lock()
 		open := len(s.conns)
+	s.stopBy, _ = ctx.Deadline()
 		s.mu.Unlock()
 		if open == 0 {
 			return nil
@@ -175,6 +177,14 @@
 	return len(s.conns)
 }
 
+// mayOutlastShutdown reports whether a request with the deadline may still be running
+// when a graceful shutdown ends.
+func (s *Server) mayOutlastShutdown(deadline time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopping && !s.stopBy.IsZero() && deadline.After(s.stopBy)
+}
+
 // RetryBudgets returns the number of retries available now, by service.
 func (s *Server) RetryBudgets() map[string]float64 {
 	s.mu.Lock()
