Measure rates by the time that a report covers, and bear late reports

Callers of services with keys were rejected although the owners had room.

Causes, both in what the leader makes of reports: - A request counted in a report raised the moving averages as if all requests of the report had come at its arrival. At 40 requests a second the leader measured 65 with reports each 250 ms, 140 with one a second, 290 with one each 2.5 s, as entries send them when there are 185. Single keys looked hot, keys were moved and requests rejected. - With a longer time limit, reports over a full link arrive, where they were given up before. The entry's own link had made the answers late, but they count as the targets' service time, and the leader takes targets for slower than they are.

Change: a report's requests are weighed by its interval; up to four reports are in flight, so that one that is held up does not delay the next; an entry whose last report took over 300 ms leaves out service times; time limit 1 s.

Tests: TestRareReportsAreNoBurst failed before with the figures above; TestReportOverFullLink failed before and passes; TestReportsWithoutServiceTimes.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -241,7 +241,7 @@
 }
 
 // reportTimeout limits one report to the leader.
-const reportTimeout = 300 * time.Millisecond
+const reportTimeout = time.Second
 
 // sendReport sends measurements to the leader and returns its response, or nil if the
 // call fails. Those measurements are then lost; the next report follows soon.
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,14 +52,18 @@
 
 // Server is an entry's HTTP server for callers.
 type Server struct {
-	cfg     Config
-	log     *log.Logger
-	ctx     context.Context
-	targets *targetStates
-	split   *splitter
-	keys    *keyCounts
-	crashes *crashRecorder
-	advice  atomic.Pointer[instance.ReportResponse]
+	cfg       Config
+	log       *log.Logger
+	ctx       context.Context
+	targets   *targetStates
+	split     *splitter
+	keys      *keyCounts
+	crashes   *crashRecorder
+	advice    atomic.Pointer[instance.ReportResponse]
+	adviceMu  sync.Mutex
+	advisedBy uint64 // number of the report that the advice answers
+	// invalidRests counts answers with a Retry-After that can't be used.
+	invalidRests atomic.Uint64
 
 	mu           sync.Mutex
 	conns        map[*callerConn]bool
@@ -261,6 +266,9 @@
 		case <-ctx.Done():
 			return
 		case <-ticks:
+	inFlight := make(chan struct{}, maxReportsInFlight)
+	number := uint64(0)
+	var heldUp atomic.Bool // the last report was
 		}
 		v := s.cfg.View.View()
 		now := s.cfg.Clock.Now()
@@ -273,18 +281,25 @@
 		}
 		last = now
 		if len(req.Keys) > 0 || len(req.Targets) > 0 || len(req.CrashReports) > 0 {
-			if a := s.cfg.Report(req); a != nil {
-				s.advice.Store(a)
-				s.targets.setFailureShares(a.Failing)
-				if a.LimitsKnown {
-					s.targets.setLimits(a.Limits, v.Target, s.partOf)
-				}
+			if heldUp.Load() {
+				req.Targets = withoutServiceTimes(req.Targets)
 			}
 		}
 		// With many entries each reports less often, so that the leader's load
 		// stays about the same.
 		if n := s.entryCount(); n > fullRateEntries && !timer.Sleep(ctx, reportInterval*time.Duration(n/fullRateEntries)) {
 			return
+			inFlight <- struct{}{}
+			number++
+			go func(number uint64) {
+				defer func() { <-inFlight }()
+				start := s.cfg.Clock.Now()
+				a := s.cfg.Report(req)
+				heldUp.Store(a == nil || s.cfg.Clock.Now().Sub(start) > heldUpReport)
+				if a != nil {
+					s.adopt(number, a)
+				}
+			}(number)
 		}
 	}
 }
@@ -294,6 +309,39 @@
 const fullRateEntries = 24
 
 // entryCount returns the number of entries, as last advised by the leader.
+// maxReportsInFlight bounds the reports that wait for the leader. One that is held up by a
+// full link does not hold up the next.
+const maxReportsInFlight = 4
+
+// heldUpReport is the time above which a report was held up by the entry's own link. The
+// entry then measures its link, and not how long targets work on requests.
+const heldUpReport = 300 * time.Millisecond
+
+// withoutServiceTimes returns the measurements without the targets' service times.
+func withoutServiceTimes(loads []instance.TargetLoad) []instance.TargetLoad {
+	out := slices.Clone(loads)
+	for i := range out {
+		out[i].ServiceTime = 0
+	}
+	return out
+}
+
+// adopt stores the advice that answers the report with the given number, unless that of a
+// later report has come.
+func (s *Server) adopt(number uint64, a *instance.ReportResponse) {
+	s.adviceMu.Lock()
+	defer s.adviceMu.Unlock()
+	if number < s.advisedBy {
+		return
+	}
+	s.advisedBy = number
+	s.advice.Store(a)
+	s.targets.setFailureShares(a.Failing)
+	if a.LimitsKnown {
+		s.targets.setLimits(a.Limits, s.cfg.View.View().Target, s.partOf)
+	}
+}
+
 func (s *Server) entryCount() int {
 	if a := s.advice.Load(); a != nil && a.Entries > 0 {
 		return a.Entries
--- a/internal/instance/deployment_messages.go
+++ b/internal/instance/deployment_messages.go
@@ -72,7 +72,8 @@
 type TargetLoad struct {
 	ID        string `msgpack:"id"`
 	Successes uint32 `msgpack:"answers"`
-	// ServiceTime is the sum over the successes, without waiting for a slot.
+	// ServiceTime is the sum over the successes, without waiting for a slot. It is 0 if
+	// the entry could not measure it.
 	ServiceTime time.Duration `msgpack:"busy"`
 	// Failures counts failed, missing and overdue answers.
 	Failures uint32 `msgpack:"failures"`
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"math"
 	"time"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
@@ -67,13 +68,14 @@
 	m.lastReports[e.Report.Instance] = e.At
 	m.crashReports = append(m.crashReports, e.Report.CrashReports...)
 	load := m.entryLoadOf(e.Report.Instance)
+	slowWeight, fastWeight := rateWeight(e.Report.Interval, slowWindow), rateWeight(e.Report.Interval, fastWindow)
 	for _, k := range e.Report.Keys {
 		load.requests[k.Service] += float64(k.Count)
 		stats := m.statsOf(k.Service)
 		stats.decay(m.now)
 		b := int(k.Bucket) / deployment.KeysPerBucket
-		stats.slowRate[b] += float64(k.Count) / slowWindow.Seconds()
-		stats.fastRate[b] += float64(k.Count) / fastWindow.Seconds()
+		stats.slowRate[b] += float64(k.Count) * slowWeight
+		stats.fastRate[b] += float64(k.Count) * fastWeight
 		stats.sumsStale = true
 	}
 	for _, tl := range e.Report.Targets {
@@ -88,7 +90,7 @@
 		if tl.RateLimit != nil {
 			m.recordLimit(incarnationOf(t), *tl.RateLimit)
 		}
-		if tl.Successes == 0 {
+		if tl.Successes == 0 || tl.ServiceTime == 0 {
 			continue
 		}
 		stats := m.statsOf(t.Service)
@@ -102,6 +104,17 @@
 }
 
 // meanServiceTime returns the mean service time of all targets, in seconds.
+// rateWeight returns by how much one request that was counted within the interval raises
+// a moving average with the given window, in requests a second: as much as if it had been
+// reported when it arrived. A report that was held up covers a long interval, and its
+// requests are no burst.
+func rateWeight(interval, window time.Duration) float64 {
+	if interval <= 0 {
+		return 1 / window.Seconds()
+	}
+	return (1 - math.Exp(-interval.Seconds()/window.Seconds())) / interval.Seconds()
+}
+
 func (s *serviceStats) meanServiceTime() float64 {
 	if len(s.serviceTime) == 0 {
 		return defaultServiceTime.Seconds()
