Send nothing to targets that say they are leaving or want no requests

Change: an entry notes both from the head of an answer, before its body streams. For a service without keys a leaving or resting target is not chosen; the owner of a key is still sent its requests for half of the drain, since its successor is not known at once, and then they are rejected at once. A target that rested gets one request first. The notice is checked again when a connection is open. Values that can't be used are ignored and counted. Reports carry both: the leader marks the target as draining, which moves its keys before its next heartbeat, and counts a resting target as full.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -144,6 +144,7 @@
 		i.metrics.addGauge("config_lag_milliseconds", func() any { return v.ConfigLag().Milliseconds() })
 		i.metrics.addGauge("caller_connections", func() any { return i.entry.Connections() })
 		i.metrics.addGauge("retry_budgets", func() any { return i.entry.RetryBudgets() })
+		i.metrics.addGauge("invalid_retry_after", func() any { return i.entry.InvalidRests() })
 		i.metrics.addGauge("rate_limits", func() any { return i.entry.RateLimits() })
 	}
 }
@@ -214,6 +215,7 @@
 		RetryShare:       retryShare,
 		MaxConfigLag:     i.cfg.ConfigApply / 2,
 
+		TargetDrain:       i.cfg.TargetDrain,
 		GrantsByHeartbeat: i.cfg.Grants == settings.GrantByHeartbeat,
 		Link:              newLink(i.cfg.LinkMbps),
 	})
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -37,12 +37,23 @@
 		ConnectTimeout: connectTimeout(c.route.Objective),
 
 		BodyContext: c.bodyCtx,
+		// The target may have said otherwise while the connection was opened.
+		Allowed: func() bool { return s.targets.mayStillSend(t, s.cfg.TargetDrain) },
 	})
 	took := time.Since(start)
 	if err != nil {
 		return s.handleFailure(ctx, c, t, err, took)
 	}
-	res := attemptResult{sentAt: c.sentAt, took: took}
+	res := attemptResult{sentAt: c.sentAt, took: took, answered: true, leaving: a.Header.Get(s.cfg.Headers.Leaving) != ""}
+	if a.Status == http.StatusServiceUnavailable && s.cfg.Headers.ParseRest != nil {
+		if value := a.Header.Get("Retry-After"); value != "" {
+			if rest, ok := s.cfg.Headers.ParseRest(value); ok {
+				res.rest = rest
+			} else {
+				s.invalidRests.Add(1)
+			}
+		}
+	}
 	if s.cfg.Headers.ParseLoad != nil {
 		res.load, res.loadKnown = s.cfg.Headers.ParseLoad(a.Header.Get(s.cfg.Headers.Load))
 	}
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -71,7 +71,7 @@
 	best, bestCost := deployment.Target{}, -1.0
 	for _, t := range c.candidates {
 		s := ts.state(t)
-		if slices.Contains(c.excluded, t.ID) || s.circuitOpen(now) || s.windowFull() || !s.limit.Allows(now) {
+		if slices.Contains(c.excluded, t.ID) || !s.mayChoose(now) {
 			continue
 		}
 		if cost := s.cost(c, t, now); bestCost < 0 || cost < bestCost {
@@ -81,6 +81,13 @@
 	return best, bestCost >= 0
 }
 
+// mayChoose reports whether the target may be chosen for a request to a service without
+// keys.
+func (s *targetState) mayChoose(now timer.Instant) bool {
+	_, ok := s.notice.MaySend(now)
+	return ok && !s.circuitOpen(now) && !s.windowFull() && s.limit.Allows(now)
+}
+
 // cost returns the cost of a request at the target, in seconds.
 func (s *targetState) cost(c choice, t deployment.Target, now timer.Instant) float64 {
 	// Entries don't see each other's requests. The random part keeps them from all
@@ -113,7 +120,7 @@
 	total := 0.0
 	for i, t := range c.candidates {
 		s := ts.state(t)
-		if slices.Contains(c.excluded, t.ID) || s.circuitOpen(now) || s.windowFull() || !s.limit.Allows(now) {
+		if slices.Contains(c.excluded, t.ID) || !s.mayChoose(now) {
 			continue
 		}
 		weights[i] = s.capacity(t, now) / (1 + c.zoneCost(t))
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -26,7 +27,11 @@
 // testHeaderNames returns header names in the canonical form of net/http.
 func testHeaderNames() HeaderNames {
 	return HeaderNames{
-		RequestID: "Request-Id", Deadline: "Deadline", Target: "Target", Signature: "Signature", NotRun: "Not-Run", Load: "Load", Key: "Key",
+		RequestID: "Request-Id", Deadline: "Deadline", Target: "Target", Signature: "Signature", NotRun: "Not-Run", Load: "Load", Key: "Key", Leaving: "Leaving",
+		ParseRest: func(value string) (time.Duration, bool) {
+			seconds, err := strconv.ParseFloat(value, 64)
+			return time.Duration(seconds * float64(time.Second)), err == nil && seconds > 0 && seconds < 600
+		},
 		ParseLoad: func(value string) (Load, bool) {
 			var l Load
 			n, err := fmt.Sscanf(value, "%d,%d,%d", &l.Running, &l.Waiting, &l.Slots)
@@ -148,6 +153,9 @@
 	return l
 }
 
+// testDrain is for how long a leaving target serves requests in tests.
+const testDrain = 400 * time.Millisecond
+
 // maxConfigLag is the longest lag of the configuration at a testEntry.
 const maxConfigLag = time.Second
 
@@ -165,7 +173,7 @@
 	server, stop := Serve(ctx, l, Config{
 		Name: "entry", AvailabilityZone: "a", Headers: testHeaderNames(), View: follower, Pool: targetPool, Clock: clock, Log: quiet, RoutineLog: quiet,
 		Observer: nopObserver{}, Report: func(instance.ReportRequest) *instance.ReportResponse { return nil },
-		RetryRatio: 1, RetrySlack: 10, RetryShare: 1, MaxConfigLag: maxConfigLag, Link: link,
+		RetryRatio: 1, RetrySlack: 10, RetryShare: 1, MaxConfigLag: maxConfigLag, TargetDrain: testDrain, Link: link,
 	})
 	e.t.Cleanup(stop)
 	e.server, e.address = server, l.Addr().String()
--- a/internal/forward/owner.go
+++ b/internal/forward/owner.go
@@ -64,6 +64,7 @@
 // Reasons why a request is not sent to its key's owner.
 var (
 	errOwnerDraining    = errors.New("the key's owner is draining")
+	errOwnerNotice      = errors.New("the key's owner is leaving or wants no requests for now")
 	errOwnerUnavailable = errors.New("the circuit breaker of the key's owner is open")
 	errKeyOverloaded    = errors.New("the key gets more requests than its owner can serve")
 	errOwnerBusy        = errors.New("the key's owner would take too long")
@@ -85,6 +86,9 @@
 	if !t.Usable() {
 		return defaultRetryAfter, errOwnerDraining
 	}
+	if retryAfter, ok := s.targets.maySendToOwner(t, s.cfg.TargetDrain); !ok {
+		return max(retryAfter, defaultRetryAfter), errOwnerNotice
+	}
 	if retryAfter, ok := s.targets.available(t); !ok {
 		return retryAfter, errOwnerUnavailable
 	}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -42,6 +42,8 @@
 	// to be replaced. It is shorter than the time within which a change must be in force,
 	// because its operator learned of it earlier than the entry.
 	MaxConfigLag time.Duration
+	// TargetDrain is for how long a target that is leaving still serves requests.
+	TargetDrain time.Duration
 	// GrantsByHeartbeat reports that targets learn only at their heartbeats which keys
 	// to hold.
 	GrantsByHeartbeat bool
@@ -69,6 +71,7 @@
 	conns        map[*callerConn]bool
 	retryBudgets map[string]limit.Budget // by service
 	stopping     bool
+	stopBy       time.Time // when a graceful shutdown ends; zero if unknown
 }
 
 // reportInterval is the time between two reports to the leader.
@@ -76,7 +79,6 @@
 
 // Serve accepts callers on the listener until the returned clean-up function is
 // called, which closes all connections at once. Call Shutdown first for a graceful
-	stopBy       time.Time // when a graceful shutdown ends; zero if unknown
 // shutdown.
 func Serve(ctx context.Context, listener net.Listener, cfg Config) (*Server, func()) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -149,6 +151,7 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.mu.Lock()
 	s.stopping = true
+	s.stopBy, _ = ctx.Deadline()
 	s.mu.Unlock()
 	ticks, stop := s.cfg.Clock.Subscribe(shutdownPollInterval)
 	defer stop()
@@ -156,7 +159,6 @@
 		s.forEachConn(func(c *callerConn) { c.closeWhenIdle() })
 		s.mu.Lock()
 		open := len(s.conns)
-	s.stopBy, _ = ctx.Deadline()
 		s.mu.Unlock()
 		if open == 0 {
 			return nil
@@ -175,13 +177,6 @@
 	return s.stopping
 }
 
-// Connections returns the number of open connections of callers.
-func (s *Server) Connections() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.conns)
-}
-
 // mayOutlastShutdown reports whether a request with the deadline may still be running
 // when a graceful shutdown ends.
 func (s *Server) mayOutlastShutdown(deadline time.Time) bool {
@@ -190,6 +185,13 @@
 	return s.stopping && !s.stopBy.IsZero() && deadline.After(s.stopBy)
 }
 
+// Connections returns the number of open connections of callers.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // RetryBudgets returns the number of retries available now, by service.
 func (s *Server) RetryBudgets() map[string]float64 {
 	s.mu.Lock()
@@ -201,6 +203,9 @@
 	return out
 }
 
+// InvalidRests returns the number of targets' answers with an invalid Retry-After.
+func (s *Server) InvalidRests() uint64 { return s.invalidRests.Load() }
+
 // RateLimits returns the rate limits of targets that are in force, in requests a second
 // of all entries together, by target.
 func (s *Server) RateLimits() map[string]float64 { return s.targets.rateLimits() }
@@ -261,14 +266,14 @@
 	ticks, stop := s.cfg.Clock.Subscribe(reportInterval)
 	defer stop()
 	last := s.cfg.Clock.Now()
+	inFlight := make(chan struct{}, maxReportsInFlight)
+	number := uint64(0)
+	var heldUp atomic.Bool // the last report was
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticks:
-	inFlight := make(chan struct{}, maxReportsInFlight)
-	number := uint64(0)
-	var heldUp atomic.Bool // the last report was
 		}
 		v := s.cfg.View.View()
 		now := s.cfg.Clock.Now()
@@ -284,11 +289,6 @@
 			if heldUp.Load() {
 				req.Targets = withoutServiceTimes(req.Targets)
 			}
-		}
-		// With many entries each reports less often, so that the leader's load
-		// stays about the same.
-		if n := s.entryCount(); n > fullRateEntries && !timer.Sleep(ctx, reportInterval*time.Duration(n/fullRateEntries)) {
-			return
 			inFlight <- struct{}{}
 			number++
 			go func(number uint64) {
@@ -301,14 +301,14 @@
 				}
 			}(number)
 		}
+		// With many entries each reports less often, so that the leader's load
+		// stays about the same.
+		if n := s.entryCount(); n > fullRateEntries && !timer.Sleep(ctx, reportInterval*time.Duration(n/fullRateEntries)) {
+			return
+		}
 	}
 }
 
-// fullRateEntries is the largest number of entries that report every
-// reportInterval.
-const fullRateEntries = 24
-
-// entryCount returns the number of entries, as last advised by the leader.
 // maxReportsInFlight bounds the reports that wait for the leader. One that is held up by a
 // full link does not hold up the next.
 const maxReportsInFlight = 4
@@ -342,6 +342,11 @@
 	}
 }
 
+// fullRateEntries is the largest number of entries that report every
+// reportInterval.
+const fullRateEntries = 24
+
+// entryCount returns the number of entries, as last advised by the leader.
 func (s *Server) entryCount() int {
 	if a := s.advice.Load(); a != nil && a.Entries > 0 {
 		return a.Entries
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -84,6 +84,8 @@
 	pending             []pendingRequest
 	advisedFailureShare float64 // share of failed requests over all entries, advised by the leader
 	limit               sharedLimit
+	notice              notice
+	noticed             bool // the notice has changed since the last report
 }
 
 // pendingRequest is a request in flight at a target.
@@ -235,6 +237,7 @@
 	s := ts.state(t)
 	s.inFlight++
 	s.sentSince++
+	s.notice = s.notice.WithSent()
 	now := ts.clock.Now()
 	s.pending = append(s.pending, pendingRequest{sentAt: now})
 	return now
@@ -260,6 +263,7 @@
 	s := ts.state(t)
 	now := ts.clock.Now()
 	s.inFlight = max(0, s.inFlight-1)
+	s.recordNotice(res, now)
 	if overdue := s.removePending(res.sentAt); !overdue && (res.failed || res.ran && !res.success) {
 		s.failures++
 	}
@@ -293,6 +297,32 @@
 	}
 }
 
+// recordNotice records what an answer says of its target.
+func (s *targetState) recordNotice(res attemptResult, now timer.Instant) {
+	s.notice = s.notice.WithEnded(res.answered)
+	if res.leaving && !s.notice.Leaving() {
+		s.notice, s.noticed = s.notice.WithLeaving(now), true
+	}
+	if res.rest > 0 {
+		s.notice, s.noticed = s.notice.WithRest(res.rest, now), true
+	}
+}
+
+// maySendToOwner reports whether a request may be sent to the owner of its key, as far as the
+// owner's own notices tell. If not, the duration is the time after which one may be.
+func (ts *targetStates) maySendToOwner(t deployment.Target, drain time.Duration) (time.Duration, bool) {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	return ts.state(t).notice.MaySendToOwner(ts.clock.Now(), drain)
+}
+
+// mayStillSend reports whether a request that was allowed before may be sent now.
+func (ts *targetStates) mayStillSend(t deployment.Target, drain time.Duration) bool {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	return ts.state(t).notice.MayStillSend(ts.clock.Now(), drain)
+}
+
 // updateTargetAverage adds an answer to the service time averaged over the service's
 // targets, which is assumed for targets that this entry has not seen before.
 func (ts *targetStates) updateTargetAverage(service string, serviceTime float64) {
@@ -349,6 +379,9 @@
 	// rateLimitKnown is set.
 	rateLimit      float64
 	rateLimitKnown bool
+	leaving        bool          // the answer said that the target is leaving
+	rest           time.Duration // for how long the target wants no requests; 0 if it did not say
+	answered       bool          // a complete answer came, also one that did not run the request
 }
 
 // overloaded reports whether the target reported at least as many waiting requests
@@ -364,8 +397,12 @@
 	now := ts.clock.Now()
 	for id, s := range ts.byID {
 		s.countOverdue(now)
-		if s.answers > 0 || s.failures > 0 || s.limit.heard {
+		if s.answers > 0 || s.failures > 0 || s.limit.heard || s.noticed {
 			tl := instance.TargetLoad{ID: id, Successes: s.answers, ServiceTime: s.totalServiceTime, Failures: s.failures}
+			if s.noticed {
+				tl.StartMillis, tl.Leaving, tl.Rest = s.startMillis, s.notice.Leaving(), s.notice.RestLeft(now)
+				s.noticed = false
+			}
 			if s.limit.heard {
 				named := s.limit.named
 				tl.RateLimit = &named
--- a/internal/instance/deployment_messages.go
+++ b/internal/instance/deployment_messages.go
@@ -80,6 +80,12 @@
 	// RateLimit is the rate limit that the target's last answer named, in requests a
 	// second, or 0 if the limit has ended. It is nil if no answer told.
 	RateLimit *float64 `msgpack:"rate_limit,omitempty"`
+	// StartMillis, Leaving and Rest tell what the target said of itself: that it is
+	// leaving, and for how long it wants no requests. StartMillis is 0 if it said nothing
+	// new.
+	StartMillis int64         `msgpack:"born,omitempty"`
+	Leaving     bool          `msgpack:"leaving,omitempty"`
+	Rest        time.Duration `msgpack:"rest,omitempty"`
 }
 
 // ReportResponse is the leader's advice, computed from the reports of all entries.
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -84,6 +84,7 @@
 			continue
 		}
 		m.recordHealth(incarnationOf(t), tl)
+		m.recordNotice(t, tl)
 		if _, keyed := m.state.Table(t.Service); !keyed {
 			load.requests[t.Service] += float64(tl.Successes + tl.Failures)
 		}
@@ -103,7 +104,6 @@
 	}
 }
 
-// meanServiceTime returns the mean service time of all targets, in seconds.
 // rateWeight returns by how much one request that was counted within the interval raises
 // a moving average with the given window, in requests a second: as much as if it had been
 // reported when it arrived. A report that was held up covers a long interval, and its
@@ -115,6 +115,7 @@
 	return (1 - math.Exp(-interval.Seconds()/window.Seconds())) / interval.Seconds()
 }
 
+// meanServiceTime returns the mean service time of all targets, in seconds.
 func (s *serviceStats) meanServiceTime() float64 {
 	if len(s.serviceTime) == 0 {
 		return defaultServiceTime.Seconds()
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -48,6 +48,7 @@
 	health           map[deployment.Incarnation]health
 	limits           map[deployment.Incarnation]namedLimit
 	entryLoads       map[string]*entryLoad // by entry
+	notices          map[deployment.Incarnation]*targetNotice
 }
 
 // serviceArrivals records when targets of a service arrived before its keys were first
@@ -181,6 +182,7 @@
 		health:         make(map[deployment.Incarnation]health),
 		limits:         make(map[deployment.Incarnation]namedLimit),
 		entryLoads:     make(map[string]*entryLoad),
+		notices:        make(map[deployment.Incarnation]*targetNotice),
 	}
 }
 
@@ -283,6 +285,9 @@
 	if expired := m.expiredSuspects(); len(expired) > 0 {
 		return m.propose(deployment.Command{ClearSuspects: expired}, "suspects expired")
 	}
+	if t, ok := m.nextLeaving(); ok {
+		return m.propose(deployment.Command{Announce: &t}, "target says that it is leaving")
+	}
 	if assign := m.placeRanges(reassignable); len(assign) > 0 {
 		return m.proposeAssign(assign)
 	}
--- a/internal/leader/rebalance.go
+++ b/internal/leader/rebalance.go
@@ -28,6 +28,9 @@
 	minBusyUtilization = 0.5
 	// maxMovesPerRound bounds the moves of one service in a round of rebalancing.
 	maxMovesPerRound = 12
+	// restingUtilization is the least utilization that a target is counted with while it
+	// asks for no requests: it has no room for those that it gets now.
+	restingUtilization = 1.0
 	// minUtilizationGain is by how much a move must lower the higher of the two
 	// utilizations.
 	minUtilizationGain = 0.1
@@ -44,6 +47,7 @@
 	target        deployment.Target
 	serviceTime   float64            // seconds per request
 	limit         float64            // rate limit in requests a second; 0 for none
+	resting       bool               // it asked for no requests for now
 	rate          float64            // requests a second
 	width         int                // keys owned
 	movableRanges []deployment.Range // owned ranges that may be moved
@@ -52,7 +56,11 @@
 // utilization returns the busy part of the target's slots; above 1 the target is
 // overloaded.
 func (u targetUsage) utilization() float64 {
-	return u.rate * u.perRequest()
+	utilization := u.rate * u.perRequest()
+	if u.resting {
+		return max(utilization, restingUtilization)
+	}
+	return utilization
 }
 
 // targetUsages returns the live targets of a service with their keys and load. A range
@@ -69,7 +77,7 @@
 			serviceTime = stats.meanServiceTime()
 		}
 		limit, _ := m.limitOf(incarnationOf(t))
-		out = append(out, targetUsage{target: t, serviceTime: serviceTime, limit: limit})
+		out = append(out, targetUsage{target: t, serviceTime: serviceTime, limit: limit, resting: m.resting(incarnationOf(t))})
 	}
 	index := make(map[deployment.Incarnation]int, len(out))
 	for i, u := range out {
