Decide at a heartbeat at the same cost for any number of targets

The leader's work for one heartbeat of a keyed target grew with the number of targets, and so did all heartbeats together with its square: 7 us with 20 targets, 22 us with 110, 117 us with 600, 417 us with 2,400 (allocation of the usages of all targets to see whether the sender should give up keys).

Change: the usages of a service are computed four times a second, with the utilization from which a target may have to give up keys; every other heartbeat compares one number. Targets without keys are given some by as many of the busiest targets, no longer by all that send a heartbeat meanwhile.

--- a/internal/leader/heartbeat_granter.go
+++ b/internal/leader/heartbeat_granter.go
@@ -54,8 +54,10 @@
 
 // cachedUsages are the usages of a service's targets at an earlier time.
 type cachedUsages struct {
-	at   timer.Instant
-	list []targetUsage
+	at        timer.Instant
+	list      []targetUsage
+	index     map[string]int // into list, by target ID
+	givesFrom float64        // utilization from which a target may have to give up keys
 }
 
 const (
@@ -340,33 +342,53 @@
 }
 
 // giveUp returns the keys that the target is to release because it is busier than
-// others.
+// others. Most heartbeats cause nothing, and cost no more with more targets.
 func (g *heartbeatGranter) giveUp(m *Model, t deployment.Target) []deployment.RangeRef {
 	table, ok := m.state.Table(t.Service)
 	if !ok {
 		return nil
 	}
-	cached, ok := g.usages[t.Service]
-	if !ok || m.now.Sub(cached.at) >= m.timing.RebalanceInterval {
-		m.statsOf(t.Service).decay(m.now)
-		cached = cachedUsages{at: m.now, list: m.targetUsages(t.Service)}
-		g.usages[t.Service] = cached
+	cached := g.usagesOf(m, t.Service)
+	own, ok := cached.index[t.ID]
+	if !ok || cached.list[own].utilization() < cached.givesFrom || len(cached.list[own].movableRanges) == 0 ||
+		len(table.Ranges) > maxRangesPerTarget*len(cached.list) {
+		return nil
 	}
 	usages := slices.Clone(cached.list)
-	own := false
 	for i := range usages {
-		if usages[i].target.ID == t.ID {
-			own = len(usages[i].movableRanges) > 0
-			continue
+		if i != own {
+			usages[i].movableRanges = nil
 		}
-		usages[i].movableRanges = nil
-	}
-	if !own || len(table.Ranges) > maxRangesPerTarget*len(usages) {
-		return nil
 	}
 	return m.rebalanceUsages(table, usages)
 }
 
+// usagesOf returns the usages of a service's targets, at most a RebalanceInterval old.
+func (g *heartbeatGranter) usagesOf(m *Model, service string) cachedUsages {
+	cached, ok := g.usages[service]
+	if ok && m.now.Sub(cached.at) < m.timing.RebalanceInterval {
+		return cached
+	}
+	m.statsOf(service).decay(m.now)
+	cached = cachedUsages{at: m.now, list: m.targetUsages(service), index: make(map[string]int), givesFrom: minBusyUtilization}
+	var utilizations []float64
+	idle := 0
+	for i, u := range cached.list {
+		cached.index[u.target.ID] = i
+		utilizations = append(utilizations, u.utilization())
+		if u.width == 0 {
+			idle++
+		}
+	}
+	if idle > 0 {
+		// As many of the busiest targets as there are targets without keys give up keys.
+		slices.Sort(utilizations)
+		cached.givesFrom = min(cached.givesFrom, utilizations[max(0, len(utilizations)-idle)])
+	}
+	g.usages[service] = cached
+	return cached
+}
+
 // rangesOf returns the ranges that the state assigns to the target.
 func (g *heartbeatGranter) rangesOf(m *Model, incarnation deployment.Incarnation) []ownedRange {
 	if g.owned == nil || g.ownedAt != m.state.Version() {
--- a/internal/leader/scale_test.go
+++ b/internal/leader/scale_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -11,6 +12,7 @@
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
 	"github.com/cranberrywind/cranberrywind/internal/instance"
+	"github.com/cranberrywind/cranberrywind/internal/wire"
 )
 
 const (
@@ -142,3 +144,33 @@
 	b.ReportMetric(float64(len(s.ranges())), "pieces")
 	b.ReportMetric(float64(s.grants)/float64(b.N), "grants/s")
 }
+
+// BenchmarkKeyHeartbeat measures the leader's work for one heartbeat of a target with a
+// few ranges, and reports the bytes of the answer, for several numbers of targets.
+func BenchmarkKeyHeartbeat(b *testing.B) {
+	for _, targets := range []int{20, 110, 600, 2400} {
+		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+			w := newHeartbeatWorld(b, 1, targets, 0)
+			w.run(8 * time.Second)
+			reports := make([]deployment.KeyReport, targets)
+			for i, x := range w.targets {
+				for _, h := range x.held {
+					reports[i].Held = append(reports[i].Held, deployment.HeldRange{From: h.From, To: h.To, Fence: h.Fence})
+				}
+			}
+			size := 0
+			b.ResetTimer()
+			for n := range b.N {
+				x := w.targets[n%targets]
+				x.sequence++
+				_, effects := w.model.Update(KeyHeartbeatReceived{At: w.now, ID: uint64(n), State: w.state, Incarnation: x.incarnation(), Sequence: x.sequence, Keys: reports[n%targets]})
+				for _, e := range effects {
+					if a, ok := e.(AnswerKeyHeartbeat); ok && a.Leases != nil {
+						size += len(wire.Encode(a.Leases))
+					}
+				}
+			}
+			b.ReportMetric(float64(size)/float64(b.N), "answer_bytes/op")
+		})
+	}
+}
