Collect entries' reports at all control instances

At hundreds of instances the leader learned of a hot key late. To keep its calls bounded, each entry reported less often the more entries there were: with 185 every 2 s, with 400 every 4.2 s, which is longer than the 3 s after which the leader no longer counts an entry, so that the number of entries it advises would jump, and with it retries, connections and rate limits.

Change: beyond 24 entries, each reports every 250 ms to a control instance that its name chooses; those that don't lead pass the reports on ten times a second and hand out the leader's last advice. The leader's calls grow with the control instances and no longer with the entries. A new leader advises no number of entries until it has heard from all; entries keep the one they know.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -33,6 +33,7 @@
 	log            *log.Logger
 	publisher      *view.Publisher
 	heartbeatBatch heartbeatBatch
+	collector      reportCollector
 	openReplica    atomic.Pointer[openReplica]
 	fs             disk.FS // nil for the operating system's file system
 	seeds          atomic.Pointer[[]string]
@@ -314,12 +315,27 @@
 	return &instance.BarrierResponse{Index: applied.Index}, nil
 }
 
-// Report records an entry's measurements and returns the leader's advice.
+// Report records an entry's measurements and returns the leader's advice. An instance that
+// is not the leader collects the report if that is asked for.
 func (c *Control) Report(_ context.Context, req *instance.ReportRequest) (*instance.ReportResponse, error) {
+	if c.isLeader() {
+		res := c.lastReplica().leader.Report(*req)
+		return &res, nil
+	}
+	if req.Collect && c.Current() {
+		if res, ok := c.collector.add(*req, c.clock.Now()); ok {
+			return res, nil
+		}
+	}
+	return nil, c.notLeaderError()
+}
+
+// ReportBatch records the reports that another control instance collected.
+func (c *Control) ReportBatch(_ context.Context, req *instance.ReportBatchRequest) (*instance.ReportBatchResponse, error) {
 	if !c.isLeader() {
 		return nil, c.notLeaderError()
 	}
-	res := c.lastReplica().leader.Report(*req)
+	res := c.lastReplica().leader.ReportBatch(req.Reports)
 	return &res, nil
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -64,6 +64,7 @@
 	control    *Control
 	entry      *forward.Server
 	follower   *view.Follower
+	collectors collectors
 
 	cleanups cleanup.Stack
 
@@ -250,7 +251,17 @@
 func (i *Instance) sendReport(ctx context.Context, leaderClient *instance.LeaderClient, r instance.ReportRequest) *instance.ReportResponse {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	leaderClient.SetAddresses(i.follower.View().Control)
+	control := i.follower.View().Control
+	if r.Collect && len(control) > 0 {
+		res, err := instance.Call[instance.ReportRequest, instance.ReportResponse](ctx, i.pool, i.collectors.choose(i.cfg.Name, control), "Report", &r)
+		if err == nil {
+			return res
+		}
+		i.log.Debug("report not collected", "error", err)
+		i.collectors.failures.Add(1)
+	}
+	r.Collect = false
+	leaderClient.SetAddresses(control)
 	res, err := instance.CallLeader[instance.ReportRequest, instance.ReportResponse](ctx, leaderClient, "Report", &r)
 	if err != nil {
 		i.log.Debug("report not delivered to the leader", "error", err)
--- /dev/null
+++ b/internal/fleet/reports.go
@@ -0,0 +1,111 @@
+package fleet
+
+import (
+	"context"
+	"hash/fnv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cranberrywind/cranberrywind/internal/instance"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
+)
+
+const (
+	// collectPeriod is the time between two batches of entries' reports to the leader.
+	collectPeriod = 100 * time.Millisecond
+	// maxAdviceAge is the age above which a control instance does not pass on the
+	// leader's advice, so that entries turn to another one.
+	maxAdviceAge = time.Second
+	// maxCollected bounds the reports of a batch. Later ones are rejected.
+	maxCollected = 10_000
+)
+
+// reportCollector collects the reports that entries send to a control instance which is
+// not the leader, and keeps the leader's last advice for them.
+type reportCollector struct {
+	mu        sync.Mutex
+	reports   []instance.ReportRequest
+	advice    *instance.ReportBatchResponse
+	advisedAt timer.Instant
+	failed    bool // the last batch was not delivered
+}
+
+// add collects a report and returns the advice for its entry. It returns false and drops
+// the report if reports can't be delivered to the leader.
+func (r *reportCollector) add(report instance.ReportRequest, now timer.Instant) (*instance.ReportResponse, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	recent := r.advice != nil && now.Sub(r.advisedAt) <= maxAdviceAge
+	if len(r.reports) >= maxCollected || r.failed && !recent {
+		return nil, false
+	}
+	r.reports = append(r.reports, report)
+	if !recent {
+		return &instance.ReportResponse{NoAdvice: true}, true
+	}
+	out := r.advice.Advice
+	out.Parts = r.advice.Parts[report.Instance]
+	return &out, true
+}
+
+// take returns the collected reports and empties the collector.
+func (r *reportCollector) take() []instance.ReportRequest {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := r.reports
+	r.reports = nil
+	return out
+}
+
+// setDelivered records the leader's advice to the last batch.
+func (r *reportCollector) setDelivered(a *instance.ReportBatchResponse, now timer.Instant) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.advice, r.advisedAt, r.failed = a, now, false
+}
+
+// setFailed records that the last batch was not delivered.
+func (r *reportCollector) setFailed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failed = true
+}
+
+// hasFailed reports whether the last batch was not delivered.
+func (r *reportCollector) hasFailed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failed
+}
+
+// forwardReports sends the collected reports to the leader in batches until ctx ends. The
+// measurements of a batch whose call fails are lost; the next reports follow soon.
+func (c *Control) forwardReports(ctx context.Context) {
+	timer.Every(ctx, c.clock, collectPeriod, func() {
+		reports := c.collector.take()
+		if len(reports) == 0 && !c.collector.hasFailed() {
+			return
+		}
+		req := &instance.ReportBatchRequest{Reports: reports}
+		advice, err := callLeader[instance.ReportBatchRequest, instance.ReportBatchResponse](ctx, c, "ReportBatch", req, c.ReportBatch)
+		if err != nil {
+			if !c.collector.hasFailed() {
+				c.log.Warn("entries' reports not delivered to the leader", "reports", len(reports), "error", err)
+			}
+			c.collector.setFailed()
+			return
+		}
+		c.collector.setDelivered(advice, c.clock.Now())
+	})
+}
+
+// collectors chooses the control instance to which an entry sends its reports, so that
+// entries spread over all of them. It moves on to the next one after a failure.
+type collectors struct{ failures atomic.Uint32 }
+
+func (c *collectors) choose(entry string, control []string) string {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(entry)) // never fails
+	return control[(h.Sum32()+c.failures.Load())%uint32(len(control))]
+}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -282,6 +282,7 @@
 			Interval:     now.Sub(last),
 			Keys:         s.keys.take(),
 			CrashReports: s.crashes.take(),
+			Collect:      s.entryCount() > maxDirectEntries,
 			Targets:      s.targets.report(func(id string) bool { _, ok := v.Target(id); return ok }),
 		}
 		last = now
@@ -296,16 +297,11 @@
 				start := s.cfg.Clock.Now()
 				a := s.cfg.Report(req)
 				heldUp.Store(a == nil || s.cfg.Clock.Now().Sub(start) > heldUpReport)
-				if a != nil {
+				if a != nil && !a.NoAdvice {
 					s.adopt(number, a)
 				}
 			}(number)
 		}
-		// With many entries each reports less often, so that the leader's load
-		// stays about the same.
-		if n := s.entryCount(); n > fullRateEntries && !timer.Sleep(ctx, reportInterval*time.Duration(n/fullRateEntries)) {
-			return
-		}
 	}
 }
 
@@ -335,6 +331,9 @@
 		return
 	}
 	s.advisedBy = number
+	if before := s.advice.Load(); a.Entries == 0 && before != nil {
+		a.Entries = before.Entries
+	}
 	s.advice.Store(a)
 	s.targets.setFailureShares(a.Failing)
 	if a.LimitsKnown {
@@ -342,9 +341,10 @@
 	}
 }
 
-// fullRateEntries is the largest number of entries that report every
-// reportInterval.
-const fullRateEntries = 24
+// maxDirectEntries is the largest number of entries that report to the leader itself. More
+// of them report to all control instances, so that the leader's calls grow with the number
+// of those and not with that of entries.
+const maxDirectEntries = 24
 
 // entryCount returns the number of entries, as last advised by the leader.
 func (s *Server) entryCount() int {
--- a/internal/instance/deployment_messages.go
+++ b/internal/instance/deployment_messages.go
@@ -59,6 +59,21 @@
 	// CrashReports names the kinds of requests that were in flight at targets that
 	// crashed.
 	CrashReports []deployment.CrashReport `msgpack:"blames"`
+	// Collect asks a control instance that is not the leader to pass the report on with
+	// those of other entries.
+	Collect bool `msgpack:"collect,omitempty"`
+}
+
+// ReportBatchRequest passes reports of several entries on to the leader.
+type ReportBatchRequest struct {
+	Reports []ReportRequest `msgpack:"reports"`
+}
+
+// ReportBatchResponse is the leader's advice to the entries of a batch.
+type ReportBatchResponse struct {
+	Advice ReportResponse `msgpack:"advice"` // without Parts
+	// Parts holds the parts that each entry is advised of, by entry and service.
+	Parts map[string]map[string]float64 `msgpack:"parts,omitempty"`
 }
 
 // KeyLoad counts the requests for one bucket of a service's keys.
@@ -90,7 +105,7 @@
 
 // ReportResponse is the leader's advice, computed from the reports of all entries.
 type ReportResponse struct {
-	Entries   int             `msgpack:"entries"` // number of entries that report
+	Entries   int             `msgpack:"entries"` // number of entries that report; 0 if not known yet
 	Overloads []Overload      `msgpack:"overloads"`
 	Failing   []FailingTarget `msgpack:"failing"` // worst first
 	Limits    []TargetLimit   `msgpack:"limits"`
@@ -100,6 +115,9 @@
 	// Parts holds the reporting entry's part of the requests to each service, from 0 to
 	// 1. It is set only while there are limits.
 	Parts map[string]float64 `msgpack:"parts,omitempty"`
+	// NoAdvice reports that the report was taken and that there is no advice yet. All
+	// other fields are zero then.
+	NoAdvice bool `msgpack:"no_advice,omitempty"`
 }
 
 // TargetLimit is the rate limit that a target names in its answers. All entries share
--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -48,6 +48,7 @@
 	AnnounceTarget(ctx context.Context, req *AnnounceTargetRequest) (*AnnounceTargetResponse, error)
 	Barrier(ctx context.Context, req *BarrierRequest) (*BarrierResponse, error)
 	Report(ctx context.Context, req *ReportRequest) (*ReportResponse, error)
+	ReportBatch(ctx context.Context, req *ReportBatchRequest) (*ReportBatchResponse, error)
 	ReportHeartbeats(ctx context.Context, req *HeartbeatsRequest) (*Empty, error)
 	KeyHeartbeat(ctx context.Context, req *KeyHeartbeatRequest) (*KeyHeartbeatResponse, error)
 	// Watch sends updates until send fails or ctx ends, and returns the error.
@@ -128,6 +129,7 @@
 			unary("Announced", DeploymentHandler.AnnounceTarget),
 			unary("Barrier", DeploymentHandler.Barrier),
 			unary("Report", DeploymentHandler.Report),
+			unary("ReportBatch", DeploymentHandler.ReportBatch),
 			unary("Heard", DeploymentHandler.ReportHeartbeats),
 			unary("KeyHeartbeat", DeploymentHandler.KeyHeartbeat),
 		),
--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -10,6 +10,8 @@
 const (
 	// entryExpiry is the time without a report after which an entry isn't counted.
 	entryExpiry = 3 * time.Second
+	// entryCountDelay is the time after which a new leader has heard from all entries.
+	entryCountDelay = time.Second
 	// maxAdmittedUtilization is the utilization of a target up to which entries
 	// together admit requests. It is above 1 so that the target's queue never
 	// runs empty.
@@ -32,7 +34,10 @@
 			delete(m.lastReports, name)
 		}
 	}
-	advice := instance.ReportResponse{Entries: len(m.lastReports), Failing: m.failing()}
+	advice := instance.ReportResponse{Failing: m.failing()}
+	if m.now.Sub(m.leadingSince) > entryCountDelay {
+		advice.Entries = len(m.lastReports)
+	}
 	for _, table := range m.state.Tables() {
 		for _, u := range m.targetUsages(table.Service) {
 			if u.utilization() > maxAdmittedUtilization && !u.boundByLimit() {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -140,6 +140,21 @@
 	return out
 }
 
+// ReportBatch is like Report for several entries.
+func (l *Leader) ReportBatch(reports []instance.ReportRequest) instance.ReportBatchResponse {
+	now := l.clock.Now()
+	for _, r := range reports {
+		if err := l.loop.Send(Reported{At: now, Report: r}); err != nil {
+			break // the instance is stopping
+		}
+	}
+	a := l.advice.Load()
+	if a == nil {
+		return instance.ReportBatchResponse{}
+	}
+	return instance.ReportBatchResponse{Advice: a.Advice, Parts: a.Parts}
+}
+
 // feedModel sends changes of leadership, ticks and the committed state to the model.
 func (l *Leader) feedModel(ctx context.Context) {
 	ticks, stop := l.clock.Subscribe(planInterval)
