Don't let the cost of control grow with entries times targets

Causes, found with benchmarks of the control loop and by reading: - For each entry and each ping, four times a second, a control instance worked out the difference between two states, with a binary search for every target, also if the states were the same. - Each committed command made the leader plan over all ranges and targets at once, thousands of times while targets announce themselves. - Each answered grant went through all ranges with the same fence: that is all of a service after the first assignment. - One call renews one range each 1.5 s, whatever their number.

Change: no difference is worked out between equal states, and one is shared by all entries that need it; changes are collected for 20 us a target, 50 ms at most, before a plan; a grant of a range that has not been split extends that range alone; from 800 ranges on, leases and the time between renewals grow with their number, up to the longest lease that targets accept. Ranges are never merged, so that a new leader assumes at least the lease that an earlier one granted.

--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -123,7 +123,7 @@
 	if cfg.Grants == settings.GrantByHeartbeat {
 		return leader.NewHeartbeatModel(timing.WithHeartbeat(cfg.Heartbeat, cfg.MaxLease))
 	}
-	timing.LeaseDuration = min(timing.LeaseDuration, cfg.MaxLease)
+	timing.LeaseDuration, timing.MaxLease = min(timing.LeaseDuration, cfg.MaxLease), cfg.MaxLease
 	return leader.NewModel(timing)
 }
 
--- a/internal/leader/events.go
+++ b/internal/leader/events.go
@@ -18,6 +18,23 @@
 	ElectionGrace     time.Duration // time after an election in which no keys are moved
 	ForgetAfter       time.Duration // how long a target that left is remembered
 	RebalanceInterval time.Duration // between rounds of rebalancing and updates of the advice
+	MaxLease          time.Duration // longest lease that targets accept; 0 to keep LeaseDuration
+}
+
+// stretchedRanges is the number of ranges from which on leases that are granted by calls are
+// longer, so that the leader makes no more calls a second. Ranges are never merged, so a
+// later leader never assumes a shorter lease than an earlier one has granted.
+const stretchedRanges = 800
+
+// withRanges returns the timing for a number of ranges that are renewed one by one.
+func (t Timing) withRanges(n int) Timing {
+	if n <= stretchedRanges || t.MaxLease <= t.LeaseDuration {
+		return t
+	}
+	factor := min(float64(n)/stretchedRanges, float64(t.MaxLease)/float64(t.LeaseDuration))
+	t.LeaseDuration = time.Duration(factor * float64(t.LeaseDuration))
+	t.RenewalInterval = time.Duration(factor * float64(t.RenewalInterval))
+	return t
 }
 
 // A grant counts as valid for 3% longer than LeaseDuration, which covers a target's
--- a/internal/leader/granter.go
+++ b/internal/leader/granter.go
@@ -19,6 +19,8 @@
 	// rebalance returns the keys that their owners are to release now so that the load
 	// becomes even.
 	rebalance(m *Model) []deployment.RangeRef
+	// timing returns the timing for a number of ranges.
+	timing(base Timing, ranges int) Timing
 	// responsive reports whether the owner of a range still learns what to hold.
 	responsive(m *Model, t deployment.Target, rs *rangeState) bool
 	// lateGrants reports whether a grant may still take effect after its target has
@@ -55,4 +57,6 @@
 	return rs.failures == 0 || m.recentHeartbeat(t)
 }
 
+func (callGranter) timing(base Timing, ranges int) Timing { return base.withRanges(ranges) }
+
 func (callGranter) lateGrants() bool { return true }
--- a/internal/leader/grants.go
+++ b/internal/leader/grants.go
@@ -108,15 +108,35 @@
 // extendExpiries extends the expiry of the ranges that a sent grant covers. The range
 // of the grant may have been split since it was sent.
 func (m *Model) extendExpiries(e GrantEnded) {
+	if rs := m.lookupRangeState(e.Range.Service, e.Range.From, e.Range.Fence); rs != nil && m.isWhole(e.Range) {
+		m.extendExpiry(rs, e)
+		return
+	}
 	for from, rs := range m.rangeStates[fenceID{service: e.Range.Service, fence: e.Range.Fence}] {
 		if from < e.Range.From || from > e.Range.To {
 			continue
 		}
-		rs.expiry = max(rs.expiry, m.timing.latestExpiry(e.At))
-		if e.Err != nil && !errors.Is(e.Err, ErrFenced) {
-			rs.unansweredExpiry = max(rs.unansweredExpiry, m.timing.latestExpiry(e.At))
-		}
+		m.extendExpiry(rs, e)
+	}
+}
+
+func (m *Model) extendExpiry(rs *rangeState, e GrantEnded) {
+	rs.expiry = max(rs.expiry, m.timing.latestExpiry(e.At))
+	if e.Err != nil && !errors.Is(e.Err, ErrFenced) {
+		rs.unansweredExpiry = max(rs.unansweredExpiry, m.timing.latestExpiry(e.At))
+	}
+}
+
+// isWhole reports whether a range has not been split, and no command to split it is
+// pending. Most ranges of a service may have the same fence, so looking for parts takes
+// longer the more ranges there are.
+func (m *Model) isWhole(ref deployment.RangeRef) bool {
+	table, ok := m.state.Table(ref.Service)
+	if !ok || m.splitting[fenceID{service: ref.Service, fence: ref.Fence}] {
+		return false
 	}
+	r := table.Find(ref.From)
+	return r.From == ref.From && r.To == ref.To && r.Fence == ref.Fence
 }
 
 // grantInFlight reports whether a grant of any of the keys is in flight.
--- a/internal/leader/heartbeat_granter.go
+++ b/internal/leader/heartbeat_granter.go
@@ -114,6 +114,9 @@
 	return m.recentHeartbeat(t)
 }
 
+// timing returns the base: one answer renews all ranges of a target.
+func (*heartbeatGranter) timing(base Timing, _ int) Timing { return base }
+
 // lateGrants returns false: a target takes an answer only until it sends the next
 // heartbeat, so that one that reports a release has no other answer outstanding.
 func (*heartbeatGranter) lateGrants() bool { return false }
@@ -313,6 +316,7 @@
 		return
 	}
 	rest := *rs
+	m.splitting[fenceID{service: ref.Service, fence: ref.Fence}] = true
 	m.setRangeState(ref.Service, after+1, ref.Fence, &rest)
 }
 
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -43,10 +43,12 @@
 }
 
 const (
-	planInterval   = 50 * time.Millisecond
-	grantTimeout   = 500 * time.Millisecond
-	releaseTimeout = 3 * time.Second // a release waits for running requests
-	proposeTimeout = 2 * time.Second
+	planInterval = 50 * time.Millisecond
+	// planDelayPerTarget is several times what a plan takes for each target.
+	planDelayPerTarget = 20 * time.Microsecond
+	grantTimeout       = 500 * time.Millisecond
+	releaseTimeout     = 3 * time.Second // a release waits for running requests
+	proposeTimeout     = 2 * time.Second
 	// The leader confirms its leadership every confirmInterval. It stops sending
 	// calls once the last confirmation is older than confirmationValidity, which is
 	// shorter than the shortest election: a replaced leader sends nothing.
@@ -178,11 +180,21 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
+			// A plan takes longer the more targets there are. Changes that come
+			// together are planned for together.
+			if !timer.Sleep(ctx, planDelay(len(l.group.State().State.Targets()))) {
+				return
+			}
 		case <-ticks:
 		}
 	}
 }
 
+// planDelay returns how long changes are collected before the leader plans for them.
+func planDelay(targets int) time.Duration {
+	return min(time.Duration(targets)*planDelayPerTarget, planInterval)
+}
+
 // startTerm starts a term once every earlier committed command has been applied. It
 // returns the term, or 0 if leadership could not be confirmed.
 func (l *Leader) startTerm(ctx context.Context, term uint64) uint64 {
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -21,7 +21,8 @@
 // Model decides what the leader does next. Only its loop may use it. Update changes
 // it in place: copying it for each heartbeat would cost more than all decisions.
 type Model struct {
-	timing           Timing
+	base             Timing // for few ranges
+	timing           Timing // for the ranges that there are
 	granter          granter
 	leading          bool
 	leadingSince     timer.Instant
@@ -31,6 +32,7 @@
 	lastHeartbeat    map[deployment.Incarnation]timer.Instant
 	leftAt           map[deployment.Incarnation]timer.Instant   // when this leader first saw that a target had left
 	rangeStates      map[fenceID]map[deployment.Key]*rangeState // by first key of the range
+	splitting        map[fenceID]bool                           // parts of ranges are to be split off by a command
 	byAddress        map[string]deployment.Target               // latest incarnation at each address
 	byAddressVersion uint64                                     // state version that byAddress was built from
 	stats            map[string]*serviceStats                   // by service
@@ -90,12 +92,14 @@
 }
 
 // NewModel returns a model that is not leading, and that grants keys by calls to targets.
-func NewModel(timing Timing) *Model { return &Model{timing: timing, granter: callGranter{}} }
+func NewModel(timing Timing) *Model {
+	return &Model{base: timing, timing: timing, granter: callGranter{}}
+}
 
 // NewHeartbeatModel returns a model that is not leading, and that grants keys in the
 // answers to targets' heartbeats.
 func NewHeartbeatModel(timing Timing) *Model {
-	return &Model{timing: timing, granter: newHeartbeatGranter()}
+	return &Model{base: timing, timing: timing, granter: newHeartbeatGranter()}
 }
 
 // Update applies an event and returns the effects to run. While the model is not
@@ -165,7 +169,8 @@
 
 func (m *Model) startTerm(e LeadershipTaken) {
 	*m = Model{
-		timing:         m.timing,
+		base:           m.base,
+		timing:         m.base,
 		granter:        m.granter.forTerm(),
 		leading:        true,
 		leadingSince:   e.At,
@@ -174,6 +179,7 @@
 		state:          e.State,
 		lastHeartbeat:  make(map[deployment.Incarnation]timer.Instant),
 		leftAt:         make(map[deployment.Incarnation]timer.Instant),
+		splitting:      make(map[fenceID]bool),
 		rangeStates:    make(map[fenceID]map[deployment.Key]*rangeState),
 		stats:          make(map[string]*serviceStats),
 		arrivals:       make(map[string]serviceArrivals),
@@ -226,6 +232,7 @@
 func (m *Model) plan() []Effect {
 	m.planCount++
 	m.indexAddresses()
+	m.timing = m.granter.timing(m.base, m.countRanges())
 	effects := m.planTargetStatus()
 	var reassignable []deployment.Assignment
 	var moves []deployment.RangeRef
@@ -253,6 +260,14 @@
 	return append(effects, m.nextCommand(reassignable, moves)...)
 }
 
+func (m *Model) countRanges() int {
+	n := 0
+	for _, table := range m.state.Tables() {
+		n += len(table.Ranges)
+	}
+	return n
+}
+
 // dropStaleRangeStates drops the ranges that are no longer in the state. It waits
 // while a command is pending, since the ranges that the command will split off are
 // not in the state yet.
@@ -260,6 +275,7 @@
 	if m.commandPending {
 		return
 	}
+	clear(m.splitting)
 	for id, ranges := range m.rangeStates {
 		for from, rs := range ranges {
 			if rs.lastPlan != m.planCount {
--- a/internal/leader/rebalance.go
+++ b/internal/leader/rebalance.go
@@ -237,6 +237,7 @@
 	part.nextOwner = nextOwner
 	part.inFlight = false
 	part.nextGrant = m.now
+	m.splitting[fenceID{service: ref.Service, fence: ref.Fence}] = true
 	m.setRangeState(ref.Service, ref.From, ref.Fence, &part)
 }
 
--- a/internal/leader/scale_test.go
+++ b/internal/leader/scale_test.go
@@ -174,3 +174,53 @@
 		})
 	}
 }
+
+// TestLeasesOfManyRanges checks that leases get longer with the number of ranges, so that
+// the leader's calls don't grow, and never longer than targets accept.
+func TestLeasesOfManyRanges(t *testing.T) {
+	base := DefaultTiming()
+	base.MaxLease = 10 * time.Second
+	last := base
+	for n := 0; n < 20_000; n += 100 {
+		timing := base.withRanges(n)
+		assert.Assert(t, timing.LeaseDuration >= last.LeaseDuration && timing.LeaseDuration <= base.MaxLease)
+		assert.Assert(t, timing.RenewalInterval < timing.LeaseDuration)
+		if timing.LeaseDuration < base.MaxLease {
+			assert.Assert(t, float64(n)/timing.RenewalInterval.Seconds() <= 1.01*stretchedRanges/base.RenewalInterval.Seconds())
+		}
+		last = timing
+	}
+	assert.Equal(t, base.withRanges(stretchedRanges), base)
+	base.MaxLease = 0
+	assert.Equal(t, base.withRanges(20_000), base)
+}
+
+// BenchmarkPlan measures one plan of the leader with all grants answered.
+func BenchmarkPlan(b *testing.B) {
+	for _, n := range []int{35, 350, 1750} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := newSim(b)
+			for i := range n {
+				s.announce(i, func(t *deployment.Target) { t.Address = fmt.Sprintf("10.%d.%d.1:80", i/250, i%250) })
+			}
+			second := func() {
+				for i := range n {
+					s.heartbeat(i)
+				}
+				s.answer(s.tick(50 * time.Millisecond))
+			}
+			for range 100 {
+				second()
+			}
+			b.ResetTimer()
+			for i := range b.N {
+				if i%20 == 0 {
+					b.StopTimer()
+					second()
+					b.StartTimer()
+				}
+				s.answer(s.tick(50 * time.Millisecond))
+			}
+		})
+	}
+}
--- a/internal/view/publish.go
+++ b/internal/view/publish.go
@@ -33,6 +33,7 @@
 	source Source
 	clock  timer.Clock
 	packer *packer
+	deltas deltaCache
 }
 
 // NewPublisher returns a publisher of the source's state.
@@ -73,7 +74,7 @@
 	if sent != nil {
 		_, configIndex := sent.Config()
 		key = packedKey{from: sent.Version(), fromConfig: configIndex, to: state.Version()}
-		u = Delta(sent, state)
+		u = p.deltas.delta(key, sent, state)
 	}
 	split := have.Parts && isLarge(u)
 	var data []byte
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -160,13 +160,28 @@
 		change := cfg.ChangeFrom(before)
 		u.ConfigChange, u.ConfigBase = &change, index
 	}
+	if old.Version() == state.Version() {
+		return u
+	}
 	addChanges(u, old.Version(), state)
-	for _, t := range old.Targets() {
-		if _, ok := state.Target(t.ID); !ok {
-			u.Removed = append(u.Removed, t.ID)
+	u.Removed = removedTargets(old.Targets(), state.Targets())
+	return u
+}
+
+// removedTargets returns the IDs of targets that are only in the old list. Both are sorted
+// by ID.
+func removedTargets(old, current []deployment.Target) []string {
+	var out []string
+	i := 0
+	for _, t := range old {
+		for i < len(current) && current[i].ID < t.ID {
+			i++
+		}
+		if i == len(current) || current[i].ID != t.ID {
+			out = append(out, t.ID)
 		}
 	}
-	return u
+	return out
 }
 
 // addChanges adds the targets and ranges that changed after a log index.
