Repeat notices of targets to the leader, and count no unsent request against them

By reading the diff: an entry reported once that a target is leaving or wants rest. Reports may be lost, and the leader then never heard of it. A request that was not sent because its target had said so meanwhile counted as a failure of the target and could open its circuit breaker.

Change: a notice is in each report while it holds; ErrNotAllowed is no failure. TestNoticesAreReportedAgain failed before (one report, then none).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -147,7 +147,7 @@
 func (s *Server) handleFailure(ctx context.Context, c *call, t deployment.Target, err error, took time.Duration) (*response, bool) {
 	disconnected := c.ctx.Err() != nil
 	res := attemptResult{
-		failed: !disconnected && !errors.Is(err, targethttp.ErrConnLimit),
+		failed: !disconnected && !errors.Is(err, targethttp.ErrConnLimit) && !errors.Is(err, targethttp.ErrNotAllowed),
 		broken: errors.Is(err, targethttp.ErrIncompleteResponse) && !errors.Is(err, targethttp.ErrTimeout),
 		took:   took,
 		sentAt: c.sentAt,
--- a/internal/forward/notice_entry_test.go
+++ b/internal/forward/notice_entry_test.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
 // receivedBy returns how many requests the target has received.
@@ -137,3 +140,26 @@
 		})
 	}
 }
+
+// TestNoticesAreReportedAgain checks that a notice is in each report while it holds: the
+// leader may not have received the first one.
+func TestNoticesAreReportedAgain(t *testing.T) {
+	clock := timer.NewManual()
+	ts := newTargetStates(clock)
+	target := deployment.Target{ID: "t0", StartMillis: 7, Service: "catalog", Slots: 3, Status: deployment.Live}
+	known := func(string) bool { return true }
+	ts.requestEnded(target, attemptResult{sentAt: ts.requestSent(target), answered: true, rest: time.Second})
+	for range 2 {
+		out := ts.report(known)
+		assert.Equal(t, len(out), 1)
+		assert.Equal(t, out[0].StartMillis, target.StartMillis)
+		assert.Assert(t, out[0].Rest > 0 && !out[0].Leaving)
+	}
+	clock.Advance(2 * time.Second)
+	assert.Equal(t, len(ts.report(known)), 0)
+	ts.requestEnded(target, attemptResult{sentAt: ts.requestSent(target), answered: true, leaving: true})
+	for range 2 {
+		out := ts.report(known)
+		assert.Assert(t, len(out) == 1 && out[0].Leaving)
+	}
+}
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -85,7 +85,6 @@
 	advisedFailureShare float64 // share of failed requests over all entries, advised by the leader
 	limit               sharedLimit
 	notice              notice
-	noticed             bool // the notice has changed since the last report
 }
 
 // pendingRequest is a request in flight at a target.
@@ -300,11 +299,11 @@
 // recordNotice records what an answer says of its target.
 func (s *targetState) recordNotice(res attemptResult, now timer.Instant) {
 	s.notice = s.notice.WithEnded(res.answered)
-	if res.leaving && !s.notice.Leaving() {
-		s.notice, s.noticed = s.notice.WithLeaving(now), true
+	if res.leaving {
+		s.notice = s.notice.WithLeaving(now)
 	}
 	if res.rest > 0 {
-		s.notice, s.noticed = s.notice.WithRest(res.rest, now), true
+		s.notice = s.notice.WithRest(res.rest, now)
 	}
 }
 
@@ -397,11 +396,12 @@
 	now := ts.clock.Now()
 	for id, s := range ts.byID {
 		s.countOverdue(now)
-		if s.answers > 0 || s.failures > 0 || s.limit.heard || s.noticed {
+		// A notice is repeated while it holds, since a report may be lost.
+		noticed := s.notice.Leaving() || s.notice.RestLeft(now) > 0
+		if s.answers > 0 || s.failures > 0 || s.limit.heard || noticed {
 			tl := instance.TargetLoad{ID: id, Successes: s.answers, ServiceTime: s.totalServiceTime, Failures: s.failures}
-			if s.noticed {
+			if noticed {
 				tl.StartMillis, tl.Leaving, tl.Rest = s.startMillis, s.notice.Leaving(), s.notice.RestLeft(now)
-				s.noticed = false
 			}
 			if s.limit.heard {
 				named := s.limit.named
--- a/internal/instance/deployment_messages.go
+++ b/internal/instance/deployment_messages.go
@@ -96,8 +96,8 @@
 	// second, or 0 if the limit has ended. It is nil if no answer told.
 	RateLimit *float64 `msgpack:"rate_limit,omitempty"`
 	// StartMillis, Leaving and Rest tell what the target said of itself: that it is
-	// leaving, and for how long it wants no requests. StartMillis is 0 if it said nothing
-	// new.
+	// leaving, and for how long it wants no requests. StartMillis is 0 if it said
+	// neither.
 	StartMillis int64         `msgpack:"born,omitempty"`
 	Leaving     bool          `msgpack:"leaving,omitempty"`
 	Rest        time.Duration `msgpack:"rest,omitempty"`
