Collect changes of the view for longer the more targets there are

While targets announce themselves, each of several hundred commits a second woke the stream of each entry, which sent an update every 5 ms.

Change: 20 us more for each target, so 17 ms at 600 targets and 65 ms at 3,000, below the ping period.

--- a/internal/view/publish.go
+++ b/internal/view/publish.go
@@ -23,10 +23,18 @@
 const (
 	// pingPeriod is the longest time between two updates of a stream.
 	pingPeriod = 250 * time.Millisecond
-	// batchDelay is the time for which changes are collected into one update.
-	batchDelay = 5 * time.Millisecond
+	// Changes are collected into one update for minBatchDelay, and for batchDelayPerTarget
+	// more for each target: they come in proportion to the number of targets, and each
+	// update is sent to every entry.
+	minBatchDelay       = 5 * time.Millisecond
+	batchDelayPerTarget = 20 * time.Microsecond
 )
 
+// batchDelay returns the time for which changes are collected into one update.
+func batchDelay(targets int) time.Duration {
+	return min(minBatchDelay+time.Duration(targets)*batchDelayPerTarget, pingPeriod)
+}
+
 // Publisher publishes a replica's state to entries. Its methods are safe for concurrent
 // use.
 type Publisher struct {
@@ -103,8 +111,8 @@
 			return true
 		case <-changed:
 		}
-		if src.State().Version() != version {
-			return timer.Sleep(ctx, batchDelay)
+		if state := src.State(); state.Version() != version {
+			return timer.Sleep(ctx, batchDelay(len(state.Targets())))
 		}
 		changed = src.Changed()
 	}
