Commit one announcement of a target at a time

Each sends it again, with a higher sequence, to another control instance, and each repeat was one more command to commit and apply: the work grew with the time that it took.

Change: the leader commits one announcement of an incarnation at a time, and 64 in all; repeats wait for it and then count as heartbeats.

Test: TestAnnouncementsAreCommittedOnce, 300 targets with five repeats each: fewer than two commits a target, at most 64 at a time. The structure is new, so that there is no failing run of the same test before. TestEndToEnd passes.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -34,6 +34,7 @@
 	publisher      *view.Publisher
 	heartbeatBatch heartbeatBatch
 	collector      reportCollector
+	announcing     *announcing
 	openReplica    atomic.Pointer[openReplica]
 	fs             disk.FS // nil for the operating system's file system
 	seeds          atomic.Pointer[[]string]
@@ -275,6 +276,14 @@
 		}
 		c.log.Info("target withdrew", "target", t.ID, "service", old.Service, "address", old.Address)
 	case !known || changesTarget(t, old):
+		end, err := c.announcing.begin(ctx, incarnation)
+		if err != nil {
+			return nil, err
+		}
+		if end == nil {
+			return c.AnnounceTarget(ctx, req)
+		}
+		defer end()
 		if _, err := c.propose(ctx, deployment.Command{Announce: &t}); err != nil {
 			return nil, err
 		}
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -33,7 +33,7 @@
 // disk, so the replica is reopened and reads its state from disk again. Until then
 // calls go to the other replicas.
 func startControl(ctx context.Context, cfg settings.Routed, targets leader.Targets, pool *instance.Pool, clock timer.Clock, logger *log.Logger) (*Control, func(), error) {
-	c := &Control{cfg: cfg, targets: targets, pool: pool, clock: clock, log: logger}
+	c := &Control{cfg: cfg, targets: targets, pool: pool, clock: clock, log: logger, announcing: newAnnouncing()}
 	c.publisher = view.NewPublisher(c, clock)
 	stop, err := c.start(ctx)
 	return c, stop, err
