Advise entries of draining targets beside the view

Change: the leader's advice lists targets that began to drain or left within the last 6 s. It comes with each report, mostly from another control instance than the view. Entries treat them as targets that said that they are leaving.

Tests: TestAdvisedLeavingTarget (an entry whose view calls the target live), TestDrainingTargetsAreAdvised. Both need the new field, so that there is no failing run of them before.

--- a/internal/forward/notice_entry_test.go
+++ b/internal/forward/notice_entry_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/internal/instance"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
@@ -163,3 +164,25 @@
 		assert.Assert(t, len(out) == 1 && out[0].Leaving)
 	}
 }
+
+// TestAdvisedLeavingTarget checks that a target which the leader advises to be leaving gets
+// no new requests, although the entry's view is older and lists it as live.
+func TestAdvisedLeavingTarget(t *testing.T) {
+	e := startEntry(t, nil, respondOK("x"), respondOK("x"))
+	advise := func(startMillis int64) {
+		e.server.adopt(1, &instance.ReportResponse{Entries: 1, Leaving: []deployment.Incarnation{{ID: "t0", StartMillis: startMillis}}})
+	}
+	advise(99) // another incarnation
+	status, _ := e.statusOf("/keyed/first")
+	assert.Equal(t, status, http.StatusOK)
+	advise(1)
+	for n := range 5 {
+		status, _ = e.statusOf(fmt.Sprintf("/look/%d", n))
+		assert.Equal(t, status, http.StatusOK)
+	}
+	assert.Equal(t, e.receivedBy("t0"), 1)
+	time.Sleep(testDrain)
+	status, _ = e.statusOf("/keyed/last")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, e.receivedBy("t0"), 1)
+}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -336,6 +336,7 @@
 	}
 	s.advice.Store(a)
 	s.targets.setFailureShares(a.Failing)
+	s.targets.setLeaving(a.Leaving, s.cfg.View.View().Target)
 	if a.LimitsKnown {
 		s.targets.setLimits(a.Limits, s.cfg.View.View().Target, s.partOf)
 	}
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -315,6 +315,19 @@
 	return ts.state(t).notice.MaySendToOwner(ts.clock.Now(), drain)
 }
 
+// setLeaving records the targets that the leader advises to be leaving, as if they had said
+// so. Those that the view knows under another incarnation are left out.
+func (ts *targetStates) setLeaving(list []deployment.Incarnation, target func(id string) (deployment.Target, bool)) {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	for _, incarnation := range list {
+		if t, ok := target(incarnation.ID); ok && t.StartMillis == incarnation.StartMillis {
+			s := ts.state(t)
+			s.notice = s.notice.WithLeaving(ts.clock.Now())
+		}
+	}
+}
+
 // mayStillSend reports whether a request that was allowed before may be sent now.
 func (ts *targetStates) mayStillSend(t deployment.Target, drain time.Duration) bool {
 	ts.mu.Lock()
--- a/internal/instance/deployment_messages.go
+++ b/internal/instance/deployment_messages.go
@@ -108,7 +108,10 @@
 	Entries   int             `msgpack:"entries"` // number of entries that report; 0 if not known yet
 	Overloads []Overload      `msgpack:"overloads"`
 	Failing   []FailingTarget `msgpack:"failing"` // worst first
-	Limits    []TargetLimit   `msgpack:"limits"`
+	// Leaving lists the targets that began to drain or left not long ago. They are in the
+	// view as well, which may come late over a full link.
+	Leaving []deployment.Incarnation `msgpack:"leaving,omitempty"`
+	Limits  []TargetLimit            `msgpack:"limits"`
 	// LimitsKnown reports that Limits and Parts are complete. A new leader first has to
 	// hear from all entries.
 	LimitsKnown bool `msgpack:"limits_known"`
--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -10,6 +10,9 @@
 const (
 	// entryExpiry is the time without a report after which an entry isn't counted.
 	entryExpiry = 3 * time.Second
+	// leavingAdviceTime is the time for which entries are advised of a target that leaves.
+	// By then they have the view, or the target has ended.
+	leavingAdviceTime = 6 * time.Second
 	// entryCountDelay is the time after which a new leader has heard from all entries.
 	entryCountDelay = time.Second
 	// maxAdmittedUtilization is the utilization of a target up to which entries
@@ -34,7 +37,7 @@
 			delete(m.lastReports, name)
 		}
 	}
-	advice := instance.ReportResponse{Failing: m.failing()}
+	advice := instance.ReportResponse{Failing: m.failing(), Leaving: m.leaving()}
 	if m.now.Sub(m.leadingSince) > entryCountDelay {
 		advice.Entries = len(m.lastReports)
 	}
@@ -49,6 +52,27 @@
 	return []Effect{Advise{Advice: advice, Parts: parts}}
 }
 
+// leaving returns the targets that began to drain or left within leavingAdviceTime.
+func (m *Model) leaving() []deployment.Incarnation {
+	var out []deployment.Incarnation
+	for _, t := range m.state.Targets() {
+		incarnation := incarnationOf(t)
+		if t.Usable() {
+			delete(m.drainingSince, incarnation)
+			continue
+		}
+		since, ok := m.drainingSince[incarnation]
+		if !ok {
+			since = m.now
+			m.drainingSince[incarnation] = since
+		}
+		if m.now.Sub(since) < leavingAdviceTime {
+			out = append(out, incarnation)
+		}
+	}
+	return out
+}
+
 // overloads returns the share of requests that an overloaded target can serve, for
 // each of its ranges. If one key causes most of the load and the target can serve
 // all others, only that key is limited.
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -51,6 +51,7 @@
 	limits           map[deployment.Incarnation]namedLimit
 	entryLoads       map[string]*entryLoad // by entry
 	notices          map[deployment.Incarnation]*targetNotice
+	drainingSince    map[deployment.Incarnation]timer.Instant // when this leader first saw that a target drains or has left
 }
 
 // serviceArrivals records when targets of a service arrived before its keys were first
@@ -188,6 +189,7 @@
 		health:         make(map[deployment.Incarnation]health),
 		limits:         make(map[deployment.Incarnation]namedLimit),
 		entryLoads:     make(map[string]*entryLoad),
+		drainingSince:  make(map[deployment.Incarnation]timer.Instant),
 		notices:        make(map[deployment.Incarnation]*targetNotice),
 	}
 }
@@ -483,6 +485,7 @@
 	}
 	for _, incarnation := range forget {
 		delete(m.leftAt, incarnation)
+		delete(m.drainingSince, incarnation)
 		delete(m.lastHeartbeat, incarnation)
 	}
 	return m.propose(deployment.Command{Forget: forget}, "left long ago")
--- a/internal/leader/notices_test.go
+++ b/internal/leader/notices_test.go
@@ -68,3 +68,19 @@
 	}
 	assert.Assert(t, utilization() < 1)
 }
+
+// TestDrainingTargetsAreAdvised checks that entries hear of a draining target with the
+// advice, and not for ever.
+func TestDrainingTargetsAreAdvised(t *testing.T) {
+	s := newSim(t)
+	s.announce(1, nil)
+	s.announce(2, nil)
+	s.settle(1, 2)
+	assert.Equal(t, len(s.advice.Leaving), 0)
+	s.announce(1, func(x *deployment.Target) { x.Status, x.Sequence = deployment.Draining, 9 })
+	s.tick(time.Second)
+	assert.DeepEqual(t, s.advice.Leaving, []deployment.Incarnation{incarnation(1)})
+	s.tick(leavingAdviceTime)
+	s.tick(time.Second)
+	assert.Equal(t, len(s.advice.Leaving), 0)
+}
