--- /dev/null
+++ b/internal/fleet/targets.go
@@ -0,0 +1,129 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/internal/instance"
+	"github.com/cranberrywind/cranberrywind/internal/settings"
+	"github.com/cranberrywind/cranberrywind/pkg/replica"
+)
+
+// Announce handles a target's announcement at any control instance. A target announces
+// itself repeatedly; each announcement counts as a heartbeat. Announce returns once any
+// change in it is committed. A heartbeat without a change is added to the next batch
+// for the leader.
+func (c *Control) Announce(ctx context.Context, t deployment.Target) error {
+	old, known := c.State().Target(t.ID)
+	if known && c.Current() && !changesTarget(t, old) {
+		if t.StartMillis == old.StartMillis && t.Sequence > old.Sequence && old.Status != deployment.Left {
+			c.heartbeatBatch.add(deployment.Incarnation{ID: t.ID, StartMillis: t.StartMillis})
+		}
+		return nil
+	}
+	_, err := callLeader[instance.AnnounceTargetRequest, instance.AnnounceTargetResponse](ctx, c, "Announced", &instance.AnnounceTargetRequest{Target: t}, c.AnnounceTarget)
+	return err
+}
+
+// heartbeatTimeout limits a heartbeat of a target that is granted keys in the response:
+// targets wait for a second, and then send it elsewhere.
+const heartbeatTimeout = 600 * time.Millisecond
+
+// AnnounceWithKeys is like Announce for a target that reports its keys. It returns the
+// keys that the target is to hold, or nil to renew nothing, if the deployment grants keys
+// in the responses to heartbeats.
+func (c *Control) AnnounceWithKeys(ctx context.Context, t deployment.Target, keys deployment.KeyReport) (*deployment.KeyLeases, error) {
+	if _, keyed := c.State().Table(t.Service); !keyed || c.cfg.Grants != settings.GrantByHeartbeat {
+		return nil, c.Announce(ctx, t)
+	}
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	req := &instance.KeyHeartbeatRequest{Target: t, Keys: keys}
+	res, err := callLeader[instance.KeyHeartbeatRequest, instance.KeyHeartbeatResponse](ctx, c, "KeyHeartbeat", req, c.KeyHeartbeat)
+	if err != nil {
+		return nil, err
+	}
+	return res.Leases, nil
+}
+
+// KeyHeartbeat handles a heartbeat of a target that is granted keys in the response. Only
+// the leader accepts the call; AnnounceWithKeys makes it.
+func (c *Control) KeyHeartbeat(ctx context.Context, req *instance.KeyHeartbeatRequest) (*instance.KeyHeartbeatResponse, error) {
+	if _, err := c.AnnounceTarget(ctx, &instance.AnnounceTargetRequest{Target: req.Target}); err != nil {
+		return nil, err
+	}
+	incarnation := deployment.Incarnation{ID: req.Target.ID, StartMillis: req.Target.StartMillis}
+	leases, err := c.lastReplica().leader.KeyHeartbeat(ctx, incarnation, req.Target.Sequence, req.Keys)
+	if errors.Is(err, replica.ErrNotLeader) {
+		return nil, c.notLeaderError()
+	}
+	return &instance.KeyHeartbeatResponse{Leases: leases}, err
+}
+
+// Withdraw sends a target's withdrawal to the leader. It may be called at any control
+// instance. A startMillis of 0 withdraws the incarnation that is known.
+func (c *Control) Withdraw(ctx context.Context, id string, startMillis int64) error {
+	req := &instance.AnnounceTargetRequest{Target: deployment.Target{ID: id, StartMillis: startMillis}, Withdraw: true}
+	_, err := callLeader[instance.AnnounceTargetRequest, instance.AnnounceTargetResponse](ctx, c, "Announced", req, c.AnnounceTarget)
+	return err
+}
+
+// AnnounceTarget handles a target's announcement or withdrawal. Only the leader accepts
+// the call; Announce and Withdraw make it. Only changes are committed. A heartbeat
+// without a change is recorded by the leader in memory.
+func (c *Control) AnnounceTarget(ctx context.Context, req *instance.AnnounceTargetRequest) (*instance.AnnounceTargetResponse, error) {
+	if !c.isLeader() {
+		return nil, c.notLeaderError()
+	}
+	t := req.Target
+	incarnation := deployment.Incarnation{ID: t.ID, StartMillis: t.StartMillis}
+	old, known := c.lastReplica().group.State().State.Target(t.ID)
+	switch {
+	case req.Withdraw:
+		if !known || old.Status == deployment.Left {
+			break
+		}
+		if incarnation.StartMillis == 0 {
+			incarnation.StartMillis = old.StartMillis
+		}
+		if _, err := c.propose(ctx, deployment.Command{Withdraw: &incarnation}); err != nil {
+			return nil, err
+		}
+		c.log.Info("target withdrew", "target", t.ID, "service", old.Service, "address", old.Address)
+	case !known || changesTarget(t, old):
+		end, err := c.announcing.begin(ctx, incarnation)
+		if err != nil {
+			return nil, err
+		}
+		if end == nil {
+			return c.AnnounceTarget(ctx, req)
+		}
+		defer end()
+		if _, err := c.propose(ctx, deployment.Command{Announce: &t}); err != nil {
+			return nil, err
+		}
+		now, _ := c.lastReplica().group.State().State.Target(t.ID)
+		c.log.Info("target announced", "target", t.ID, "born", t.StartMillis, "service", t.Service, "address", t.Address,
+			"status", t.Status, "sequence", t.Sequence, "taken", now.StartMillis == t.StartMillis && now.Sequence == t.Sequence)
+		c.lastReplica().leader.HeartbeatReceived(incarnation)
+	case t.Sequence > old.Sequence && old.Status != deployment.Left:
+		c.lastReplica().leader.HeartbeatReceived(incarnation)
+	}
+	return &instance.AnnounceTargetResponse{}, nil
+}
+
+// changesTarget reports whether the announcement t must be committed, given the target's
+// record old: it is of a later incarnation, or the target has not left and it is newer
+// and has another status, address, service or number of slots. A change of other fields
+// alone is not recorded.
+func changesTarget(t, old deployment.Target) bool {
+	if t.StartMillis != old.StartMillis {
+		return t.StartMillis > old.StartMillis
+	}
+	if old.Status == deployment.Left || t.Sequence <= old.Sequence {
+		return false
+	}
+	return t.Status != old.Status || t.Address != old.Address || t.Service != old.Service || t.Slots != old.Slots
+}
