Pass a batch of heartbeats to the leader's loop as one event

At 3,000 targets the control instances pass about 3,450 heartbeats a second to the leader, and each was an event of its own in a queue of 1,024, dropped when that was full. A dropped heartbeat makes its target silent after 2.5 s, which is one command, and its next heartbeat is another: work that grows as the leader falls behind.

Change: one event a batch, and the call waits for room. TestHeartbeatsInBatches.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -237,9 +237,7 @@
 	if !c.isLeader() {
 		return nil, c.notLeaderError()
 	}
-	for _, incarnation := range req.Incarnations {
-		c.lastReplica().leader.HeartbeatReceived(incarnation)
-	}
+	c.lastReplica().leader.HeartbeatsReceived(req.Incarnations)
 	return &instance.Empty{}, nil
 }
 
--- a/internal/leader/events.go
+++ b/internal/leader/events.go
@@ -100,6 +100,12 @@
 	Incarnation deployment.Incarnation
 }
 
+// HeartbeatsReceived reports heartbeats of several targets.
+type HeartbeatsReceived struct {
+	At           timer.Instant
+	Incarnations []deployment.Incarnation
+}
+
 // KeyHeartbeatReceived reports a heartbeat of a target that is granted keys in the
 // answer.
 type KeyHeartbeatReceived struct {
@@ -137,6 +143,7 @@
 type ProposeEnded struct{ Err error }
 
 func (LeadershipTaken) isEvent()      {}
+func (HeartbeatsReceived) isEvent()   {}
 func (KeyHeartbeatReceived) isEvent() {}
 func (LeadershipLost) isEvent()       {}
 func (Ticked) isEvent()               {}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -90,6 +90,14 @@
 	l.loop.TrySend(HeartbeatReceived{At: l.clock.Now(), Incarnation: incarnation})
 }
 
+// HeartbeatsReceived records heartbeats of several targets. It waits while the model has
+// much to do: heartbeats that are dropped would make their targets silent, and then each of
+// them is a command.
+func (l *Leader) HeartbeatsReceived(incarnations []deployment.Incarnation) {
+	// An error means that the instance is stopping.
+	_ = l.loop.Send(HeartbeatsReceived{At: l.clock.Now(), Incarnations: incarnations})
+}
+
 // KeyHeartbeat handles a heartbeat of a target that is granted keys in the answer. It
 // returns nil leases if the heartbeat renews nothing, and replica.ErrNotLeader if this
 // instance may have been replaced as the leader meanwhile: a later leader may have given
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -118,6 +118,10 @@
 		m.leading = false
 	case HeartbeatReceived:
 		m.lastHeartbeat[e.Incarnation] = e.At
+	case HeartbeatsReceived:
+		for _, incarnation := range e.Incarnations {
+			m.lastHeartbeat[incarnation] = e.At
+		}
 	case Reported:
 		m.handleReport(e)
 	case GrantEnded:
--- a/internal/leader/scale_test.go
+++ b/internal/leader/scale_test.go
@@ -224,3 +224,22 @@
 		})
 	}
 }
+
+// TestHeartbeatsInBatches checks that targets whose heartbeats come in one event for all of
+// them, as from another control instance, stay live and keep their keys.
+func TestHeartbeatsInBatches(t *testing.T) {
+	s := newSim(t)
+	var all []deployment.Incarnation
+	for n := range 3 * manyTargets {
+		s.announce(n, func(x *deployment.Target) { x.Address = fmt.Sprintf("10.%d.%d.1:80", n/250, n%250) })
+		all = append(all, incarnation(n))
+	}
+	for range 100 {
+		s.send(HeartbeatsReceived{At: s.now, Incarnations: all})
+		s.answer(s.tick(100 * time.Millisecond))
+	}
+	s.assertOwned()
+	for _, x := range s.state.Targets() {
+		assert.Equal(t, x.Status, deployment.Live)
+	}
+}
