Log and count when an entry can't reach any target

The entry now checks its path: failures at two targets within a second, without an answer, make it connect to three live targets. It logs when none of them can be reached and when half of them can again, and has gauges for both. A check starts at most once a second while the path works, so that failing targets don't cost many connections. Routing is unchanged.

TestPathToTargets.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -146,6 +146,8 @@
 		i.metrics.addGauge("caller_connections", func() any { return i.entry.Connections() })
 		i.metrics.addGauge("retry_budgets", func() any { return i.entry.RetryBudgets() })
 		i.metrics.addGauge("invalid_retry_after", func() any { return i.entry.InvalidRests() })
+		i.metrics.addGauge("path_to_targets_lost", func() any { return i.entry.PathLost() })
+		i.metrics.addGauge("path_to_targets_losses", func() any { return i.entry.PathLosses() })
 		i.metrics.addGauge("rate_limits", func() any { return i.entry.RateLimits() })
 	}
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -153,6 +153,9 @@
 		sentAt: c.sentAt,
 	}
 	s.targets.requestEnded(t, res)
+	if res.failed && (errors.Is(err, targethttp.ErrNoConnection) || errors.Is(err, targethttp.ErrTimeout)) {
+		s.path.RecordFailure(t.ID)
+	}
 	c.reason = fmt.Sprintf("target %s: %v", t.ID, err)
 	if disconnected {
 		c.reason = "caller disconnected; " + c.reason
--- /dev/null
+++ b/internal/forward/path.go
@@ -0,0 +1,215 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
+)
+
+const (
+	// suspicionWindow is the time within which failures at several targets make an entry
+	// check its own path to targets.
+	suspicionWindow = time.Second
+	// suspiciousTargets is the number of targets that have to fail within it.
+	suspiciousTargets = 2
+	// minCheckInterval is the least time between two checks while the path is thought to
+	// work. Failures of targets themselves must not make entries open many connections.
+	minCheckInterval = time.Second
+	// lostCheckInterval is the time between two checks while the path is lost.
+	lostCheckInterval = 250 * time.Millisecond
+	// checkedTargets is the number of targets that a check connects to.
+	checkedTargets = 3
+	// checkTimeout bounds the time for connecting to them.
+	checkTimeout = 500 * time.Millisecond
+)
+
+// pathMonitor tells whether this entry can open connections to targets. An entry that is
+// partitioned from all of them must not take that for their failure. Its methods are safe
+// for concurrent use.
+type pathMonitor struct {
+	ctx     context.Context
+	clock   timer.Clock
+	log     *log.Logger
+	targets func() []deployment.Target // that should be reachable; shared, must not be changed
+	dial    func(ctx context.Context, address string) error
+
+	mu        sync.Mutex
+	failed    map[string]timer.Instant // last failures without an answer, by target ID
+	checkedAt timer.Instant
+	checking  chan struct{} // closed when the check that is running ends; nil for none
+	lost      bool
+	lostSince timer.Instant
+	losses    uint64
+}
+
+// newPathMonitor returns a monitor that checks the path to targets until ctx ends.
+func newPathMonitor(ctx context.Context, clock timer.Clock, logger *log.Logger, targets func() []deployment.Target) *pathMonitor {
+	return &pathMonitor{
+		ctx:       ctx,
+		clock:     clock,
+		log:       logger,
+		targets:   targets,
+		dial:      dialTarget,
+		failed:    make(map[string]timer.Instant),
+		checkedAt: clock.Now().Add(-minCheckInterval),
+	}
+}
+
+func dialTarget(ctx context.Context, address string) error {
+	d := net.Dialer{KeepAlive: -1}
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
+// Lost reports whether no connection to a target could be opened at the last check.
+func (p *pathMonitor) Lost() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lost
+}
+
+// Losses returns how often the path was lost.
+func (p *pathMonitor) Losses() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.losses
+}
+
+// RecordFailure records that a target gave no answer. Failures of several targets start a
+// check.
+func (p *pathMonitor) RecordFailure(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	p.failed[target] = now
+	recent := 0
+	for id, at := range p.failed {
+		if now.Sub(at) > suspicionWindow {
+			delete(p.failed, id)
+			continue
+		}
+		recent++
+	}
+	if p.lost || p.checking != nil || recent < min(suspiciousTargets, len(p.targets())) || now.Sub(p.checkedAt) < minCheckInterval {
+		return
+	}
+	p.startCheck()
+}
+
+// startCheck starts a check. It is called with mu held.
+func (p *pathMonitor) startCheck() {
+	done := make(chan struct{})
+	p.checking, p.checkedAt = done, p.clock.Now()
+	go func() {
+		lost := p.check()
+		p.mu.Lock()
+		p.checking = nil
+		close(done)
+		p.mu.Unlock()
+		if lost {
+			p.awaitPath()
+		}
+	}()
+}
+
+// Confirm returns whether the path is lost, after a check of its own or the one that is
+// running.
+func (p *pathMonitor) Confirm() bool {
+	p.mu.Lock()
+	if p.lost {
+		p.mu.Unlock()
+		return true
+	}
+	if p.checking == nil {
+		p.startCheck()
+	}
+	checking := p.checking
+	p.mu.Unlock()
+	select {
+	case <-checking:
+	case <-p.ctx.Done():
+	}
+	return p.Lost()
+}
+
+// awaitPath checks the lost path until it is restored.
+func (p *pathMonitor) awaitPath() {
+	for timer.Sleep(p.ctx, lostCheckInterval) {
+		if !p.check() {
+			return
+		}
+	}
+}
+
+// check connects to a sample of the targets and returns whether the path is lost. It is
+// lost once no connection opens, and restored once half of them do.
+func (p *pathMonitor) check() bool {
+	sample := randomTargets(p.targets(), checkedTargets)
+	opened, err := p.connect(sample)
+	p.mu.Lock()
+	wasLost := p.lost
+	switch {
+	case p.ctx.Err() != nil:
+	case len(sample) == 0 || 2*opened >= len(sample):
+		p.lost = false
+	case opened == 0:
+		p.lost = true
+	}
+	lost, now := p.lost, p.clock.Now()
+	switch {
+	case lost && !wasLost:
+		p.lostSince = now
+		p.losses++
+	case !lost && wasLost:
+		clear(p.failed)
+	}
+	since := p.lostSince
+	p.mu.Unlock()
+	if lost == wasLost {
+		return lost
+	}
+	if lost {
+		p.log.Warn("no target can be reached from this instance", "tried", len(sample), "error", err)
+	} else {
+		p.log.Info("targets can be reached again", "lost_ms", now.Sub(since).Milliseconds())
+	}
+	return lost
+}
+
+// randomTargets returns up to n of the targets.
+func randomTargets(list []deployment.Target, n int) []deployment.Target {
+	out := make([]deployment.Target, 0, n)
+	for _, i := range rand.Perm(len(list))[:min(len(list), n)] {
+		out = append(out, list[i])
+	}
+	return out
+}
+
+// connect returns the number of targets to which a connection opens, and the error of one
+// to which none does.
+func (p *pathMonitor) connect(targets []deployment.Target) (opened int, err error) {
+	ctx, cancel := context.WithTimeout(p.ctx, checkTimeout)
+	defer cancel()
+	results := make(chan error, len(targets))
+	for _, t := range targets {
+		go func() { results <- p.dial(ctx, t.Address) }()
+	}
+	for range targets {
+		if dialErr := <-results; dialErr != nil {
+			err = dialErr
+			continue
+		}
+		opened++
+	}
+	return opened, err
+}
--- /dev/null
+++ b/internal/forward/path_test.go
@@ -0,0 +1,119 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
+)
+
+// fakeNetwork connects to some addresses and counts the attempts.
+type fakeNetwork struct {
+	mu        sync.Mutex
+	reachable map[string]bool
+	dials     int
+}
+
+func (n *fakeNetwork) dial(_ context.Context, address string) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dials++
+	if !n.reachable[address] {
+		return errors.New("no route")
+	}
+	return nil
+}
+
+func (n *fakeNetwork) set(reachable bool, addresses ...string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, a := range addresses {
+		n.reachable[a] = reachable
+	}
+}
+
+func (n *fakeNetwork) dialCount() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dials
+}
+
+// testTargets returns n live targets and their addresses.
+func testTargets(n int) (targets []deployment.Target, addresses []string) {
+	for i := range n {
+		id := fmt.Sprintf("t%d", i)
+		targets = append(targets, deployment.Target{ID: id, Address: id, Status: deployment.Live})
+		addresses = append(addresses, id)
+	}
+	return targets, addresses
+}
+
+// startPathMonitor starts a monitor of n targets that can be reached, and a failure at two
+// of them is recorded by fail.
+func startPathMonitor(t *testing.T, n int) (p *pathMonitor, network *fakeNetwork, fail func()) {
+	targets, addresses := testTargets(n)
+	network = &fakeNetwork{reachable: make(map[string]bool)}
+	network.set(true, addresses...)
+	p = newPathMonitor(t.Context(), timer.NewSystem(t.Context()), log.New(io.Discard), func() []deployment.Target { return targets })
+	p.dial = network.dial
+	return p, network, func() {
+		p.RecordFailure("t0")
+		p.RecordFailure("t1")
+	}
+}
+
+func awaitLost(t *testing.T, p *pathMonitor, want bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if p.Lost() == want {
+			return poll.Success()
+		}
+		return poll.Continue("lost is %v", !want)
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(5*time.Second))
+}
+
+func TestPathToTargets(t *testing.T) {
+	t.Run("is lost while no target can be reached", func(t *testing.T) {
+		p, network, fail := startPathMonitor(t, 20)
+		_, addresses := testTargets(20)
+		network.set(false, addresses...)
+		fail()
+		awaitLost(t, p, true)
+		network.set(true, addresses...)
+		awaitLost(t, p, false)
+		assert.Equal(t, p.Losses(), uint64(1))
+	})
+	t.Run("is not lost when some targets fail", func(t *testing.T) {
+		p, network, _ := startPathMonitor(t, 20)
+		network.set(false, "t0", "t1")
+		assert.Assert(t, !p.Confirm())
+	})
+	t.Run("is checked at most once in each interval", func(t *testing.T) {
+		p, network, fail := startPathMonitor(t, 20)
+		for range 100 {
+			fail()
+		}
+		assert.Assert(t, !p.Confirm())
+		assert.Assert(t, network.dialCount() <= 2*checkedTargets, "%d connections", network.dialCount())
+	})
+	t.Run("is lost with the only target", func(t *testing.T) {
+		p, network, _ := startPathMonitor(t, 1)
+		network.set(false, "t0")
+		p.RecordFailure("t0")
+		awaitLost(t, p, true)
+	})
+	t.Run("is not lost without targets", func(t *testing.T) {
+		p, _, _ := startPathMonitor(t, 0)
+		assert.Assert(t, !p.Confirm())
+	})
+}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -61,6 +61,7 @@
 	split     *splitter
 	keys      *keyCounts
 	crashes   *crashRecorder
+	path      *pathMonitor
 	advice    atomic.Pointer[instance.ReportResponse]
 	adviceMu  sync.Mutex
 	advisedBy uint64 // number of the report that the advice answers
@@ -93,6 +94,7 @@
 		conns:        make(map[*callerConn]bool),
 		retryBudgets: make(map[string]limit.Budget),
 	}
+	s.path = newPathMonitor(ctx, cfg.Clock, cfg.Log, func() []deployment.Target { return cfg.View.View().Live() })
 	go s.accept(listener)
 	go s.reportLoop(ctx)
 	return s, func() {
@@ -206,6 +208,12 @@
 // InvalidRests returns the number of targets' answers with an invalid Retry-After.
 func (s *Server) InvalidRests() uint64 { return s.invalidRests.Load() }
 
+// PathLost reports whether no target can be reached from this entry.
+func (s *Server) PathLost() bool { return s.path.Lost() }
+
+// PathLosses returns how often no target could be reached any more.
+func (s *Server) PathLosses() uint64 { return s.path.Losses() }
+
 // RateLimits returns the rate limits of targets that are in force, in requests a second
 // of all entries together, by target.
 func (s *Server) RateLimits() map[string]float64 { return s.targets.rateLimits() }
@@ -286,6 +294,9 @@
 			Targets:      s.targets.report(func(id string) bool { _, ok := v.Target(id); return ok }),
 		}
 		last = now
+		for _, id := range s.targets.overdue() {
+			s.path.RecordFailure(id)
+		}
 		if len(req.Keys) > 0 || len(req.Targets) > 0 || len(req.CrashReports) > 0 {
 			if heldUp.Load() {
 				req.Targets = withoutServiceTimes(req.Targets)
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -150,6 +150,20 @@
 	return n
 }
 
+// overdue returns the IDs of the targets with overdue requests.
+func (ts *targetStates) overdue() []string {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	now := ts.clock.Now()
+	var out []string
+	for id, s := range ts.byID {
+		if s.countOverdue(now) > 0 {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // failureShare returns the share of requests that the target is assumed to fail.
 func (s *targetState) failureShare(now timer.Instant) float64 {
 	if s.countOverdue(now) > 0 {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -21,6 +21,7 @@
 
 	targets  map[string]deployment.Target
 	usable   map[string][]deployment.Target // usable targets by service, sorted by ID
+	live     []deployment.Target            // targets that send heartbeats and are not leaving
 	tables   map[string]deployment.KeyTable
 	suspects map[string]bool // by fingerprint; true if blocked
 }
@@ -35,6 +36,10 @@
 // The slice is shared and must not be changed.
 func (v *View) Usable(service string) []deployment.Target { return v.usable[service] }
 
+// Live returns the targets that send heartbeats and are not leaving, in no certain order.
+// The slice is shared and must not be changed.
+func (v *View) Live() []deployment.Target { return v.live }
+
 // RangeOf returns the range of a keyed service that contains the key.
 func (v *View) RangeOf(service string, key deployment.Key) (deployment.Range, bool) {
 	t, ok := v.tables[service]
@@ -61,6 +66,7 @@
 		Control:     v.Control,
 		targets:     v.targets,
 		usable:      v.usable,
+		live:        v.live,
 		tables:      v.tables,
 		suspects:    v.suspects,
 	}
@@ -111,7 +117,11 @@
 	}
 	v.targets = targets
 	v.usable = make(map[string][]deployment.Target)
+	v.live = nil
 	for _, t := range targets {
+		if t.Status == deployment.Live {
+			v.live = append(v.live, t)
+		}
 		if t.Usable() {
 			v.usable[t.Service] = append(v.usable[t.Service], t)
 		}
