Pass requests on to other entries while no target can be reached

What callers saw: at entries that were partitioned from all targets nearly every first try was rejected or ran into its deadline, 1 of 864 served where the other entries served 2,426 of 2,435.

Cause: an entry had one way to a target, its own. Its retries took the same way, its circuit breakers then rejected everything, and it told the balancer that it was ready. It also counted its own partition against targets: failures in its reports, and refused connections as crashes of the targets that had been working on its requests, by which two failed tries of one lookup could block it at all entries.

Change: while an entry finds that it reaches no target, it passes requests on to another entry, once, with what is left of their time and attempts. Entries learn of each other in the leader's advice, eight at a time. A peer with an older configuration, without a path of its own, or that is stopping says so, and another one is asked; without any the entry tries targets as before and is not ready. A booking that may have reached a peer is not sent again. The request counts (keys, retry budget) where it is sent to a target. Failures and crashes are not reported while the path is lost.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -148,6 +148,10 @@
 		i.metrics.addGauge("invalid_retry_after", func() any { return i.entry.InvalidRests() })
 		i.metrics.addGauge("path_to_targets_lost", func() any { return i.entry.PathLost() })
 		i.metrics.addGauge("path_to_targets_losses", func() any { return i.entry.PathLosses() })
+		i.metrics.addGauge("relayed_requests", func() any {
+			sent, taken, rejected := i.entry.RelayedRequests()
+			return map[string]uint64{"sent": sent, "taken": taken, "rejected": rejected}
+		})
 		i.metrics.addGauge("rate_limits", func() any { return i.entry.RateLimits() })
 	}
 }
@@ -220,10 +224,18 @@
 
 		TargetDrain:       i.cfg.TargetDrain,
 		GrantsByHeartbeat: i.cfg.Grants == settings.GrantByHeartbeat,
+		RelayAddress:      i.cfg.RelayAddress,
 		Link:              newLink(i.cfg.LinkMbps),
 	})
 	i.entry = server
 	i.cleanups.Add(stopServer)
+	if i.cfg.RelayAddress != "" {
+		l, err := net.Listen("tcp", i.cfg.RelayAddress)
+		if err != nil {
+			return fmt.Errorf("listen for other entries: %w", err)
+		}
+		server.ServePeers(l)
+	}
 	return i.listenHTTP(i.cfg.BalancerAddress, i.adapter.Balancer(i.ready))
 }
 
@@ -279,6 +291,10 @@
 // known.
 var errNoConfiguration = errors.New("no configuration is known yet")
 
+// errNoTargets is the reason reported to the balancer while neither a target nor another
+// entry can be reached.
+var errNoTargets = errors.New("no target can be reached")
+
 // ready returns nil if the balancer should send new connections to this entry, or the
 // reason why not.
 func (i *Instance) ready() error {
@@ -289,6 +305,8 @@
 		return errStopping
 	case i.follower.View().ConfigIndex == 0:
 		return errNoConfiguration
+	case !i.entry.CanServe():
+		return errNoTargets
 	}
 	return nil
 }
@@ -343,6 +361,7 @@
 		i.control.transferLeadership(ctx)
 	}
 	if i.entry != nil {
+		i.entry.Drain()
 		select {
 		case <-ctx.Done():
 		case <-time.After(i.cfg.Drain):
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -16,11 +16,11 @@
 	reject := func(out response) (*call, *response) { return nil, &out }
 	v := s.cfg.View.View()
 	if v.ConfigIndex == 0 {
-		return reject(unavailableResponse("no configuration is known yet", defaultRetryAfter))
+		return reject(locallyUnavailable("no configuration is known yet", defaultRetryAfter))
 	}
 	route, ok := v.Routes.Find(r.host, r.path)
 	if lag := s.cfg.View.ConfigLag(); lag > s.cfg.MaxConfigLag || lag > 0 && !ok {
-		return reject(unavailableResponse("the configuration was replaced and the newer one has not arrived yet", configRetryAfter))
+		return reject(locallyUnavailable("the configuration was replaced and the newer one has not arrived yet", configRetryAfter))
 	}
 	if !ok {
 		return reject(errorResponse(http.StatusNotFound, "no route for this host and path"))
@@ -40,8 +40,13 @@
 			c.deadline = callerDeadline
 		}
 	}
+	if r.relayed {
+		if reason := s.admitRelayed(c); reason != "" {
+			return reject(locallyUnavailable(reason, defaultRetryAfter))
+		}
+	}
 	if s.mayOutlastShutdown(c.deadline) {
-		return reject(unavailableResponse("the instance is stopping and might cut the request off", defaultRetryAfter))
+		return reject(locallyUnavailable("the instance is stopping and might cut the request off", defaultRetryAfter))
 	}
 	if service.Keyed {
 		key, err := strconv.ParseUint(r.header.Get(s.cfg.Headers.Key), 10, 16)
@@ -49,12 +54,22 @@
 			return reject(errorResponse(http.StatusBadRequest, s.cfg.Headers.Key+" header must be a whole number from 0 to 65535"))
 		}
 		c.key = deployment.Key(key)
-		s.keys.add(name, c.key)
 	}
 	c.fingerprint = fingerprintOf(r)
 	if _, blocked := v.Suspected(c.fingerprint); blocked {
 		return reject(unavailableResponse("targets crashed while running requests of this kind", suspectRetryAfter))
 	}
-	s.creditRetryBudget(name)
 	return c, nil
 }
+
+// count counts a request that this entry sends to targets itself, once.
+func (s *Server) count(c *call) {
+	if c.counted {
+		return
+	}
+	c.counted = true
+	s.creditRetryBudget(c.service.Name)
+	if c.service.Keyed {
+		s.keys.add(c.service.Name, c.key)
+	}
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -172,7 +172,7 @@
 	c.sent++
 	c.mayHaveRun = true
 	if !disconnected && !errors.Is(err, targethttp.ErrTimeout) {
-		go s.crashes.recordIfCrashed(s.ctx, t, c.fingerprint)
+		go s.crashes.recordIfCrashed(s.ctx, t, c.fingerprint, s.path.ReachesOthers)
 	}
 	return nil, !disconnected && ctx.Err() == nil && s.mayRetry(c)
 }
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -45,6 +45,7 @@
 	header    http.Header
 	body      []byte
 	closeConn bool // the caller asked to close the connection
+	relayed   bool // another entry passed it on
 }
 
 // callerConn is one connection of a caller. Pipelined requests run concurrently;
@@ -58,7 +59,8 @@
 	cancel  context.CancelFunc
 	queue   chan chan response
 
-	opened time.Time
+	opened   time.Time
+	fromPeer bool // it is another entry's
 
 	mu       sync.Mutex
 	pending  int  // requests read, without a response yet
@@ -88,7 +90,7 @@
 	return n, err
 }
 
-func (s *Server) serveConn(nc net.Conn) {
+func (s *Server) serveConn(nc net.Conn, fromPeer bool) {
 	ctx, cancel := context.WithCancel(s.ctx)
 	limiter := &byteLimiter{reader: nc}
 	c := &callerConn{
@@ -100,6 +102,8 @@
 		cancel:  cancel,
 		queue:   make(chan chan response, pipelineDepth),
 		opened:  time.Now(),
+
+		fromPeer: fromPeer,
 	}
 	s.track(c)
 	defer s.untrack(c)
@@ -189,6 +193,7 @@
 		host:      hr.Host,
 		header:    hr.Header,
 		closeConn: hr.Close,
+		relayed:   c.fromPeer,
 	}
 	if reason := framingError(hr); reason != "" {
 		return nil, c.reject(http.StatusBadRequest, reason), nil
--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -50,9 +50,9 @@
 }
 
 // recordIfCrashed records a request whose connection broke while the target ran
-// it, if the target now refuses connections. A lost answer alone is no proof of a
-// crash.
-func (r *crashRecorder) recordIfCrashed(ctx context.Context, t deployment.Target, fingerprint string) {
+// it, if the target now refuses connections and others don't. A lost answer alone is no
+// proof of a crash, and refused connections to all targets are this entry's own failure.
+func (r *crashRecorder) recordIfCrashed(ctx context.Context, t deployment.Target, fingerprint string, reachesOthers func(id string) bool) {
 	if !timer.Sleep(ctx, probeWait) {
 		return
 	}
@@ -62,7 +62,7 @@
 		// The target is running. An error on closing the probe doesn't matter.
 		_ = c.Close()
 	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
+	if !errors.Is(err, syscall.ECONNREFUSED) || !reachesOthers(t.ID) {
 		return
 	}
 	r.mu.Lock()
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -103,6 +103,7 @@
 type testEntry struct {
 	t           *testing.T
 	address     string
+	relay       string // address for other entries
 	server      *Server
 	stopControl func()
 	further     chan *instance.ViewUpdate // from the control instance
@@ -168,15 +169,16 @@
 	targetPool, closeTargets := targethttp.NewPool(clock)
 	e.t.Cleanup(closeTargets)
 	quiet := log.New(io.Discard)
-	l := listenLocal(e.t)
+	l, peers := listenLocal(e.t), listenLocal(e.t)
 	follower := view.Follow(ctx, view.FollowerConfig{Name: "entry", Seeds: []string{control}, Pool: pool, Log: quiet})
 	server, stop := Serve(ctx, l, Config{
 		Name: "entry", AvailabilityZone: "a", Headers: testHeaderNames(), View: follower, Pool: targetPool, Clock: clock, Log: quiet, RoutineLog: quiet,
 		Observer: nopObserver{}, Report: func(instance.ReportRequest) *instance.ReportResponse { return nil },
-		RetryRatio: 1, RetrySlack: 10, RetryShare: 1, MaxConfigLag: maxConfigLag, TargetDrain: testDrain, Link: link,
+		RetryRatio: 1, RetrySlack: 10, RetryShare: 1, MaxConfigLag: maxConfigLag, TargetDrain: testDrain, Link: link, RelayAddress: peers.Addr().String(),
 	})
 	e.t.Cleanup(stop)
-	e.server, e.address = server, l.Addr().String()
+	server.ServePeers(peers)
+	e.server, e.address, e.relay = server, l.Addr().String(), peers.Addr().String()
 	for deadline := time.Now().Add(10 * time.Second); follower.View().ConfigIndex == 0; time.Sleep(10 * time.Millisecond) {
 		assert.Assert(e.t, time.Now().Before(deadline), "the entry received no view")
 	}
--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -74,6 +74,13 @@
 	return r
 }
 
+// locallyUnavailable returns unavailableResponse for a request that another entry may serve.
+func locallyUnavailable(reason string, retryAfter time.Duration) response {
+	r := unavailableResponse(reason, retryAfter)
+	r.local = true
+	return r
+}
+
 // call is the state of one request while it is forwarded.
 type call struct {
 	*request
@@ -84,6 +91,8 @@
 	key            deployment.Key
 	excluded       []string      // IDs of targets, or range IDs for a keyed service, that it is not sent to again
 	sent           int           // number of times the request was sent
+	relayedTo      string        // address of the entry to which it was passed on last
+	counted        bool          // it counts as a request that this entry sends to targets
 	failedConnects int           // failed connections to the key's owner
 	errorAnswer    *response     // a target's error answer, returned if no retry brings a better one
 	mayHaveRun     bool          // a target may have run it
@@ -136,7 +145,7 @@
 	}
 	s.log.Info("response broke off while streamed to the caller", append(c.attemptFields(), "request_id", c.id, "caller_left", c.ctx.Err() != nil,
 		"error", err)...)
-	if errors.Is(err, targethttp.ErrIncompleteResponse) && c.ctx.Err() == nil {
+	if errors.Is(err, targethttp.ErrIncompleteResponse) && c.ctx.Err() == nil && c.target.ID != "" {
 		s.targets.recordBrokenAnswer(c.target)
 	}
 }
@@ -149,6 +158,9 @@
 	}
 	out.isHead = r.method == http.MethodHead
 	out.closeConn = out.closeConn || r.closeConn
+	if r.relayed {
+		out = s.finishRelayed(out)
+	}
 	took := time.Since(r.start)
 	service := ""
 	if c != nil {
@@ -163,6 +175,12 @@
 // attempt is allowed or likely to help.
 func (s *Server) sendWithRetries(ctx context.Context, c *call) response {
 	for {
+		if s.mustRelay(c) {
+			if out, ok := s.relay(ctx, c); ok {
+				return *out
+			}
+		}
+		s.count(c)
 		t, rejection := s.chooseTarget(ctx, c)
 		if rejection != nil {
 			return *rejection
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -72,7 +72,7 @@
 // isForwarded reports whether a header is forwarded: neither a hop-by-hop header
 // nor listed in the Connection header.
 func isForwarded(name string, h http.Header) bool {
-	if hopByHopHeaders[name] {
+	if hopByHopHeaders[name] || strings.HasPrefix(name, relayHeaderPrefix) {
 		return false
 	}
 	for _, value := range h["Connection"] {
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -62,6 +62,9 @@
 		"target", c.target.ID, "address", c.target.Address, "target_status", c.target.Status, "attempts", c.sent,
 		"expected_ms", millis(c.expected), "target_ms", millis(c.result.took), "left_ms", time.Until(c.deadline).Milliseconds(),
 	}
+	if c.relayedTo != "" {
+		fields = append(fields, "relayed_to", c.relayedTo)
+	}
 	if c.result.loadKnown {
 		fields = append(fields, "target_running", c.result.load.Running, "target_waiting", c.result.load.Waiting)
 	}
--- a/internal/forward/path.go
+++ b/internal/forward/path.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,24 +40,27 @@
 	log     *log.Logger
 	targets func() []deployment.Target // that should be reachable; shared, must not be changed
 	dial    func(ctx context.Context, address string) error
+	// restored is called after the path was restored.
+	restored func()
 
 	mu        sync.Mutex
 	failed    map[string]timer.Instant // last failures without an answer, by target ID
 	checkedAt timer.Instant
-	checking  chan struct{} // closed when the check that is running ends; nil for none
+	checking  bool
 	lost      bool
 	lostSince timer.Instant
 	losses    uint64
 }
 
 // newPathMonitor returns a monitor that checks the path to targets until ctx ends.
-func newPathMonitor(ctx context.Context, clock timer.Clock, logger *log.Logger, targets func() []deployment.Target) *pathMonitor {
+func newPathMonitor(ctx context.Context, clock timer.Clock, logger *log.Logger, targets func() []deployment.Target, restored func()) *pathMonitor {
 	return &pathMonitor{
 		ctx:       ctx,
 		clock:     clock,
 		log:       logger,
 		targets:   targets,
 		dial:      dialTarget,
+		restored:  restored,
 		failed:    make(map[string]timer.Instant),
 		checkedAt: clock.Now().Add(-minCheckInterval),
 	}
@@ -100,55 +104,29 @@
 		}
 		recent++
 	}
-	if p.lost || p.checking != nil || recent < min(suspiciousTargets, len(p.targets())) || now.Sub(p.checkedAt) < minCheckInterval {
+	if p.lost || p.checking || recent < min(suspiciousTargets, len(p.targets())) || now.Sub(p.checkedAt) < minCheckInterval {
 		return
 	}
-	p.startCheck()
+	p.checking, p.checkedAt = true, now
+	go p.checkUntilRestored()
 }
 
-// startCheck starts a check. It is called with mu held.
-func (p *pathMonitor) startCheck() {
-	done := make(chan struct{})
-	p.checking, p.checkedAt = done, p.clock.Now()
-	go func() {
-		lost := p.check()
-		p.mu.Lock()
-		p.checking = nil
-		close(done)
-		p.mu.Unlock()
-		if lost {
-			p.awaitPath()
-		}
-	}()
+// ReachesOthers reports whether a connection to another target than the given one opens now,
+// or there is no other.
+func (p *pathMonitor) ReachesOthers(id string) bool {
+	others := slices.DeleteFunc(slices.Clone(p.targets()), func(t deployment.Target) bool { return t.ID == id })
+	opened, _ := p.connect(randomTargets(others, checkedTargets))
+	return opened > 0 || len(others) == 0
 }
 
-// Confirm returns whether the path is lost, after a check of its own or the one that is
-// running.
-func (p *pathMonitor) Confirm() bool {
-	p.mu.Lock()
-	if p.lost {
-		p.mu.Unlock()
-		return true
-	}
-	if p.checking == nil {
-		p.startCheck()
-	}
-	checking := p.checking
-	p.mu.Unlock()
-	select {
-	case <-checking:
-	case <-p.ctx.Done():
-	}
-	return p.Lost()
-}
-
-// awaitPath checks the lost path until it is restored.
-func (p *pathMonitor) awaitPath() {
-	for timer.Sleep(p.ctx, lostCheckInterval) {
-		if !p.check() {
-			return
-		}
+// checkUntilRestored checks the path and, while it is lost, checks it again.
+func (p *pathMonitor) checkUntilRestored() {
+	for lost := p.check(); lost && timer.Sleep(p.ctx, lostCheckInterval); {
+		lost = p.check()
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.checking = false
 }
 
 // check connects to a sample of the targets and returns whether the path is lost. It is
@@ -182,6 +160,7 @@
 		p.log.Warn("no target can be reached from this instance", "tried", len(sample), "error", err)
 	} else {
 		p.log.Info("targets can be reached again", "lost_ms", now.Sub(since).Milliseconds())
+		p.restored()
 	}
 	return lost
 }
--- a/internal/forward/path_test.go
+++ b/internal/forward/path_test.go
@@ -64,7 +64,7 @@
 	targets, addresses := testTargets(n)
 	network = &fakeNetwork{reachable: make(map[string]bool)}
 	network.set(true, addresses...)
-	p = newPathMonitor(t.Context(), timer.NewSystem(t.Context()), log.New(io.Discard), func() []deployment.Target { return targets })
+	p = newPathMonitor(t.Context(), timer.NewSystem(t.Context()), log.New(io.Discard), func() []deployment.Target { return targets }, func() {})
 	p.dial = network.dial
 	return p, network, func() {
 		p.RecordFailure("t0")
@@ -96,15 +96,17 @@
 	t.Run("is not lost when some targets fail", func(t *testing.T) {
 		p, network, _ := startPathMonitor(t, 20)
 		network.set(false, "t0", "t1")
-		assert.Assert(t, !p.Confirm())
+		for range 20 {
+			assert.Assert(t, !p.check())
+		}
 	})
 	t.Run("is checked at most once in each interval", func(t *testing.T) {
-		p, network, fail := startPathMonitor(t, 20)
+		_, network, fail := startPathMonitor(t, 20)
 		for range 100 {
 			fail()
 		}
-		assert.Assert(t, !p.Confirm())
-		assert.Assert(t, network.dialCount() <= 2*checkedTargets, "%d connections", network.dialCount())
+		time.Sleep(minCheckInterval / 4) // for checks that should not run
+		assert.Equal(t, network.dialCount(), checkedTargets)
 	})
 	t.Run("is lost with the only target", func(t *testing.T) {
 		p, network, _ := startPathMonitor(t, 1)
@@ -114,6 +116,6 @@
 	})
 	t.Run("is not lost without targets", func(t *testing.T) {
 		p, _, _ := startPathMonitor(t, 0)
-		assert.Assert(t, !p.Confirm())
+		assert.Assert(t, !p.check())
 	})
 }
--- /dev/null
+++ b/internal/forward/relay_test.go
@@ -0,0 +1,213 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/internal/instance"
+)
+
+// startCutEntry starts an entry that reaches no target, with the given other entries.
+func startCutEntry(t *testing.T, others ...*testEntry) *testEntry {
+	e := startEntry(t, nil, respondOK("not through this entry"))
+	e.cut()
+	for _, other := range others {
+		e.server.peers.Advise([]instance.Peer{{Address: other.relay, AvailabilityZone: "a"}})
+	}
+	return e
+}
+
+// cut makes the entry find that it reaches no target. Its own connections still work, so
+// that a request that is not passed on shows.
+func (e *testEntry) cut() {
+	e.server.path.dial = func(context.Context, string) error { return errors.New("no route") }
+	assert.Assert(e.t, e.server.path.check())
+}
+
+// receivedCount returns how many requests targets have received.
+func (e *testEntry) receivedCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.received)
+}
+
+// startClosingPeer listens for entries and closes each connection once a request has come.
+// It returns its address and a function that returns the number of requests.
+func startClosingPeer(t *testing.T) (string, func() int) {
+	l := listenLocal(t)
+	var mu sync.Mutex
+	n := 0
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := c.Read(make([]byte, 1)); err == nil {
+				mu.Lock()
+				n++
+				mu.Unlock()
+			}
+			_ = c.Close()
+		}
+	}()
+	return l.Addr().String(), func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		return n
+	}
+}
+
+func wantResponse(t *testing.T, c *caller, status int, body string) *http.Response {
+	t.Helper()
+	resp, got, err := c.readBody()
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, status, got)
+	if body != "" {
+		assert.Equal(t, got, body)
+	}
+	return resp
+}
+
+func TestRequestsOfCutEntry(t *testing.T) {
+	t.Run("are served through another entry", func(t *testing.T) {
+		var mu sync.Mutex
+		var seen http.Header
+		other := startEntry(t, nil, func(w io.Writer, r *http.Request) {
+			mu.Lock()
+			seen = r.Header
+			mu.Unlock()
+			respondOK("x")(w, r)
+		})
+		e := startCutEntry(t, other)
+		for _, uri := range []string{"/look/1", "/book/2", "/keyed/3"} {
+			resp := wantResponse(t, e.request("GET", uri), http.StatusOK, "x")
+			assert.Equal(t, resp.Header.Get("Signature"), "s")
+			assert.Equal(t, resp.Header.Get(relayConfigHeader), "")
+		}
+		assert.Equal(t, other.receivedCount(), 3)
+		assert.Equal(t, e.receivedCount(), 0)
+		mu.Lock()
+		defer mu.Unlock()
+		for name := range seen {
+			assert.Assert(t, !strings.HasPrefix(name, relayHeaderPrefix), name)
+		}
+	})
+	t.Run("are streamed", func(t *testing.T) {
+		e := startCutEntry(t, startEntry(t, nil, respondOK(largeBody)))
+		wantResponse(t, e.request("GET", "/fetch/x"), http.StatusOK, largeBody)
+	})
+	t.Run("count at the entry that serves them", func(t *testing.T) {
+		other := startEntry(t, nil, respondOK("x"))
+		e := startCutEntry(t, other)
+		wantResponse(t, e.request("GET", "/keyed/1"), http.StatusOK, "x")
+		assert.Equal(t, e.server.RetryBudgets()["shelf"], 0.0)
+		assert.Assert(t, other.server.RetryBudgets()["shelf"] > 0)
+	})
+	t.Run("go to another entry if one can't serve them", func(t *testing.T) {
+		cut, stopping, old := startEntry(t, nil, respondOK("cut")), startEntry(t, nil, respondOK("stopping")), startEntry(t, nil, respondOK("old"))
+		cut.cut()
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		go func() { _ = stopping.server.Shutdown(ctx) }()
+		for !stopping.server.isStopping() {
+			time.Sleep(time.Millisecond)
+		}
+		for _, unable := range []*testEntry{cut, stopping, old} {
+			e := startCutEntry(t, unable)
+			if unable == old {
+				e.server.raisePeerConfig("2")
+			}
+			c := &call{request: &request{ctx: t.Context(), method: "GET", host: "h", uri: "/look/x", header: http.Header{"Request-Id": {"r"}}}, route: &deployment.Route{Attempts: 2}, deadline: time.Now().Add(time.Second), bodyCtx: t.Context(), id: "r"}
+			_, ok := e.server.relay(t.Context(), c)
+			assert.Assert(t, !ok)
+			assert.Assert(t, !c.mayHaveRun)
+			assert.Equal(t, unable.receivedCount(), 0)
+		}
+	})
+}
+
+func TestRequestsThatNoPeerServes(t *testing.T) {
+	t.Run("are sent to targets if no other entry can serve them", func(t *testing.T) {
+		e := startEntry(t, nil, respondOK("x"))
+		e.cut()
+		wantResponse(t, e.request("GET", "/look/x"), http.StatusOK, "x")
+	})
+	t.Run("are not passed on twice", func(t *testing.T) {
+		a, b := startEntry(t, nil, respondOK("a")), startEntry(t, nil, respondOK("b"))
+		a.cut()
+		b.cut()
+		a.server.peers.Advise([]instance.Peer{{Address: b.relay}})
+		b.server.peers.Advise([]instance.Peer{{Address: a.relay}})
+		wantResponse(t, a.request("GET", "/look/x"), http.StatusOK, "a")
+		assert.Equal(t, b.receivedCount(), 0)
+	})
+	t.Run("a booking whose outcome is unknown is not repeated", func(t *testing.T) {
+		address, count := startClosingPeer(t)
+		e := startCutEntry(t, startEntry(t, nil, respondOK("x")))
+		e.server.peers.byAddress = make(map[string]*peer)
+		e.server.peers.Advise([]instance.Peer{{Address: address, AvailabilityZone: "a"}})
+		wantResponse(t, e.request("GET", "/book/x"), http.StatusBadGateway, "")
+		assert.Equal(t, count(), 1)
+		assert.Equal(t, e.receivedCount(), 0)
+	})
+	t.Run("a lookup whose outcome is unknown goes to another entry", func(t *testing.T) {
+		address, count := startClosingPeer(t)
+		other := startEntry(t, nil, respondOK("x"))
+		e := startCutEntry(t)
+		e.server.creditRetryBudget("catalog")
+		e.server.peers.Advise([]instance.Peer{{Address: address, AvailabilityZone: "a"}})
+		c := e.request("GET", "/look/x")
+		for count() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		e.server.peers.Advise([]instance.Peer{{Address: other.relay, AvailabilityZone: "a"}})
+		resp, _, err := c.readBody()
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+	})
+	t.Run("are sent to targets again once these can be reached", func(t *testing.T) {
+		e := startCutEntry(t, startEntry(t, nil, respondOK("other")))
+		e.server.path.dial = func(context.Context, string) error { return nil }
+		assert.Assert(t, !e.server.path.check())
+		wantResponse(t, e.request("GET", "/look/x"), http.StatusOK, "not through this entry")
+	})
+}
+
+// TestRefusedConnectionsOfCutEntryAreNoCrashes checks that an entry which reaches no target
+// doesn't report that one crashed.
+func TestRefusedConnectionsOfCutEntryAreNoCrashes(t *testing.T) {
+	closed := listenLocal(t)
+	assert.NilError(t, closed.Close())
+	r := newCrashRecorder()
+	target := deployment.Target{ID: "t", Address: closed.Addr().String()}
+	r.recordIfCrashed(t.Context(), target, "f", func(string) bool { return false })
+	assert.Equal(t, len(r.take()), 0)
+	r.recordIfCrashed(t.Context(), target, "f", func(string) bool { return true })
+	assert.Equal(t, len(r.take()), 1)
+}
+
+// TestCutEntryReportsNoFailures checks what the leader learns of an entry that reaches no
+// target.
+func TestCutEntryReportsNoFailures(t *testing.T) {
+	e := startEntry(t, nil, respondOK("x"))
+	target, _ := e.server.cfg.View.View().Target("t0")
+	e.server.targets.requestEnded(target, attemptResult{failed: true, sentAt: e.server.targets.requestSent(target)})
+	assert.Equal(t, e.server.report(time.Second).RelayAddress, e.relay)
+	e.server.targets.requestEnded(target, attemptResult{failed: true, sentAt: e.server.targets.requestSent(target)})
+	e.cut()
+	req := e.server.report(time.Second)
+	assert.Equal(t, req.RelayAddress, "")
+	for _, tl := range req.Targets {
+		assert.Equal(t, tl.Failures, uint32(0))
+	}
+}
--- a/internal/forward/request_head.go
+++ b/internal/forward/request_head.go
@@ -20,6 +20,14 @@
 
 // requestHead returns the request line and headers as sent to the target.
 func (s *Server) requestHead(c *call, t deployment.Target, now time.Time) []byte {
+	out := s.callerHead(c, now)
+	out = appendHeader(out, s.cfg.Headers.Target, t.ID)
+	return append(out, "\r\n"...)
+}
+
+// callerHead returns the request line and the headers that come from the caller, with what
+// is left of its deadline.
+func (s *Server) callerHead(c *call, now time.Time) []byte {
 	names := s.cfg.Headers
 	out := make([]byte, 0, 512)
 	out = append(out, c.method...)
@@ -37,11 +45,10 @@
 	}
 	remaining := max(c.deadline.Sub(now)-responseMargin, time.Millisecond)
 	out = appendHeader(out, names.Deadline, strconv.FormatInt(remaining.Milliseconds(), 10))
-	out = appendHeader(out, names.Target, t.ID)
 	if len(c.body) > 0 || c.method == http.MethodPost || c.method == http.MethodPut || c.method == http.MethodPatch {
 		out = appendHeader(out, "Content-Length", strconv.Itoa(len(c.body)))
 	}
-	return append(out, "\r\n"...)
+	return out
 }
 
 func appendHeader(out []byte, name, value string) []byte {
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -22,6 +22,7 @@
 	closeConn bool                   // the connection closes after it
 	abort     bool                   // close the connection without a response
 	isHead    bool                   // answers a HEAD request
+	local     bool                   // rejects a request for a reason of this entry's own
 }
 
 // size returns the length of the body.
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -47,6 +47,9 @@
 	// GrantsByHeartbeat reports that targets learn only at their heartbeats which keys
 	// to hold.
 	GrantsByHeartbeat bool
+	// RelayAddress is where other entries pass requests on to this one, at ServePeers. It
+	// is empty if they can't.
+	RelayAddress string
 	// Link shares the bandwidth of a narrow link among responses. It is nil for a
 	// wide one.
 	Link *limit.Link
@@ -54,23 +57,29 @@
 
 // Server is an entry's HTTP server for callers.
 type Server struct {
-	cfg       Config
-	log       *log.Logger
-	ctx       context.Context
-	targets   *targetStates
-	split     *splitter
-	keys      *keyCounts
-	crashes   *crashRecorder
-	path      *pathMonitor
-	advice    atomic.Pointer[instance.ReportResponse]
-	adviceMu  sync.Mutex
-	advisedBy uint64 // number of the report that the advice answers
+	cfg     Config
+	log     *log.Logger
+	ctx     context.Context
+	targets *targetStates
+	split   *splitter
+	keys    *keyCounts
+	crashes *crashRecorder
+	path    *pathMonitor
+	peers   *peers
+	relays  relayCounts
+	// peerConfig is the log index of the newest configuration by which a peer has served
+	// a request since the path to targets was lost.
+	peerConfig atomic.Uint64
+	advice     atomic.Pointer[instance.ReportResponse]
+	adviceMu   sync.Mutex
+	advisedBy  uint64 // number of the report that the advice answers
 	// invalidRests counts answers with a Retry-After that can't be used.
 	invalidRests atomic.Uint64
 
 	mu           sync.Mutex
 	conns        map[*callerConn]bool
 	retryBudgets map[string]limit.Budget // by service
+	draining     bool                    // a graceful shutdown follows
 	stopping     bool
 	stopBy       time.Time // when a graceful shutdown ends; zero if unknown
 }
@@ -94,8 +103,9 @@
 		conns:        make(map[*callerConn]bool),
 		retryBudgets: make(map[string]limit.Budget),
 	}
-	s.path = newPathMonitor(ctx, cfg.Clock, cfg.Log, func() []deployment.Target { return cfg.View.View().Live() })
-	go s.accept(listener)
+	s.path = newPathMonitor(ctx, cfg.Clock, cfg.Log, func() []deployment.Target { return cfg.View.View().Live() }, s.pathRestored)
+	s.peers = newPeers(cfg.Clock, cfg.RelayAddress, cfg.AvailabilityZone)
+	go s.accept(listener, false)
 	go s.reportLoop(ctx)
 	return s, func() {
 		cancel()
@@ -108,12 +118,12 @@
 // close when the process is out of file descriptors.
 const acceptBackoff = 10 * time.Millisecond
 
-func (s *Server) accept(listener net.Listener) {
+func (s *Server) accept(listener net.Listener, fromPeers bool) {
 	for {
 		conn, err := listener.Accept()
 		switch {
 		case err == nil:
-			go s.serveConn(conn)
+			go s.serveConn(conn, fromPeers)
 		case errors.Is(err, net.ErrClosed):
 			return
 		default:
@@ -147,6 +157,20 @@
 	}
 }
 
+// Drain tells the server that a graceful shutdown follows, so that other entries pass no
+// more requests on to it.
+func (s *Server) Drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+}
+
+func (s *Server) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining || s.stopping
+}
+
 // Shutdown closes idle connections, and the others once their responses are written.
 // It returns when all are closed, or with an error when ctx ends. A new connection may
 // still send one request.
@@ -211,6 +235,15 @@
 // PathLost reports whether no target can be reached from this entry.
 func (s *Server) PathLost() bool { return s.path.Lost() }
 
+// CanServe reports whether this entry reaches a target, or another entry that may.
+func (s *Server) CanServe() bool { return !s.path.Lost() || s.peers.Available() }
+
+// pathRestored forgets what failed while no target could be reached.
+func (s *Server) pathRestored() {
+	s.peerConfig.Store(0)
+	s.targets.closeCircuits()
+}
+
 // PathLosses returns how often no target could be reached any more.
 func (s *Server) PathLosses() uint64 { return s.path.Losses() }
 
@@ -274,6 +307,7 @@
 	ticks, stop := s.cfg.Clock.Subscribe(reportInterval)
 	defer stop()
 	last := s.cfg.Clock.Now()
+	lastSent := last
 	inFlight := make(chan struct{}, maxReportsInFlight)
 	number := uint64(0)
 	var heldUp atomic.Bool // the last report was
@@ -283,39 +317,59 @@
 			return
 		case <-ticks:
 		}
-		v := s.cfg.View.View()
-		now := s.cfg.Clock.Now()
-		req := instance.ReportRequest{
-			Instance:     s.cfg.Name,
-			Interval:     now.Sub(last),
-			Keys:         s.keys.take(),
-			CrashReports: s.crashes.take(),
-			Collect:      s.entryCount() > maxDirectEntries,
-			Targets:      s.targets.report(func(id string) bool { _, ok := v.Target(id); return ok }),
-		}
-		last = now
 		for _, id := range s.targets.overdue() {
 			s.path.RecordFailure(id)
 		}
-		if len(req.Keys) > 0 || len(req.Targets) > 0 || len(req.CrashReports) > 0 {
-			if heldUp.Load() {
-				req.Targets = withoutServiceTimes(req.Targets)
-			}
-			inFlight <- struct{}{}
-			number++
-			go func(number uint64) {
-				defer func() { <-inFlight }()
-				start := s.cfg.Clock.Now()
-				a := s.cfg.Report(req)
-				heldUp.Store(a == nil || s.cfg.Clock.Now().Sub(start) > heldUpReport)
-				if a != nil && !a.NoAdvice {
-					s.adopt(number, a)
-				}
-			}(number)
+		now := s.cfg.Clock.Now()
+		req := s.report(now.Sub(last))
+		last = now
+		idle := len(req.Keys) == 0 && len(req.Targets) == 0 && len(req.CrashReports) == 0
+		if idle && now.Sub(lastSent) < idleReportInterval {
+			continue
+		}
+		lastSent = now
+		if heldUp.Load() {
+			req.Targets = withoutServiceTimes(req.Targets)
 		}
+		inFlight <- struct{}{}
+		number++
+		go func(number uint64) {
+			defer func() { <-inFlight }()
+			start := s.cfg.Clock.Now()
+			a := s.cfg.Report(req)
+			heldUp.Store(a == nil || s.cfg.Clock.Now().Sub(start) > heldUpReport)
+			if a != nil && !a.NoAdvice {
+				s.adopt(number, a)
+			}
+		}(number)
+	}
+}
+
+// report returns the measurements of the interval since the last one.
+func (s *Server) report(interval time.Duration) instance.ReportRequest {
+	v := s.cfg.View.View()
+	req := instance.ReportRequest{
+		Instance:     s.cfg.Name,
+		Zone:         s.cfg.AvailabilityZone,
+		Interval:     interval,
+		Keys:         s.keys.take(),
+		CrashReports: s.crashes.take(),
+		Collect:      s.entryCount() > maxDirectEntries,
+		Targets:      s.targets.report(func(id string) bool { _, ok := v.Target(id); return ok }),
+	}
+	switch {
+	case s.path.Lost():
+		req.Targets = withoutFailures(req.Targets)
+	case !s.isDraining():
+		req.RelayAddress = s.cfg.RelayAddress
 	}
+	return req
 }
 
+// idleReportInterval is the time between two reports of an entry that has nothing to
+// report. They keep it known to the leader, and bring the leader's advice.
+const idleReportInterval = time.Second
+
 // maxReportsInFlight bounds the reports that wait for the leader. One that is held up by a
 // full link does not hold up the next.
 const maxReportsInFlight = 4
@@ -333,6 +387,16 @@
 	return out
 }
 
+// withoutFailures returns the measurements without failures, which say nothing of targets
+// while the entry's own path to all of them is lost.
+func withoutFailures(loads []instance.TargetLoad) []instance.TargetLoad {
+	out := slices.Clone(loads)
+	for i := range out {
+		out[i].Failures = 0
+	}
+	return out
+}
+
 // adopt stores the advice that answers the report with the given number, unless that of a
 // later report has come.
 func (s *Server) adopt(number uint64, a *instance.ReportResponse) {
@@ -346,6 +410,7 @@
 		a.Entries = before.Entries
 	}
 	s.advice.Store(a)
+	s.peers.Advise(a.Peers)
 	s.targets.setFailureShares(a.Failing)
 	s.targets.setLeaving(a.Leaving, s.cfg.View.View().Target)
 	if a.LimitsKnown {
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -384,6 +384,15 @@
 	}
 }
 
+// closeCircuits closes the circuit breakers of all targets.
+func (ts *targetStates) closeCircuits() {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	for _, s := range ts.byID {
+		s.consecutiveFailures, s.openUntil = 0, 0
+	}
+}
+
 // recordBrokenAnswer counts an answer that broke off after its body had begun.
 func (ts *targetStates) recordBrokenAnswer(t deployment.Target) {
 	ts.mu.Lock()
--- a/internal/instance/deployment_messages.go
+++ b/internal/instance/deployment_messages.go
@@ -53,6 +53,7 @@
 // ReportRequest reports to the leader what an entry measured since its last report.
 type ReportRequest struct {
 	Instance string        `msgpack:"instance"`
+	Zone     string        `msgpack:"zone"` // availability zone of the entry
 	Interval time.Duration `msgpack:"span"` // since the last report
 	Keys     []KeyLoad     `msgpack:"keys"`
 	Targets  []TargetLoad  `msgpack:"targets"`
@@ -62,6 +63,9 @@
 	// Collect asks a control instance that is not the leader to pass the report on with
 	// those of other entries.
 	Collect bool `msgpack:"collect,omitempty"`
+	// RelayAddress is where other entries can pass requests on to this one; empty while
+	// they can't.
+	RelayAddress string `msgpack:"relay_address,omitempty"`
 }
 
 // ReportBatchRequest passes reports of several entries on to the leader.
@@ -112,6 +116,9 @@
 	// view as well, which may come late over a full link.
 	Leaving []deployment.Incarnation `msgpack:"leaving,omitempty"`
 	Limits  []TargetLimit            `msgpack:"limits"`
+	// Peers holds some of the entries to which others can pass requests on. All of them
+	// are advised in turn.
+	Peers []Peer `msgpack:"peers,omitempty"`
 	// LimitsKnown reports that Limits and Parts are complete. A new leader first has to
 	// hear from all entries.
 	LimitsKnown bool `msgpack:"limits_known"`
@@ -123,6 +130,12 @@
 	NoAdvice bool `msgpack:"no_advice,omitempty"`
 }
 
+// Peer is an entry to which others can pass requests on.
+type Peer struct {
+	Address          string `msgpack:"address"`
+	AvailabilityZone string `msgpack:"zone"`
+}
+
 // TargetLimit is the rate limit that a target names in its answers. All entries share
 // it.
 type TargetLimit struct {
--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -1,6 +1,8 @@
 package leader
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
@@ -19,6 +21,9 @@
 	// together admit requests. It is above 1 so that the target's queue never
 	// runs empty.
 	maxAdmittedUtilization = 1.3
+	// maxAdvisedPeers bounds the peers that entries are advised of at a time, since advice
+	// is sent to every entry.
+	maxAdvisedPeers = 8
 	// minBusiestKeyShare keeps some requests for a limited key admitted, so that it
 	// is noticed when the target becomes faster.
 	minBusiestKeyShare = 0.05
@@ -35,9 +40,10 @@
 	for name, at := range m.lastReports {
 		if m.now.Sub(at) > entryExpiry {
 			delete(m.lastReports, name)
+			delete(m.peers, name)
 		}
 	}
-	advice := instance.ReportResponse{Failing: m.failing(), Leaving: m.leaving()}
+	advice := instance.ReportResponse{Failing: m.failing(), Leaving: m.leaving(), Peers: m.nextPeers()}
 	if m.now.Sub(m.leadingSince) > entryCountDelay {
 		advice.Entries = len(m.lastReports)
 	}
@@ -52,6 +58,22 @@
 	return []Effect{Advise{Advice: advice, Parts: parts}}
 }
 
+// nextPeers returns the next entries, in the order of their names, that take requests from
+// others.
+func (m *Model) nextPeers() []instance.Peer {
+	names := slices.Sorted(maps.Keys(m.peers))
+	first, found := slices.BinarySearch(names, m.advisedPeer)
+	if found {
+		first++
+	}
+	var out []instance.Peer
+	for i := range min(len(names), maxAdvisedPeers) {
+		m.advisedPeer = names[(first+i)%len(names)]
+		out = append(out, m.peers[m.advisedPeer])
+	}
+	return out
+}
+
 // leaving returns the targets that began to drain or left within leavingAdviceTime.
 func (m *Model) leaving() []deployment.Incarnation {
 	var out []deployment.Incarnation
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/internal/instance"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
@@ -66,6 +67,10 @@
 func (m *Model) handleReport(e Reported) {
 	m.now = max(m.now, e.At)
 	m.lastReports[e.Report.Instance] = e.At
+	delete(m.peers, e.Report.Instance)
+	if address := e.Report.RelayAddress; address != "" {
+		m.peers[e.Report.Instance] = instance.Peer{Address: address, AvailabilityZone: e.Report.Zone}
+	}
 	m.crashReports = append(m.crashReports, e.Report.CrashReports...)
 	load := m.entryLoadOf(e.Report.Instance)
 	slowWeight, fastWeight := rateWeight(e.Report.Interval, slowWindow), rateWeight(e.Report.Interval, fastWindow)
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -8,6 +8,7 @@
 	"errors"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/internal/instance"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
@@ -40,6 +41,8 @@
 	arrivals         map[string]serviceArrivals
 	grantsInFlight   []deployment.RangeRef
 	lastReports      map[string]timer.Instant // by entry
+	peers            map[string]instance.Peer // entries that take requests from others, by entry
+	advisedPeer      string                   // entry whose peer was advised last
 	lastAdvice       timer.Instant
 	crashReports     []deployment.CrashReport // to be committed
 	suspectedSince   map[string]timer.Instant // when a suspect was first seen, by fingerprint
@@ -186,6 +189,7 @@
 		stats:          make(map[string]*serviceStats),
 		arrivals:       make(map[string]serviceArrivals),
 		lastReports:    make(map[string]timer.Instant),
+		peers:          make(map[string]instance.Peer),
 		suspectedSince: make(map[string]timer.Instant),
 		health:         make(map[deployment.Incarnation]health),
 		limits:         make(map[deployment.Incarnation]namedLimit),
