Pass on requests for keys whose owner only other entries reach

What callers saw: at an entry that could not connect to some of the targets, all requests for their keys were rejected until the partition healed.

Change: if no connection to a key's owner opens, and the owner sends heartbeats and is not advised to fail nearly all requests, the request is passed on. A crashed owner costs one pass until the leader has heard of the failures.

TestKeysOfUnreachableOwner.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -151,6 +151,8 @@
 		broken: errors.Is(err, targethttp.ErrIncompleteResponse) && !errors.Is(err, targethttp.ErrTimeout),
 		took:   took,
 		sentAt: c.sentAt,
+
+		noConnection: !disconnected && errors.Is(err, targethttp.ErrNoConnection),
 	}
 	s.targets.requestEnded(t, res)
 	if res.failed && (errors.Is(err, targethttp.ErrNoConnection) || errors.Is(err, targethttp.ErrTimeout)) {
@@ -164,6 +166,7 @@
 	if errors.Is(err, targethttp.ErrNotSent) {
 		if c.service.Keyed {
 			c.failedConnects++
+			c.ownerUnreached = s.targets.onlyOthersReach(t)
 			return nil, !disconnected && errors.Is(err, targethttp.ErrNoConnection) && c.failedConnects < maxConnectAttempts
 		}
 		// Trying another target is safe, so at least 3 targets are tried.
--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -92,6 +92,8 @@
 	excluded       []string      // IDs of targets, or range IDs for a keyed service, that it is not sent to again
 	sent           int           // number of times the request was sent
 	relayedTo      string        // address of the entry to which it was passed on last
+	relayTried     bool          // no other entry could take it
+	ownerUnreached bool          // only other entries reach the key's owner
 	counted        bool          // it counts as a request that this entry sends to targets
 	failedConnects int           // failed connections to the key's owner
 	errorAnswer    *response     // a target's error answer, returned if no retry brings a better one
@@ -159,7 +161,7 @@
 	out.isHead = r.method == http.MethodHead
 	out.closeConn = out.closeConn || r.closeConn
 	if r.relayed {
-		out = s.finishRelayed(out)
+		out = s.finishRelayed(c, out)
 	}
 	took := time.Since(r.start)
 	service := ""
@@ -179,9 +181,13 @@
 			if out, ok := s.relay(ctx, c); ok {
 				return *out
 			}
+			c.relayTried = true
 		}
-		s.count(c)
 		t, rejection := s.chooseTarget(ctx, c)
+		if rejection != nil && s.mustRelay(c) {
+			continue
+		}
+		s.count(c)
 		if rejection != nil {
 			return *rejection
 		}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -54,9 +54,12 @@
 	return s.relays.sent.Load(), s.relays.taken.Load(), s.relays.rejected.Load()
 }
 
-// mustRelay reports whether a request has to be passed on to another entry: this one can
-// reach no target. One that came from another entry is not passed on again.
-func (s *Server) mustRelay(c *call) bool { return !c.relayed && s.path.Lost() }
+// mustRelay reports whether a request has to be passed on to another entry: this one reaches
+// no target, or not the owner of the key. One that came from another entry is not passed on
+// again.
+func (s *Server) mustRelay(c *call) bool {
+	return !c.relayed && !c.relayTried && (c.ownerUnreached || s.path.Lost())
+}
 
 // relay passes a request on to other entries until one serves it. It returns false if no
 // other entry can take it; a target may have run it only if c.mayHaveRun is set.
@@ -200,11 +203,12 @@
 }
 
 // finishRelayed adds to a response what it tells the entry that passed the request on.
-func (s *Server) finishRelayed(out response) response {
+func (s *Server) finishRelayed(c *call, out response) response {
 	if out.header == nil {
 		return out
 	}
-	if out.local {
+	unreached := c != nil && c.ownerUnreached && !c.mayHaveRun && out.status == http.StatusServiceUnavailable
+	if out.local || unreached {
 		s.relays.rejected.Add(1)
 		out.header[relayRejectedHeader] = []string{"1"}
 	} else {
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -183,6 +183,50 @@
 	})
 }
 
+// TestKeysOfUnreachableOwner checks requests at an entry that can't connect to a key's owner.
+func TestKeysOfUnreachableOwner(t *testing.T) {
+	start := func(t *testing.T) *testEntry {
+		e := startEntry(t, nil, respondOK("x"), respondOK("x"))
+		closed := listenLocal(t)
+		assert.NilError(t, closed.Close())
+		owner, _ := e.server.cfg.View.View().Target("t0")
+		owner.Address = closed.Addr().String()
+		e.further <- &instance.ViewUpdate{Version: 2, ConfigIndex: 1, Current: true, Targets: []deployment.Target{owner}}
+		for e.server.cfg.View.View().Version < 2 {
+			time.Sleep(time.Millisecond)
+		}
+		return e
+	}
+	t.Run("are served through another entry", func(t *testing.T) {
+		e, other := start(t), startEntry(t, nil, respondOK("other"))
+		e.server.peers.Advise([]instance.Peer{{Address: other.relay}})
+		for range 10 {
+			wantResponse(t, e.request("GET", "/keyed/x"), http.StatusOK, "other")
+		}
+	})
+	t.Run("go to a third entry if the second can't reach it either", func(t *testing.T) {
+		e, second, third := start(t), start(t), startEntry(t, nil, respondOK("third"))
+		e.server.peers.Advise([]instance.Peer{{Address: second.relay}, {Address: third.relay}})
+		for range 10 {
+			wantResponse(t, e.request("GET", "/keyed/x"), http.StatusOK, "third")
+		}
+	})
+	t.Run("are rejected without other entries", func(t *testing.T) {
+		e := start(t)
+		for range 3 {
+			wantResponse(t, e.request("GET", "/keyed/x"), http.StatusServiceUnavailable, "")
+		}
+	})
+	t.Run("are rejected if other entries don't reach it either", func(t *testing.T) {
+		e, other := start(t), startEntry(t, nil, respondOK("other"))
+		e.server.peers.Advise([]instance.Peer{{Address: other.relay}})
+		wantResponse(t, e.request("GET", "/keyed/x"), http.StatusOK, "other")
+		e.server.targets.setFailureShares([]instance.FailingTarget{{Target: "t0", FailureShare: 1}})
+		wantResponse(t, e.request("GET", "/keyed/x"), http.StatusServiceUnavailable, "")
+		assert.Equal(t, other.receivedCount(), 1)
+	})
+}
+
 // TestRefusedConnectionsOfCutEntryAreNoCrashes checks that an entry which reaches no target
 // doesn't report that one crashed.
 func TestRefusedConnectionsOfCutEntryAreNoCrashes(t *testing.T) {
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -75,6 +75,7 @@
 	window              float64
 	windowDecreasedAt   timer.Instant
 	consecutiveFailures int
+	failedConnects      int // since a connection was last opened, or an answer came
 	openUntil           timer.Instant
 	freed               chan struct{} // closed when a request ends; nil unless one waits for it
 	samples             int           // answers averaged in serviceTime
@@ -283,6 +284,12 @@
 	if res.rateLimitKnown || res.ran && res.success {
 		s.limit = s.limit.WithNamed(res.rateLimit, now)
 	}
+	switch {
+	case res.noConnection:
+		s.failedConnects++
+	case res.answered:
+		s.failedConnects = 0
+	}
 	if s.freed != nil {
 		close(s.freed)
 		s.freed = nil
@@ -384,12 +391,25 @@
 	}
 }
 
+// maxUnreachableShare is the share of requests that all entries together fail at a target,
+// up to which some of them are taken to reach it.
+const maxUnreachableShare = 0.9
+
+// onlyOthersReach reports whether this entry can't connect to the target, while the leader
+// hears from it and advises that it serves requests of other entries.
+func (ts *targetStates) onlyOthersReach(t deployment.Target) bool {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	s := ts.state(t)
+	return s.failedConnects > 0 && t.Status == deployment.Live && s.advisedFailureShare <= maxUnreachableShare
+}
+
 // closeCircuits closes the circuit breakers of all targets.
 func (ts *targetStates) closeCircuits() {
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
 	for _, s := range ts.byID {
-		s.consecutiveFailures, s.openUntil = 0, 0
+		s.consecutiveFailures, s.failedConnects, s.openUntil = 0, 0, 0
 	}
 }
 
@@ -416,6 +436,7 @@
 	rateLimitKnown bool
 	leaving        bool          // the answer said that the target is leaving
 	rest           time.Duration // for how long the target wants no requests; 0 if it did not say
+	noConnection   bool          // no connection could be opened
 	answered       bool          // a complete answer came, also one that did not run the request
 }
 
