Check each proposal of the group tests by its own outcome

Cause: the test. Its add set the second for a proposal before it waited for a leader. Where the election took longer than that second, Propose was called with a context that had ended: it queued the command and returned ErrOutcomeUnknown, and add proposed a second one. The test counted both as one. Nothing was applied twice.

Change: a command carries an ID, and the cluster of the tests records each proposal's outcome. assertApplied, in place of assertTotal, requires that each acknowledged command is in the state once, each of unknown outcome at most once, and none that was reported without effect or was not proposed. All tests of the package use it. The second starts when the leader is known. A failed check no longer ends poll's goroutine, which hid it behind a timeout of 10 s. New: TestUnknownProposalsAreAppliedAtMostOnce.

--- a/internal/group/group_bench_test.go
+++ b/internal/group/group_bench_test.go
@@ -18,7 +18,7 @@
 		for _, proposers := range []int{1, 8, 64, 256} {
 			b.Run(fmt.Sprintf("replicas=%d/proposers=%d", replicas, proposers), func(b *testing.B) {
 				c := newClusterOf(b, replicas)
-				c.add(1)
+				c.add()
 				g := c.leader()
 				propose(b, g, proposers, b.N)
 			})
@@ -27,7 +27,7 @@
 }
 
 // propose commits n commands and reports the rate and latency percentiles.
-func propose(b *testing.B, g *group.Group[counter], proposers, n int) {
+func propose(b *testing.B, g *group.Group[ledger], proposers, n int) {
 	b.Helper()
 	var mu sync.Mutex
 	var times []time.Duration
@@ -37,7 +37,7 @@
 		wg.Go(func() {
 			for range work {
 				began := time.Now()
-				if _, err := g.Propose(context.Background(), add(1)); err != nil {
+				if _, err := g.Propose(context.Background(), command(0)); err != nil {
 					b.Error(err)
 				}
 				mu.Lock()
@@ -64,7 +64,7 @@
 	for _, missed := range []int{500, 2000, 8000} {
 		b.Run(fmt.Sprintf("missed=%d", missed), func(b *testing.B) {
 			c := newCluster(b)
-			c.add(1)
+			c.add()
 			total := uint64(1)
 			for b.Loop() {
 				stopped := c.follower()
@@ -75,7 +75,7 @@
 				if err := c.start(stopped, nil); err != nil {
 					b.Fatal(err)
 				}
-				for uint64(c.byName[stopped].State().State) < total {
+				for c.byName[stopped].State().State.commands < total {
 					time.Sleep(time.Millisecond)
 				}
 				b.ReportMetric(float64(time.Since(began).Milliseconds()), "ms")
