Try six targets before the path to all of them counts as lost

Seen in a test of the check: with half of 600 targets down, 13% of the checks found the path lost, with a third of them 3.4%; the entry then passes all requests on. A deployment of one or two targets that start again was dialled four times a second by every entry.

Change: a check connects to six targets, and the time between checks of a lost path grows from 250 ms to 1 s.

--- a/internal/forward/path.go
+++ b/internal/forward/path.go
@@ -23,10 +23,13 @@
 	// minCheckInterval is the least time between two checks while the path is thought to
 	// work. Failures of targets themselves must not make entries open many connections.
 	minCheckInterval = time.Second
-	// lostCheckInterval is the time between two checks while the path is lost.
-	lostCheckInterval = 250 * time.Millisecond
+	// The time between two checks while the path is lost grows from minLostInterval to
+	// maxLostInterval.
+	minLostInterval    = 250 * time.Millisecond
+	maxLostInterval    = time.Second
+	lostIntervalGrowth = 125 // percent
 	// checkedTargets is the number of targets that a check connects to.
-	checkedTargets = 3
+	checkedTargets = 6
 	// checkTimeout bounds the time for connecting to them.
 	checkTimeout = 500 * time.Millisecond
 )
@@ -121,8 +124,10 @@
 
 // checkUntilRestored checks the path and, while it is lost, checks it again.
 func (p *pathMonitor) checkUntilRestored() {
-	for lost := p.check(); lost && timer.Sleep(p.ctx, lostCheckInterval); {
+	interval := minLostInterval
+	for lost := p.check(); lost && timer.Sleep(p.ctx, interval); {
 		lost = p.check()
+		interval = min(interval*lostIntervalGrowth/100, maxLostInterval)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
