Tell apart why another entry did not serve a request that was passed on

- A peer with an older configuration answered 404 for a route that it did not know, and the caller got that: the configurations were compared after the route was looked up.
- Every request without a response made its peer rest for 500 ms, also when the caller had left, or one key's owner had crashed, which spent all peers.
- A peer that was cut off a moment ago had the caller rejected.
- An entry served by its older configuration after a peer had served by a newer.
- A request for the keys of a crashed owner counted at up to four entries, and was passed on each time.
- A stream that broke at a peer counted against the owner that was not asked.
- A peer chose the service of a split route anew.

Cause: one bit for all outcomes. Now a rejection says whether the peer serves none or only not this one; a peer that serves none, or can't be connected to, gets no other request until the leader advises it again or five seconds have passed, and three in a row that can't be connected to mean that the entry's own link fails. Up to eight peers that serve none are asked, three that don't reach the owner either, and then none for that owner for 500 ms. Requests count where they are sent. An entry that is behind a peer's configuration passes on or rejects.

--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -16,11 +17,17 @@
 	reject := func(out response) (*call, *response) { return nil, &out }
 	v := s.cfg.View.View()
 	if v.ConfigIndex == 0 {
-		return reject(locallyUnavailable("no configuration is known yet", defaultRetryAfter))
+		return reject(unavailableHere("no configuration is known yet", defaultRetryAfter))
+	}
+	if r.relayed {
+		if reason := s.admitRelayed(r, v.ConfigIndex); reason != "" {
+			return reject(unavailableHere(reason, defaultRetryAfter))
+		}
 	}
 	route, ok := v.Routes.Find(r.host, r.path)
-	if lag := s.cfg.View.ConfigLag(); lag > s.cfg.MaxConfigLag || lag > 0 && !ok {
-		return reject(locallyUnavailable("the configuration was replaced and the newer one has not arrived yet", configRetryAfter))
+	behind := s.behindPeers()
+	if lag := s.cfg.View.ConfigLag(); lag > s.cfg.MaxConfigLag || !ok && (lag > 0 || behind) || r.relayed && behind {
+		return reject(unavailableHere("the configuration was replaced and the newer one has not arrived yet", configRetryAfter))
 	}
 	if !ok {
 		return reject(errorResponse(http.StatusNotFound, "no route for this host and path"))
@@ -29,7 +36,7 @@
 	if id == "" {
 		return reject(errorResponse(http.StatusBadRequest, s.cfg.Headers.RequestID+" header is missing"))
 	}
-	name, ok := s.split.next(route)
+	name, ok := s.chooseService(r, route)
 	if !ok {
 		return reject(unavailableResponse("no service of this route has a weight above zero", defaultRetryAfter))
 	}
@@ -41,12 +48,10 @@
 		}
 	}
 	if r.relayed {
-		if reason := s.admitRelayed(c); reason != "" {
-			return reject(locallyUnavailable(reason, defaultRetryAfter))
-		}
+		c.limitAttempts()
 	}
 	if s.mayOutlastShutdown(c.deadline) {
-		return reject(locallyUnavailable("the instance is stopping and might cut the request off", defaultRetryAfter))
+		return reject(unavailableHere("the instance is stopping and might cut the request off", defaultRetryAfter))
 	}
 	if service.Keyed {
 		key, err := strconv.ParseUint(r.header.Get(s.cfg.Headers.Key), 10, 16)
@@ -62,13 +67,37 @@
 	return c, nil
 }
 
+// chooseService returns the service that serves a request: the one that the entry which
+// passed it on has chosen, if the route still has it, or else the next one.
+func (s *Server) chooseService(r *request, route *deployment.Route) (string, bool) {
+	if r.relayed {
+		name := r.header.Get(relayServiceHeader)
+		if slices.ContainsFunc(route.Split, func(w deployment.WeightedService) bool { return w.Service == name && w.Weight > 0 }) {
+			return name, true
+		}
+	}
+	return s.split.next(route)
+}
+
+// uncount takes a request out of the counts of keys that is passed on, or that its sender may
+// pass on to another entry.
+func (s *Server) uncount(c *call) {
+	if c.counted && c.service.Keyed {
+		s.keys.remove(c.service.Name, c.key)
+	}
+	c.counted = false
+}
+
 // count counts a request that this entry sends to targets itself, once.
 func (s *Server) count(c *call) {
 	if c.counted {
 		return
 	}
 	c.counted = true
-	s.creditRetryBudget(c.service.Name)
+	if !c.credited {
+		c.credited = true
+		s.creditRetryBudget(c.service.Name)
+	}
 	if c.service.Keyed {
 		s.keys.add(c.service.Name, c.key)
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -166,7 +166,9 @@
 	if errors.Is(err, targethttp.ErrNotSent) {
 		if c.service.Keyed {
 			c.failedConnects++
-			c.ownerUnreached = s.targets.onlyOthersReach(t)
+			if c.ownerUnreached = res.noConnection && s.targets.onlyOthersReach(t); c.ownerUnreached {
+				s.uncount(c)
+			}
 			return nil, !disconnected && errors.Is(err, targethttp.ErrNoConnection) && c.failedConnects < maxConnectAttempts
 		}
 		// Trying another target is safe, so at least 3 targets are tried.
--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -74,10 +74,10 @@
 	return r
 }
 
-// locallyUnavailable returns unavailableResponse for a request that another entry may serve.
-func locallyUnavailable(reason string, retryAfter time.Duration) response {
+// unavailableHere returns unavailableResponse for a request that another entry may serve.
+func unavailableHere(reason string, retryAfter time.Duration) response {
 	r := unavailableResponse(reason, retryAfter)
-	r.local = true
+	r.otherMayServe = true
 	return r
 }
 
@@ -95,6 +95,7 @@
 	relayTried     bool          // no other entry could take it
 	ownerUnreached bool          // only other entries reach the key's owner
 	counted        bool          // it counts as a request that this entry sends to targets
+	credited       bool          // it has earned its part of the retry budget
 	failedConnects int           // failed connections to the key's owner
 	errorAnswer    *response     // a target's error answer, returned if no retry brings a better one
 	mayHaveRun     bool          // a target may have run it
@@ -178,19 +179,27 @@
 func (s *Server) sendWithRetries(ctx context.Context, c *call) response {
 	for {
 		if s.mustRelay(c) {
-			if out, ok := s.relay(ctx, c); ok {
+			if out := s.relay(ctx, c); out != nil {
 				return *out
 			}
 			c.relayTried = true
+			if !c.mayHaveRun && s.behindPeers() {
+				return unavailableHere("the newer configuration has not arrived yet", configRetryAfter)
+			}
 		}
 		t, rejection := s.chooseTarget(ctx, c)
-		if rejection != nil && s.mustRelay(c) {
-			continue
-		}
-		s.count(c)
 		if rejection != nil {
+			if s.mustRelay(c) {
+				continue // only once, because of relayTried
+			}
+			if !c.relayed || !c.ownerUnreached {
+				s.count(c)
+			}
 			return *rejection
 		}
+		if c.relayTried || !s.targets.onlyOthersReach(t) {
+			s.count(c)
+		}
 		if c.sent > 0 && !s.chargeRetryBudget(c.service.Name) {
 			c.reason += "; retry budget exhausted"
 			return s.finalResponse(ctx, c)
--- a/internal/forward/owner.go
+++ b/internal/forward/owner.go
@@ -90,7 +90,7 @@
 		return max(retryAfter, defaultRetryAfter), errOwnerNotice
 	}
 	if retryAfter, ok := s.targets.available(t); !ok {
-		c.ownerUnreached = s.targets.onlyOthersReach(t)
+		c.target, c.ownerUnreached = t, s.targets.onlyOthersReach(t)
 		return retryAfter, errOwnerUnavailable
 	}
 	if c.admittedBy != t.ID {
--- a/internal/forward/peers.go
+++ b/internal/forward/peers.go
@@ -14,8 +14,13 @@
 	// peerExpiry is the time for which an entry is taken for a peer after the leader last
 	// advised it. The leader advises only some entries at a time, and may be away.
 	peerExpiry = 30 * time.Second
-	// peerRest is the time for which a peer that could not take a request gets no other.
-	peerRest = 500 * time.Millisecond
+	// peerRest is the time for which a peer that can serve no request gets no other, if the
+	// leader does not advise it again before.
+	peerRest = 5 * time.Second
+	// unreachablePeers is the number of peers in a row that can't be connected to, after
+	// which this entry's own link is assumed to fail, and no peer is tried for linkRest.
+	unreachablePeers = 3
+	linkRest         = time.Second
 	// otherZonePeerCost is the cost of a peer in another availability zone, as a multiple
 	// of that of one in the own zone with the same number of requests in flight.
 	otherZonePeerCost = 1.5
@@ -28,8 +33,10 @@
 	own   string // address at which this entry takes requests from others
 	zone  string
 
-	mu        sync.Mutex
-	byAddress map[string]*peer
+	mu          sync.Mutex
+	byAddress   map[string]*peer
+	unreachable int // peers in a row
+	restUntil   timer.Instant
 }
 
 // peer is another entry.
@@ -59,7 +66,7 @@
 			known = &peer{}
 			p.byAddress[advised.Address] = known
 		}
-		known.Peer, known.advisedAt = advised, now
+		known.Peer, known.advisedAt, known.restUntil = advised, now, 0
 	}
 	for address, known := range p.byAddress {
 		if known.inFlight == 0 && now.Sub(known.advisedAt) > peerExpiry {
@@ -73,6 +80,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
+	if now < p.restUntil {
+		return false
+	}
 	for _, known := range p.byAddress {
 		if now >= known.restUntil {
 			return true
@@ -88,6 +98,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
+	if now < p.restUntil {
+		return "", false
+	}
 	var usable []*peer
 	for address, known := range p.byAddress {
 		if now >= known.restUntil && !slices.Contains(excluded, address) {
@@ -114,13 +127,23 @@
 	return cost
 }
 
-// Done ends a request that Take counted. A peer that could not take it rests.
-func (p *peers) Done(address string, taken bool) {
+// Done ends a request that Take counted.
+func (p *peers) Done(address string, outcome relayOutcome) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := p.clock.Now()
 	known := p.byAddress[address]
 	known.inFlight--
-	if !taken {
-		known.restUntil = p.clock.Now().Add(peerRest)
+	switch outcome {
+	case relayUnreachable:
+		known.restUntil = now.Add(peerRest)
+		if p.unreachable++; p.unreachable >= unreachablePeers {
+			p.unreachable, p.restUntil = 0, now.Add(linkRest)
+		}
+	case relayUnable:
+		known.restUntil = now.Add(peerRest)
+		p.unreachable = 0
+	case relayServed, relayDeclined:
+		p.unreachable = 0
 	}
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cranberrywind/cranberrywind/internal/deployment"
 	"github.com/cranberrywind/cranberrywind/internal/targethttp"
 )
 
@@ -24,18 +25,39 @@
 	// relayAttemptsHeader holds the number of targets to which the request may still be
 	// sent.
 	relayAttemptsHeader = relayHeaderPrefix + "Attempts"
-	// relayRejectedHeader is set in a response by which an entry tells that it did not run
-	// the request for a reason of its own, so that another entry may serve it.
+	// relayServiceHeader holds the name of the service that the sender chose.
+	relayServiceHeader = relayHeaderPrefix + "Service"
+	// relayRejectedHeader is set in a response to a request that has not run and that
+	// another entry may serve.
 	relayRejectedHeader = relayHeaderPrefix + "Rejected"
+	rejectedAll         = "all" // the entry serves no request now
+	rejectedOne         = "one" // it serves others
 )
 
 const (
-	// maxRelays is the number of peers to which a request is passed on at most.
-	maxRelays = 3
+	// maxRelayFailures is the number of peers that can't be connected to, or don't
+	// respond, after which a request is passed on no more.
+	maxRelayFailures = 3
+	// maxRelayRejections is the number of peers that may reject a request because they
+	// serve none.
+	maxRelayRejections = 8
+	// maxRelayDeclines is the number of peers that may reject it because they don't reach
+	// the owner of its key either. Mostly the owner has ended then.
+	maxRelayDeclines = 3
 	// maxPeerConns bounds the connections to one peer.
 	maxPeerConns = 256
 )
 
+// relayOutcome is what became of a request that was passed on to another entry.
+type relayOutcome int
+
+const (
+	relayServed      relayOutcome = iota // a response came, or the caller or its deadline ended the request
+	relayDeclined                        // the entry rejected this request, which another one may serve
+	relayUnable                          // the entry serves no requests now
+	relayUnreachable                     // no connection opened, or no response came
+)
+
 // relayCounts counts requests between entries.
 type relayCounts struct {
 	sent, taken, rejected atomic.Uint64
@@ -55,44 +77,46 @@
 }
 
 // mustRelay reports whether a request has to be passed on to another entry: this one reaches
-// no target, or not the owner of the key. One that came from another entry is not passed on
-// again.
+// no target, or not the owner of the key, or a peer has served requests by a newer
+// configuration. One that came from another entry is not passed on again.
 func (s *Server) mustRelay(c *call) bool {
-	return !c.relayed && !c.relayTried && (c.ownerUnreached || s.path.Lost())
+	return !c.relayed && !c.relayTried && (c.ownerUnreached || s.path.Lost() || s.behindPeers())
 }
 
-// relay passes a request on to other entries until one serves it. It returns false if no
+// relay passes a request on to other entries until one serves it. It returns nil if no
 // other entry can take it; a target may have run it only if c.mayHaveRun is set.
-func (s *Server) relay(ctx context.Context, c *call) (*response, bool) {
+func (s *Server) relay(ctx context.Context, c *call) *response {
 	var tried []string
-	for len(tried) < maxRelays && ctx.Err() == nil && time.Until(c.deadline) >= minTimeLeft {
-		address, ok := s.peers.Take(tried)
-		if !ok {
+	var counts [relayUnreachable + 1]int
+	for ctx.Err() == nil && time.Until(c.deadline) >= minTimeLeft {
+		if counts[relayUnreachable] >= maxRelayFailures || counts[relayUnable] >= maxRelayRejections || counts[relayDeclined] >= maxRelayDeclines {
 			break
 		}
-		tried = append(tried, address)
 		if c.sent > 0 && !s.chargeRetryBudget(c.service.Name) {
-			s.peers.Done(address, true)
 			c.reason += "; retry budget exhausted"
 			out := s.finalResponse(ctx, c)
-			return &out, true
+			return &out
 		}
-		out, again := s.relayTo(ctx, c, address)
-		s.peers.Done(address, out != nil)
-		if out != nil {
-			return out, true
+		address, ok := s.peers.Take(tried)
+		if !ok {
+			break
 		}
-		if !again {
-			out := s.finalResponse(ctx, c)
-			return &out, true
+		tried = append(tried, address)
+		out, outcome := s.relayTo(ctx, c, address)
+		s.peers.Done(address, outcome)
+		counts[outcome]++
+		if out != nil {
+			return out
 		}
 	}
-	return nil, false
+	if counts[relayDeclined] > 0 {
+		s.targets.othersDeclined(c.target)
+	}
+	return nil
 }
 
-// relayTo passes a request on to one peer. It returns the peer's response, or nil and
-// whether another peer may be tried.
-func (s *Server) relayTo(ctx context.Context, c *call, address string) (*response, bool) {
+// relayTo passes a request on to one peer. The response is nil if another peer may serve it.
+func (s *Server) relayTo(ctx context.Context, c *call, address string) (*response, relayOutcome) {
 	s.relays.sent.Add(1)
 	c.relayedTo = address
 	a, err := s.cfg.Pool.Do(ctx, address, maxPeerConns, s.cfg.Headers.RequestID, targethttp.Request{
@@ -101,52 +125,72 @@
 		Body:           c.body,
 		ID:             c.id,
 		NonIdempotent:  !c.route.Kind.Idempotent(),
-		ConnectTimeout: minConnectTimeout,
+		ConnectTimeout: connectTimeout(c.route.Objective),
 		BodyContext:    c.bodyCtx,
 	})
-	if err != nil {
-		return nil, s.handleRelayFailure(ctx, c, address, err)
-	}
-	if a.Stream != nil && a.Status >= http.StatusMultipleChoices {
+	if err == nil && a.Stream != nil && a.Status >= http.StatusMultipleChoices {
 		a.Body, err = a.Stream.ReadAll(ctx)
 		a.Stream.Close()
-		if err != nil {
-			return nil, s.handleRelayFailure(ctx, c, address, err)
-		}
 		a.Stream = nil
 	}
-	if a.Header.Get(relayRejectedHeader) != "" {
+	if err != nil {
+		return s.handleRelayFailure(ctx, c, err)
+	}
+	if rejected := a.Header.Get(relayRejectedHeader); rejected != "" {
 		c.reason = fmt.Sprintf("instance %s rejected the request: status %d", address, a.Status)
-		s.logRelay(c, address, c.reason)
-		return nil, true
+		s.logRelay(c)
+		if rejected == rejectedAll {
+			return nil, relayUnable
+		}
+		return nil, relayDeclined
 	}
-	s.raisePeerConfig(a.Header.Get(relayConfigHeader))
-	c.mayHaveRun = a.Header.Get(s.cfg.Headers.Signature) != "" || !isRejection(a.Status)
 	if invalid := s.invalidReason(a); invalid != "" {
 		if a.Stream != nil {
 			a.Stream.Close()
 		}
-		return nil, s.handleRelayFailure(ctx, c, address, fmt.Errorf("%s: %w", invalid, targethttp.ErrIncompleteResponse))
+		return s.handleRelayFailure(ctx, c, fmt.Errorf("%s: %w", invalid, targethttp.ErrIncompleteResponse))
 	}
-	c.reason = fmt.Sprintf("instance %s responded with status %d", address, a.Status)
+	return s.handleRelayResponse(ctx, c, a), relayServed
+}
+
+// handleRelayResponse returns the final response to a request that a peer served or
+// rejected.
+func (s *Server) handleRelayResponse(ctx context.Context, c *call, a *targethttp.Response) *response {
+	s.raisePeerConfig(a.Header.Get(relayConfigHeader))
+	c.reason = fmt.Sprintf("instance %s responded with status %d", c.relayedTo, a.Status)
+	c.target, c.result = deployment.Target{}, attemptResult{} // of an earlier attempt
+	if c.mayHaveRun && isRejection(a.Status) {
+		out := s.finalResponse(ctx, c)
+		return &out
+	}
+	c.mayHaveRun = c.mayHaveRun || a.Header.Get(s.cfg.Headers.Signature) != "" || !isRejection(a.Status)
 	out := &response{status: a.Status, header: forwardedHeaders(a.Header), body: a.Body, stream: a.Stream}
 	if length := a.Header.Get("Content-Length"); c.method == http.MethodHead && length != "" {
 		out.header["Content-Length"] = []string{length}
 	}
-	return out, false
+	return out
 }
 
-// handleRelayFailure handles a request that brought no complete response of a peer. It
-// returns whether another peer may be tried.
-func (s *Server) handleRelayFailure(ctx context.Context, c *call, address string, err error) bool {
-	c.reason = fmt.Sprintf("instance %s: %v", address, err)
-	s.logRelay(c, address, c.reason)
-	if errors.Is(err, targethttp.ErrNotSent) {
-		return c.ctx.Err() == nil
-	}
-	c.sent++
-	c.mayHaveRun = true
-	return c.ctx.Err() == nil && ctx.Err() == nil && s.mayRetry(c)
+// handleRelayFailure handles a request that brought no complete response of a peer.
+func (s *Server) handleRelayFailure(ctx context.Context, c *call, err error) (*response, relayOutcome) {
+	c.reason = fmt.Sprintf("instance %s: %v", c.relayedTo, err)
+	s.logRelay(c)
+	notSent := errors.Is(err, targethttp.ErrNotSent)
+	if !notSent {
+		c.sent++
+		c.mayHaveRun = true
+	}
+	outcome := relayUnreachable
+	switch {
+	case c.ctx.Err() != nil || ctx.Err() != nil:
+		outcome = relayServed
+	case errors.Is(err, targethttp.ErrConnLimit):
+		return nil, relayDeclined
+	case notSent || s.mayRetry(c):
+		return nil, outcome
+	}
+	out := s.finalResponse(ctx, c)
+	return &out, outcome
 }
 
 // isRejection reports whether a status says that the request has not run.
@@ -158,8 +202,8 @@
 	return false
 }
 
-func (s *Server) logRelay(c *call, address, reason string) {
-	s.log.Info("request not passed on", "request_id", c.id, "to", address, "left_ms", time.Until(c.deadline).Milliseconds(), "reason", reason)
+func (s *Server) logRelay(c *call) {
+	s.log.Info("request not passed on", "request_id", c.id, "to", c.relayedTo, "left_ms", time.Until(c.deadline).Milliseconds(), "reason", c.reason)
 }
 
 // relayHead returns the request line and headers as sent to a peer.
@@ -167,9 +211,14 @@
 	out := s.callerHead(c, now)
 	out = appendHeader(out, relayConfigHeader, strconv.FormatUint(max(s.cfg.View.View().ConfigIndex, s.peerConfig.Load()), 10))
 	out = appendHeader(out, relayAttemptsHeader, strconv.Itoa(max(c.route.Attempts-c.sent, 1)))
+	out = appendHeader(out, relayServiceHeader, c.service.Name)
 	return append(out, "\r\n"...)
 }
 
+// behindPeers reports whether a peer has served a request by a newer configuration than this
+// entry has.
+func (s *Server) behindPeers() bool { return s.peerConfig.Load() > s.cfg.View.View().ConfigIndex }
+
 // raisePeerConfig records the configuration by which a peer has served a request. No later
 // request is passed on to a peer with an older one.
 func (s *Server) raisePeerConfig(value string) {
@@ -185,21 +234,26 @@
 	}
 }
 
-// admitRelayed checks a request that another entry passed on, and returns why this one
-// can't serve it, or an empty string.
-func (s *Server) admitRelayed(c *call) string {
+// admitRelayed checks whether this entry can serve a request that another one passed on, and
+// returns why not, or an empty string.
+func (s *Server) admitRelayed(r *request, configIndex uint64) string {
 	if s.path.Lost() {
 		return "this instance can reach no target either"
 	}
-	if index, err := strconv.ParseUint(c.header.Get(relayConfigHeader), 10, 64); err != nil || index > s.cfg.View.View().ConfigIndex {
+	if index, err := strconv.ParseUint(r.header.Get(relayConfigHeader), 10, 64); err != nil || index > configIndex {
 		return "the sender's configuration has not arrived yet"
 	}
+	return ""
+}
+
+// limitAttempts limits the attempts of a request that another entry passed on to those
+// that it has left.
+func (c *call) limitAttempts() {
 	if attempts, err := strconv.Atoi(c.header.Get(relayAttemptsHeader)); err == nil && attempts > 0 {
 		route := *c.route
 		route.Attempts = min(route.Attempts, attempts)
 		c.route = &route
 	}
-	return ""
 }
 
 // finishRelayed adds to a response what it tells the entry that passed the request on.
@@ -207,10 +261,19 @@
 	if out.header == nil {
 		return out
 	}
-	unreached := c != nil && c.ownerUnreached && !c.mayHaveRun && out.status == http.StatusServiceUnavailable
-	if out.local || unreached {
+	rejected := ""
+	switch {
+	case out.otherMayServe:
+		rejected = rejectedAll
+	case c == nil || c.mayHaveRun || out.status != http.StatusServiceUnavailable:
+	case s.path.Lost():
+		rejected = rejectedAll
+	case c.ownerUnreached || c.result.noConnection:
+		rejected = rejectedOne
+	}
+	if rejected != "" {
 		s.relays.rejected.Add(1)
-		out.header[relayRejectedHeader] = []string{"1"}
+		out.header[relayRejectedHeader] = []string{rejected}
 	} else {
 		s.relays.taken.Add(1)
 		out.header[relayConfigHeader] = []string{strconv.FormatUint(s.cfg.View.View().ConfigIndex, 10)}
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -33,6 +33,23 @@
 	assert.Assert(e.t, e.server.path.check())
 }
 
+// hideTarget makes the entry know a target by an address that refuses connections.
+func (e *testEntry) hideTarget(id string) {
+	closed := listenLocal(e.t)
+	assert.NilError(e.t, closed.Close())
+	target, _ := e.server.cfg.View.View().Target(id)
+	target.Address = closed.Addr().String()
+	e.updateView(&instance.ViewUpdate{Version: 2, ConfigIndex: 1, Current: true, Targets: []deployment.Target{target}})
+}
+
+// updateView sends an update from the control instance and waits until it is applied.
+func (e *testEntry) updateView(u *instance.ViewUpdate) {
+	e.further <- u
+	for e.server.cfg.View.View().Version < u.Version {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // receivedCount returns how many requests targets have received.
 func (e *testEntry) receivedCount() int {
 	e.mu.Lock()
@@ -128,8 +145,7 @@
 				e.server.raisePeerConfig("2")
 			}
 			c := &call{request: &request{ctx: t.Context(), method: "GET", host: "h", uri: "/look/x", header: http.Header{"Request-Id": {"r"}}}, route: &deployment.Route{Attempts: 2}, deadline: time.Now().Add(time.Second), bodyCtx: t.Context(), id: "r"}
-			_, ok := e.server.relay(t.Context(), c)
-			assert.Assert(t, !ok)
+			assert.Assert(t, e.server.relay(t.Context(), c) == nil)
 			assert.Assert(t, !c.mayHaveRun)
 			assert.Equal(t, unable.receivedCount(), 0)
 		}
@@ -187,14 +203,7 @@
 func TestKeysOfUnreachableOwner(t *testing.T) {
 	start := func(t *testing.T) *testEntry {
 		e := startEntry(t, nil, respondOK("x"), respondOK("x"))
-		closed := listenLocal(t)
-		assert.NilError(t, closed.Close())
-		owner, _ := e.server.cfg.View.View().Target("t0")
-		owner.Address = closed.Addr().String()
-		e.further <- &instance.ViewUpdate{Version: 2, ConfigIndex: 1, Current: true, Targets: []deployment.Target{owner}}
-		for e.server.cfg.View.View().Version < 2 {
-			time.Sleep(time.Millisecond)
-		}
+		e.hideTarget("t0")
 		return e
 	}
 	t.Run("are served through another entry", func(t *testing.T) {
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -22,7 +22,9 @@
 	closeConn bool                   // the connection closes after it
 	abort     bool                   // close the connection without a response
 	isHead    bool                   // answers a HEAD request
-	local     bool                   // rejects a request for a reason of this entry's own
+	// otherMayServe is set in the rejection of a request that this entry can't serve for a
+	// reason of its own.
+	otherMayServe bool
 }
 
 // size returns the length of the body.
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -68,7 +68,7 @@
 	peers   *peers
 	relays  relayCounts
 	// peerConfig is the log index of the newest configuration by which a peer has served
-	// a request since the path to targets was lost.
+	// a request of this entry.
 	peerConfig atomic.Uint64
 	advice     atomic.Pointer[instance.ReportResponse]
 	adviceMu   sync.Mutex
@@ -103,7 +103,7 @@
 		conns:        make(map[*callerConn]bool),
 		retryBudgets: make(map[string]limit.Budget),
 	}
-	s.path = newPathMonitor(ctx, cfg.Clock, cfg.Log, func() []deployment.Target { return cfg.View.View().Live() }, s.pathRestored)
+	s.path = newPathMonitor(ctx, cfg.Clock, cfg.Log, func() []deployment.Target { return cfg.View.View().Live() }, s.targets.closeCircuits)
 	s.peers = newPeers(cfg.Clock, cfg.RelayAddress, cfg.AvailabilityZone)
 	go s.accept(listener, false)
 	go s.reportLoop(ctx)
@@ -238,12 +238,6 @@
 // CanServe reports whether this entry reaches a target, or another entry that may.
 func (s *Server) CanServe() bool { return !s.path.Lost() || s.peers.Available() }
 
-// pathRestored forgets what failed while no target could be reached.
-func (s *Server) pathRestored() {
-	s.peerConfig.Store(0)
-	s.targets.closeCircuits()
-}
-
 // PathLosses returns how often no target could be reached any more.
 func (s *Server) PathLosses() uint64 { return s.path.Losses() }
 
@@ -484,6 +478,16 @@
 	k.counts[keyBucket{service: service, firstKey: key - key%deployment.KeysPerBucket}]++
 }
 
+// remove takes back one request that add counted, unless take has returned it since.
+func (k *keyCounts) remove(service string, key deployment.Key) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	b := keyBucket{service: service, firstKey: key - key%deployment.KeysPerBucket}
+	if k.counts[b] > 0 {
+		k.counts[b]--
+	}
+}
+
 func (k *keyCounts) take() []instance.KeyLoad {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -75,7 +75,8 @@
 	window              float64
 	windowDecreasedAt   timer.Instant
 	consecutiveFailures int
-	failedConnects      int // since a connection was last opened, or an answer came
+	failedConnects      int           // since a connection was last opened, or an answer came
+	othersDeclinedAt    timer.Instant // other entries did not reach it either; 0 for never
 	openUntil           timer.Instant
 	freed               chan struct{} // closed when a request ends; nil unless one waits for it
 	samples             int           // answers averaged in serviceTime
@@ -395,12 +396,28 @@
 // up to which some of them are taken to reach it.
 const maxUnreachableShare = 0.9
 
+// declineMemory is the time for which a target that some other entries don't reach either is
+// taken to have ended.
+const declineMemory = 500 * time.Millisecond
+
+// othersDeclined records that other entries that were asked don't reach the target either.
+func (ts *targetStates) othersDeclined(t deployment.Target) {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	if s, ok := ts.byID[t.ID]; ok && s.startMillis == t.StartMillis {
+		s.othersDeclinedAt = ts.clock.Now()
+	}
+}
+
 // onlyOthersReach reports whether this entry can't connect to the target, while the leader
 // hears from it and advises that it serves requests of other entries.
 func (ts *targetStates) onlyOthersReach(t deployment.Target) bool {
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
 	s := ts.state(t)
+	if s.othersDeclinedAt > 0 && ts.clock.Now().Sub(s.othersDeclinedAt) < declineMemory {
+		return false
+	}
 	return s.failedConnects > 0 && t.Status == deployment.Live && s.advisedFailureShare <= maxUnreachableShare
 }
 
