Take requests of other entries up to limits of their own

Callers whose header kept just to the limit got 431 from an entry that passed their request on: the peer applied the callers' limits to the request with the headers that were added. A rejection of an unreadable request also reached the caller as final.

Change: 1 KB more for headers, fixed limits for bodies and idle connections, and such rejections say that another entry may serve the request. TestHeaderAtCallersLimitIsPassedOn failed before.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -34,6 +34,22 @@
 	}
 }
 
+const (
+	// peerHeaderRoom is the size of the headers that another entry adds to a request.
+	peerHeaderRoom  = 1 << 10
+	maxPeerBody     = 256 << 20
+	peerIdleTimeout = 15 * time.Second
+)
+
+// peerLimits returns the limits for requests that another entry passes on, which has
+// checked that they keep to those of callers.
+func peerLimits(limits deployment.CallerLimits) deployment.CallerLimits {
+	limits.HeaderBytes += peerHeaderRoom
+	limits.BodyBytes = maxPeerBody
+	limits.IdleTimeout = peerIdleTimeout
+	return limits
+}
+
 // request is a caller's request with its complete body.
 type request struct {
 	ctx       context.Context // ends when the caller disconnects
@@ -174,6 +190,9 @@
 // rejected, after which the connection closes.
 func (c *callerConn) readRequest() (*request, *response, error) {
 	limits := c.server.callerLimits()
+	if c.fromPeer {
+		limits = peerLimits(limits)
+	}
 	if err := c.awaitFirstByte(limits); err != nil {
 		return nil, nil, err
 	}
@@ -316,6 +335,9 @@
 	c.server.log.Info("request rejected before routing", "status", status, "reason", reason, "caller", c.conn.RemoteAddr().String())
 	r := errorResponse(status, reason)
 	r.closeConn = true
+	if c.fromPeer {
+		r.header[relayRejectedHeader] = []string{rejectedOne}
+	}
 	return &r
 }
 
--- a/internal/forward/relay_faults_test.go
+++ b/internal/forward/relay_faults_test.go
@@ -44,6 +44,13 @@
 	assert.Equal(t, e.receivedCount(), 0)
 }
 
+func TestHeaderAtCallersLimitIsPassedOn(t *testing.T) {
+	e := startCutEntry(t, startEntry(t, nil, respondOK("x")))
+	c := dial(t, e.address)
+	c.send(fmt.Sprintf("GET /look/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nPad: %s\r\n\r\n", strings.Repeat("x", defaultLimits().HeaderBytes-100)))
+	wantResponse(t, c, http.StatusOK, "x")
+}
+
 func TestCallersThatLeaveDontCountAgainstPeers(t *testing.T) {
 	e := startCutEntry(t, startEntry(t, nil, func(w io.Writer, r *http.Request) {
 		if strings.Contains(r.RequestURI, "slow") {
