Log answers that were not written, and what is cut off at the end of a process

Change: "response not written" and "connection closed before its requests were answered" (both on rare paths only), the metric responses_not_written, and "the instance ended" in place of "caller disconnected" where that is the cause.

go test -race of internal/forward and internal/fleet passes.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -146,6 +146,7 @@
 		i.metrics.addGauge("caller_connections", func() any { return i.entry.Connections() })
 		i.metrics.addGauge("retry_budgets", func() any { return i.entry.RetryBudgets() })
 		i.metrics.addGauge("invalid_retry_after", func() any { return i.entry.InvalidRests() })
+		i.metrics.addGauge("responses_not_written", func() any { return i.entry.NotWritten() })
 		i.metrics.addGauge("rate_limits", func() any { return i.entry.RateLimits() })
 	}
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -155,7 +155,7 @@
 	s.targets.requestEnded(t, res)
 	c.reason = fmt.Sprintf("target %s: %v", t.ID, err)
 	if disconnected {
-		c.reason = "caller disconnected; " + c.reason
+		c.reason = s.cancelReason() + "; " + c.reason
 	}
 	s.logAttempt(c, t, res, c.reason)
 	if errors.Is(err, targethttp.ErrNotSent) {
@@ -174,6 +174,14 @@
 	return nil, !disconnected && ctx.Err() == nil && s.mayRetry(c)
 }
 
+// cancelReason returns why the context of a caller's request has ended.
+func (s *Server) cancelReason() string {
+	if s.ctx.Err() != nil {
+		return "the instance ended"
+	}
+	return "caller disconnected"
+}
+
 // isNotRun reports whether an answer says that the target did not run the request.
 func (s *Server) isNotRun(a *targethttp.Response) bool {
 	return a.Header.Get(s.cfg.Headers.NotRun) != "" || a.Status == http.StatusMisdirectedRequest
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -61,10 +61,11 @@
 	opened time.Time
 
 	mu       sync.Mutex
-	pending  int  // requests read, without a response yet
-	reading  bool // part of a request was read
-	used     bool // a request was read
-	stopping bool // no further request is read
+	pending  int       // requests read, without a response yet
+	reading  bool      // part of a request was read
+	used     bool      // a request was read
+	stopping bool      // no further request is read
+	lastRead time.Time // when the last request was read
 }
 
 // byteLimiter bounds the bytes that may be read of a request's header or body. Past
@@ -356,6 +357,18 @@
 	defer c.mu.Unlock()
 	c.reading, c.used, c.stopping = false, true, c.stopping || stopping
 	c.pending++
+	c.lastRead = time.Now()
+}
+
+// logUnanswered logs that the connection is closed while responses are due, if they are.
+func (c *callerConn) logUnanswered() {
+	c.mu.Lock()
+	pending, age := c.pending, time.Since(c.lastRead)
+	c.mu.Unlock()
+	if pending > 0 {
+		c.server.log.Warn("connection closed before its requests were answered", "caller", c.conn.RemoteAddr().String(),
+			"requests", pending, "last_read_ms", millis(age), "open_ms", millis(time.Since(c.opened)))
+	}
 }
 
 // removePending counts a response. It reports whether the response is the last one
--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -134,7 +134,7 @@
 	if err == nil {
 		return
 	}
-	s.log.Info("response broke off while streamed to the caller", append(c.attemptFields(), "request_id", c.id, "caller_left", c.ctx.Err() != nil,
+	s.log.Info("response broke off while streamed to the caller", append(c.attemptFields(), "request_id", c.id, "caller_left", c.ctx.Err() != nil && s.ctx.Err() == nil,
 		"error", err)...)
 	if errors.Is(err, targethttp.ErrIncompleteResponse) && c.ctx.Err() == nil {
 		s.targets.recordBrokenAnswer(c.target)
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -31,7 +31,7 @@
 		return
 	}
 	fields = append(fields, "route", c.route.Name, "service", c.service.Name, "config_version", v.Config.Version,
-		"caller_left", r.ctx.Err() != nil)
+		"caller_left", r.ctx.Err() != nil && s.ctx.Err() == nil)
 	if c.service.Keyed {
 		fields = append(fields, "key", c.key)
 	}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net"
@@ -41,28 +42,45 @@
 
 // errConnectionClosed reports a response that came after the caller's connection was
 // closed.
-var errConnectionClosed = errors.New("caller's connection is closed")
+var errConnectionClosed = errors.New("caller's connection was closed after an earlier response")
 
 // writeResponses writes the responses in the order of their requests.
 func (c *callerConn) writeResponses() {
 	closed := false
+	var writeErr error // of the last response that was written
 	for respCh := range c.queue {
 		r := <-respCh
 		isLast := c.removePending()
 		if closed {
+			c.logNotWritten(r, cmp.Or(writeErr, errConnectionClosed))
 			r.written(errConnectionClosed)
 			continue
 		}
 		closeAfter := r.closeConn || isLast
-		err := c.write(r, closeAfter)
-		r.written(err)
-		if r.abort || err != nil || closeAfter {
+		writeErr = c.write(r, closeAfter)
+		if writeErr != nil {
+			c.logNotWritten(r, writeErr)
+		}
+		r.written(writeErr)
+		if r.abort || writeErr != nil || closeAfter {
 			closed = true
 			c.closeWrite()
 		}
 	}
 }
 
+// logNotWritten counts a response that its caller did not get completely. It logs the
+// response, unless the caller has left or the response is a stream, which is logged at
+// its end.
+func (c *callerConn) logNotWritten(r response, err error) {
+	c.server.notWritten.Add(1)
+	if r.stream != nil || c.ctx.Err() != nil && !errors.Is(err, errConnectionClosed) {
+		return
+	}
+	c.server.log.Warn("response not written", "request_id", r.header.Get(c.server.cfg.Headers.RequestID), "status", r.status,
+		"caller", c.conn.RemoteAddr().String(), "stopping", c.server.isStopping(), "error", err)
+}
+
 // write writes one response. The connection closes after it if closeAfter is set.
 func (c *callerConn) write(r response, closeAfter bool) error {
 	if r.abort {
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -66,6 +66,7 @@
 	advisedBy uint64 // number of the report that the advice answers
 	// invalidRests counts answers with a Retry-After that can't be used.
 	invalidRests atomic.Uint64
+	notWritten   atomic.Uint64 // responses that callers did not get completely
 
 	mu           sync.Mutex
 	conns        map[*callerConn]bool
@@ -98,7 +99,10 @@
 	return s, func() {
 		cancel()
 		_ = listener.Close()
-		s.forEachConn(func(c *callerConn) { _ = c.conn.Close() })
+		s.forEachConn(func(c *callerConn) {
+			c.logUnanswered()
+			_ = c.conn.Close()
+		})
 	}
 }
 
@@ -206,6 +210,9 @@
 // InvalidRests returns the number of targets' answers with an invalid Retry-After.
 func (s *Server) InvalidRests() uint64 { return s.invalidRests.Load() }
 
+// NotWritten returns the number of responses that callers did not get completely.
+func (s *Server) NotWritten() uint64 { return s.notWritten.Load() }
+
 // RateLimits returns the rate limits of targets that are in force, in requests a second
 // of all entries together, by target.
 func (s *Server) RateLimits() map[string]float64 { return s.targets.rateLimits() }
