--- a/internal/forward/shutdown_end_test.go
+++ b/internal/forward/shutdown_end_test.go
@@ -7,11 +7,13 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // requestLog records which requests targets have received.
@@ -74,3 +76,70 @@
 	assert.Assert(t, err != nil)
 	assert.Assert(t, !log.has("late"), "a request was passed on after the shutdown had ended")
 }
+
+// TestRequestBehindLastAnswerIsPassedOnOnlyIfAnswered sends it while that answer is written.
+func TestRequestBehindLastAnswerIsPassedOnOnlyIfAnswered(t *testing.T) {
+	const callers = 8
+	var log requestLog
+	proceed := make(chan struct{})
+	handler := func(w io.Writer, r *http.Request) {
+		log.add(r.Header.Get("Request-Id"))
+		if !strings.HasPrefix(r.URL.Path, "/fetch/") {
+			respondOK("small")(w, r)
+			return
+		}
+		<-proceed
+		writeResponse(w, r, http.StatusOK, "Content-Length: %d\r\n\r\n%s", 2*len(largeBody), largeBody)
+		time.Sleep(200 * time.Millisecond) // a body that takes long to arrive
+		_, _ = io.WriteString(w, largeBody)
+	}
+	e := startEntry(t, nil, handler, handler, handler, handler)
+	var conns []*caller
+	for n := range callers {
+		c := dial(t, e.address)
+		c.send(getLine("/fetch/x", fmt.Sprintf("first-%d", n)))
+		conns = append(conns, c)
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for n := range callers {
+			if !log.has(fmt.Sprintf("first-%d", n)) {
+				return poll.Continue("request %d has not arrived", n)
+			}
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	ended := e.shutDown(10 * time.Second)
+	for e.server.stoppingConns() < callers {
+		time.Sleep(time.Millisecond)
+	}
+	close(proceed)
+	var wg sync.WaitGroup
+	for n, c := range conns {
+		wg.Go(func() {
+			resp, err := http.ReadResponse(c.reader, nil)
+			assert.Check(t, err)
+			c.send(getLine("/look/x", fmt.Sprintf("second-%d", n)))
+			body, err := io.ReadAll(resp.Body)
+			assert.Check(t, err)
+			assert.Check(t, len(body) == 2*len(largeBody))
+			second, err := http.ReadResponse(c.reader, nil)
+			if err == nil {
+				_, err = io.Copy(io.Discard, second.Body)
+			}
+			assert.Check(t, err == nil || !log.has(fmt.Sprintf("second-%d", n)), "request %d was passed on and not answered: %v", n, err)
+		})
+	}
+	wg.Wait()
+	assert.NilError(t, <-ended)
+}
+
+// stoppingConns counts connections that close after the responses that are due.
+func (s *Server) stoppingConns() int {
+	n := 0
+	s.forEachConn(func(c *callerConn) {
+		if c.isStopping() {
+			n++
+		}
+	})
+	return n
+}
