--- a/internal/forward/shutdown_end_test.go
+++ b/internal/forward/shutdown_end_test.go
@@ -143,3 +143,54 @@
 	})
 	return n
 }
+
+// TestLastAnswerIsNotLostToAReset has requests unread when the connection is closed.
+func TestLastAnswerIsNotLostToAReset(t *testing.T) {
+	body := strings.Repeat(largeBody, 64) // more than the socket buffers of a caller that reads slowly
+	for _, c := range []struct {
+		name, header string
+		stop         bool
+	}{
+		{name: "in a graceful shutdown", stop: true},
+		{name: "of a caller that closes", header: "Connection: close\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			proceed := make(chan struct{})
+			arrived := make(chan struct{}, 1)
+			e := startEntry(t, nil, func(w io.Writer, r *http.Request) {
+				arrived <- struct{}{}
+				<-proceed
+				respondOK(body)(w, r)
+			})
+			conn := dial(t, e.address)
+			assert.NilError(t, conn.conn.(*net.TCPConn).SetReadBuffer(32<<10))
+			if c.stop {
+				conn.send("GET /fetch/x HTTP/1.1\r\nHost: h\r\n")
+				poll.WaitOn(t, func(poll.LogT) poll.Result {
+					if e.server.readingConns() == 0 {
+						return poll.Continue("the request has not arrived yet")
+					}
+					return poll.Success()
+				}, poll.WithDelay(time.Millisecond))
+				e.shutDown(10 * time.Second)
+				conn.send("Request-Id: first\r\n\r\n")
+			} else {
+				conn.send("GET /fetch/x HTTP/1.1\r\nHost: h\r\n" + c.header + "Request-Id: first\r\n\r\n")
+			}
+			<-arrived
+			conn.send(strings.Repeat(getLine("/look/x", "second"), 200)) // more than the entry reads ahead
+			close(proceed)
+			resp, err := http.ReadResponse(conn.reader, nil)
+			assert.NilError(t, err)
+			assert.Assert(t, resp.Close)
+			var got int
+			for err == nil {
+				var n int
+				time.Sleep(time.Millisecond) // reads slowly
+				n, err = resp.Body.Read(make([]byte, 64<<10))
+				got += n
+			}
+			assert.Equal(t, err, io.EOF, "after %d of %d bytes", got, len(body))
+		})
+	}
+}
