Take no request once a graceful shutdown has ended

Cause: Server.Shutdown returned as soon as no connection was open, and left the listener open until the process had run its clean-up functions. A connection that came in between was served, and cut off. It was also not yet counted between its acceptance and the start of its goroutine. The rejection of requests that may outlast the shutdown does not cover it: the process ends long before.

Change: connections are counted when they are accepted. Once none is open, the listener is closed, and what was accepted by then is still answered before Shutdown returns. A caller that comes later is refused at once, and nothing of its request is read.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -89,10 +89,10 @@
 	return n, err
 }
 
-func (s *Server) serveConn(nc net.Conn) {
+func (s *Server) newConn(nc net.Conn) *callerConn {
 	ctx, cancel := context.WithCancel(s.ctx)
 	limiter := &byteLimiter{reader: nc}
-	c := &callerConn{
+	return &callerConn{
 		server:  s,
 		conn:    nc,
 		reader:  bufio.NewReaderSize(limiter, readBufferBytes),
@@ -102,8 +102,11 @@
 		queue:   make(chan chan response, pipelineDepth),
 		opened:  time.Now(),
 	}
-	s.track(c)
-	defer s.untrack(c)
+}
+
+// serve reads and answers requests until the connection is closed.
+func (c *callerConn) serve() {
+	defer c.server.untrack(c)
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
@@ -112,8 +115,8 @@
 	c.readRequests()
 	close(c.queue)
 	<-written
-	cancel()
-	_ = nc.Close()
+	c.cancel()
+	_ = c.conn.Close()
 }
 
 // readRequests reads requests until the caller disconnects or a request ends the
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -68,6 +68,9 @@
 	invalidRests atomic.Uint64
 	notWritten   atomic.Uint64 // responses that callers did not get completely
 
+	listener  net.Listener
+	accepting chan struct{} // closed once no further connection is accepted
+
 	mu           sync.Mutex
 	conns        map[*callerConn]bool
 	retryBudgets map[string]limit.Budget // by service
@@ -91,10 +94,12 @@
 		split:        newSplitter(),
 		keys:         newKeyCounts(),
 		crashes:      newCrashRecorder(),
+		listener:     listener,
+		accepting:    make(chan struct{}),
 		conns:        make(map[*callerConn]bool),
 		retryBudgets: make(map[string]limit.Budget),
 	}
-	go s.accept(listener)
+	go s.accept()
 	go s.reportLoop(ctx)
 	return s, func() {
 		cancel()
@@ -110,12 +115,15 @@
 // close when the process is out of file descriptors.
 const acceptBackoff = 10 * time.Millisecond
 
-func (s *Server) accept(listener net.Listener) {
+func (s *Server) accept() {
+	defer close(s.accepting)
 	for {
-		conn, err := listener.Accept()
+		conn, err := s.listener.Accept()
 		switch {
 		case err == nil:
-			go s.serveConn(conn)
+			c := s.newConn(conn)
+			s.track(c)
+			go c.serve()
 		case errors.Is(err, net.ErrClosed):
 			return
 		default:
@@ -125,6 +133,13 @@
 	}
 }
 
+// stopAccepting closes the listener. All connections that were accepted are tracked once it
+// returns.
+func (s *Server) stopAccepting() {
+	_ = s.listener.Close()
+	<-s.accepting
+}
+
 func (s *Server) track(c *callerConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -150,8 +165,8 @@
 }
 
 // Shutdown closes idle connections, and the others once their responses are written.
-// It returns when all are closed, or with an error when ctx ends. A new connection may
-// still send one request.
+// A new connection may still send one request. Once none is open, no further one is
+// accepted. Shutdown returns when all are closed, or with an error when ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.mu.Lock()
 	s.stopping = true
@@ -159,13 +174,18 @@
 	s.mu.Unlock()
 	ticks, stop := s.cfg.Clock.Subscribe(shutdownPollInterval)
 	defer stop()
+	accepting := true
 	for {
 		s.forEachConn(func(c *callerConn) { c.closeWhenIdle() })
-		s.mu.Lock()
-		open := len(s.conns)
-		s.mu.Unlock()
-		if open == 0 {
+		open := s.Connections()
+		switch {
+		case open == 0 && !accepting:
 			return nil
+		case open == 0:
+			// A connection may have been accepted meanwhile.
+			s.stopAccepting()
+			accepting = false
+			continue
 		}
 		select {
 		case <-ctx.Done():
