Pass no request on behind the last answer of a connection

Cause: the writer chose an answer as the last one, wrote it with Connection: close, and only then told the reader. A request that was sent ahead and came in between was passed on, its answer was thrown away, and the target's work was cancelled. The time between is that of writing the answer: long for an answer that is streamed, or on a narrow link.

Change: the last answer is chosen, and a request is begun, under one lock, so that a request is either answered or not begun. The caller reads Connection: close and sends the request again. The deadlines of reading are set under the same lock: closing an idle connection can't end the time for a header that has begun, and waiting for a caller's close can't undo the end of reading (both seen in the code, not in a run).

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -64,7 +64,8 @@
 	pending  int       // requests read, without a response yet
 	reading  bool      // part of a request was read
 	used     bool      // a request was read
-	stopping bool      // no further request is read
+	stopping bool      // it closes after the responses that are due
+	closing  bool      // its last response was chosen; no further request is read
 	lastRead time.Time // when the last request was read
 }
 
@@ -159,7 +160,13 @@
 // awaitClose cancels the requests in flight if the caller disconnects after its last
 // request.
 func (c *callerConn) awaitClose() {
+	c.mu.Lock()
+	if c.closing {
+		c.mu.Unlock()
+		return
+	}
 	_ = c.conn.SetReadDeadline(time.Time{})
+	c.mu.Unlock()
 	c.limiter.remaining = readBufferBytes
 	if _, err := c.reader.Peek(1); err != nil && c.ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
 		c.cancel()
@@ -178,7 +185,6 @@
 		return nil, nil, err
 	}
 	start := time.Now()
-	_ = c.conn.SetReadDeadline(start.Add(limits.HeaderTimeout))
 	c.limiter.remaining = limits.HeaderBytes + readBufferBytes
 	hr, err := http.ReadRequest(c.reader)
 	if err != nil {
@@ -248,7 +254,9 @@
 		var timeout net.Error
 		switch {
 		case err == nil:
-			c.startReading()
+			if !c.startReading(limits.HeaderTimeout) {
+				return errNoMoreRequests
+			}
 			return nil
 		case errors.As(err, &timeout) && timeout.Timeout():
 			if c.isStopping() || c.pendingCount() == 0 {
@@ -328,14 +336,13 @@
 // request.
 func (c *callerConn) closeWhenIdle() {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if !c.used && !c.reading && time.Since(c.opened) < firstRequestTime {
-		c.mu.Unlock()
 		return
 	}
 	c.stopping = true
-	idle := c.pending == 0 && !c.reading
-	c.mu.Unlock()
-	if idle {
+	if c.pending == 0 && !c.reading {
+		// With mu held, the deadline can't replace that of a request that begins now.
 		_ = c.conn.SetReadDeadline(time.Unix(1, 0))
 	}
 }
@@ -346,10 +353,17 @@
 	return c.stopping
 }
 
-func (c *callerConn) startReading() {
+// startReading begins a request whose header has to arrive within the timeout. It returns
+// false if the last response was chosen already.
+func (c *callerConn) startReading(timeout time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closing {
+		return false
+	}
 	c.reading = true
+	_ = c.conn.SetReadDeadline(time.Now().Add(timeout))
+	return true
 }
 
 // addPending counts a request that was read and is due a response. During a graceful
@@ -374,13 +388,17 @@
 	}
 }
 
-// removePending counts a response. It reports whether the response is the last one
-// on a connection that is stopping.
-func (c *callerConn) removePending() bool {
+// removePending counts a response. It reports whether the response is the last one: it
+// closes the connection, or is the last one due on a connection that is stopping. No
+// request is read behind the last response, which could not be answered.
+func (c *callerConn) removePending(closes bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
-	return c.stopping && c.pending == 0 && !c.reading
+	if closes || c.stopping && c.pending == 0 && !c.reading {
+		c.closing = true
+	}
+	return c.closing
 }
 
 func (c *callerConn) pendingCount() int {
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -50,19 +50,18 @@
 	var writeErr error // of the last response that was written
 	for respCh := range c.queue {
 		r := <-respCh
-		isLast := c.removePending()
+		isLast := c.removePending(r.closeConn)
 		if closed {
 			c.logNotWritten(r, cmp.Or(writeErr, errConnectionClosed))
 			r.written(errConnectionClosed)
 			continue
 		}
-		closeAfter := r.closeConn || isLast
-		writeErr = c.write(r, closeAfter)
+		writeErr = c.write(r, isLast)
 		if writeErr != nil {
 			c.logNotWritten(r, writeErr)
 		}
 		r.written(writeErr)
-		if r.abort || writeErr != nil || closeAfter {
+		if r.abort || writeErr != nil || isLast {
 			closed = true
 			c.closeWrite()
 		}
@@ -157,11 +156,11 @@
 // closing it at once might reset it and lose the last response.
 func (c *callerConn) closeWrite() {
 	c.mu.Lock()
-	c.stopping = true
+	c.stopping, c.closing = true, true
+	_ = c.conn.SetReadDeadline(time.Unix(1, 0))
 	c.mu.Unlock()
 	if tcp, ok := c.conn.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
 	}
 	c.cancel()
-	_ = c.conn.SetReadDeadline(time.Unix(1, 0))
 }
