Read what callers sent behind the last answer before closing a connection

Cause: closeWrite said that the connection is closed later, but its reader had ended by then, so that it was closed at once. Closing a connection with bytes unread resets it, and the system drops what it has not sent yet of the answer.

Change: after its last answer a connection stays open until its caller closes it, 2 s at most, and what arrives is read and discarded. An idle connection is still closed at once: a request that crosses its close stays unread, and its caller may send it again whatever it is.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -59,6 +59,8 @@
 	queue   chan chan response
 
 	opened time.Time
+	// halfClosed reports that the last response was written, and the write side closed.
+	halfClosed bool
 
 	mu       sync.Mutex
 	pending  int       // requests read, without a response yet
@@ -117,9 +119,25 @@
 	close(c.queue)
 	<-written
 	c.cancel()
+	if c.halfClosed {
+		c.discardUnread()
+	}
 	_ = c.conn.Close()
 }
 
+// maxLinger bounds the time for which a connection is kept open after its last response.
+const maxLinger = 2 * time.Second
+
+// discardUnread waits until the caller has closed the connection, and reads what it had sent
+// behind its last request: closing a connection with bytes unread resets it, and drops
+// the part of the last response that has not arrived.
+func (c *callerConn) discardUnread() {
+	_ = c.conn.SetReadDeadline(time.Now().Add(maxLinger))
+	// It ends with the caller's close, a reset or the deadline; the connection is closed
+	// after each of them.
+	_, _ = io.Copy(io.Discard, c.conn)
+}
+
 // readRequests reads requests until the caller disconnects or a request ends the
 // connection.
 func (c *callerConn) readRequests() {
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -64,6 +64,7 @@
 		if r.abort || writeErr != nil || isLast {
 			closed = true
 			c.closeWrite()
+			c.halfClosed = writeErr == nil
 		}
 	}
 }
@@ -152,8 +153,8 @@
 	return append(out, "\r\n"...)
 }
 
-// closeWrite stops reading and closes the write side. The connection is closed later:
-// closing it at once might reset it and lose the last response.
+// closeWrite stops reading requests and closes the write side. The connection is closed
+// later: closing it at once might reset it and lose the last response.
 func (c *callerConn) closeWrite() {
 	c.mu.Lock()
 	c.stopping, c.closing = true, true
