Treat no connection as idle while its answer is written

Cause: a request was no longer due an answer from the moment at which its answer was taken up for writing. Shutdown (and the idle timeout) then ended the reader of a connection that was still written to, and the connection was closed right after, with what had come in between unread.

Change: a request is due until its answer is written. What comes in meanwhile is read and answered, and the last answer says that it is.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -63,7 +63,7 @@
 	halfClosed bool
 
 	mu       sync.Mutex
-	pending  int       // requests read, without a response yet
+	pending  int       // requests read whose response is not written yet
 	reading  bool      // part of a request was read
 	used     bool      // a request was read
 	stopping bool      // it closes after the responses that are due
@@ -406,19 +406,25 @@
 	}
 }
 
-// removePending counts a response. It reports whether the response is the last one: it
-// closes the connection, or is the last one due on a connection that is stopping. No
+// isLast reports whether a response that is about to be written is the last one: it
+// closes the connection, or is the only one due on a connection that is stopping. No
 // request is read behind the last response, which could not be answered.
-func (c *callerConn) removePending(closes bool) bool {
+func (c *callerConn) isLast(closes bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pending--
-	if closes || c.stopping && c.pending == 0 && !c.reading {
+	if closes || c.stopping && c.pending == 1 && !c.reading {
 		c.closing = true
 	}
 	return c.closing
 }
 
+// removePending counts a response that was written, or given up.
+func (c *callerConn) removePending() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending--
+}
+
 func (c *callerConn) pendingCount() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -50,13 +50,15 @@
 	var writeErr error // of the last response that was written
 	for respCh := range c.queue {
 		r := <-respCh
-		isLast := c.removePending(r.closeConn)
 		if closed {
+			c.removePending()
 			c.logNotWritten(r, cmp.Or(writeErr, errConnectionClosed))
 			r.written(errConnectionClosed)
 			continue
 		}
+		isLast := c.isLast(r.closeConn)
 		writeErr = c.write(r, isLast)
+		c.removePending()
 		if writeErr != nil {
 			c.logNotWritten(r, writeErr)
 		}
--- a/internal/forward/shutdown_end_test.go
+++ b/internal/forward/shutdown_end_test.go
@@ -194,3 +194,22 @@
 		})
 	}
 }
+
+// TestAnswerBeingWrittenIsNotLostToAReset has the shutdown begin while it is written.
+func TestAnswerBeingWrittenIsNotLostToAReset(t *testing.T) {
+	body := strings.Repeat(largeBody, 64)
+	e := startEntry(t, nil, respondOK(body))
+	c := dial(t, e.address)
+	assert.NilError(t, c.conn.(*net.TCPConn).SetReadBuffer(32<<10))
+	c.send(getLine("/fetch/x", "first"))
+	resp, err := http.ReadResponse(c.reader, nil)
+	assert.NilError(t, err)
+	e.shutDown(10 * time.Second)
+	time.Sleep(2 * shutdownPollInterval) // lets the shutdown look at the connection
+	c.send(strings.Repeat(getLine("/look/x", "second"), 200))
+	got, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err, "after %d of %d bytes", len(got), len(body))
+	second, err := http.ReadResponse(c.reader, nil)
+	assert.NilError(t, err)
+	assert.Assert(t, second.Close)
+}
