Accept no connection too late for its request in a graceful shutdown

Cause: connections were accepted until the process closed them all. What was read just then got neither an answer nor a rejection.

What was accepted before is answered; later callers are refused with nothing read, and may try elsewhere at once.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -105,6 +105,7 @@
 	address     string
 	server      *Server
 	stopControl func()
+	stop        func()                    // ends the entry at once
 	further     chan *instance.ViewUpdate // from the control instance
 
 	mu       sync.Mutex
@@ -176,7 +177,7 @@
 		RetryRatio: 1, RetrySlack: 10, RetryShare: 1, MaxConfigLag: maxConfigLag, TargetDrain: testDrain, Link: link,
 	})
 	e.t.Cleanup(stop)
-	e.server, e.address = server, l.Addr().String()
+	e.server, e.address, e.stop = server, l.Addr().String(), stop
 	for deadline := time.Now().Add(10 * time.Second); follower.View().ConfigIndex == 0; time.Sleep(10 * time.Millisecond) {
 		assert.Assert(e.t, time.Now().Before(deadline), "the entry received no view")
 	}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -165,12 +165,13 @@
 }
 
 // Shutdown closes idle connections, and the others once their responses are written.
-// A new connection may still send one request. Once none is open, no further one is
-// accepted. Shutdown returns when all are closed, or with an error when ctx ends.
+// A new connection may still send one request. No further one is accepted once none is
+// open, or shortly before ctx ends. Shutdown returns when all are closed, or with an error
+// when ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
+	stopBy, bounded := ctx.Deadline()
 	s.mu.Lock()
-	s.stopping = true
-	s.stopBy, _ = ctx.Deadline()
+	s.stopping, s.stopBy = true, stopBy
 	s.mu.Unlock()
 	ticks, stop := s.cfg.Clock.Subscribe(shutdownPollInterval)
 	defer stop()
@@ -181,8 +182,8 @@
 		switch {
 		case open == 0 && !accepting:
 			return nil
-		case open == 0:
-			// A connection may have been accepted meanwhile.
+		case accepting && (open == 0 || bounded && time.Until(stopBy) < firstRequestTime):
+			// Connections that were accepted meanwhile still have time for a request.
 			s.stopAccepting()
 			accepting = false
 			continue
--- a/internal/forward/shutdown_end_test.go
+++ b/internal/forward/shutdown_end_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -77,6 +78,17 @@
 	assert.Assert(t, !log.has("late"), "a request was passed on after the shutdown had ended")
 }
 
+// holdUpShutdown opens a connection with a partly sent request.
+func (e *testEntry) holdUpShutdown() {
+	dial(e.t, e.address).send("GET /look/x HTTP/1.1\r\n")
+	poll.WaitOn(e.t, func(poll.LogT) poll.Result {
+		if e.server.readingConns() == 0 {
+			return poll.Continue("the request has not arrived yet")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+}
+
 // TestRequestBehindLastAnswerIsPassedOnOnlyIfAnswered sends it while that answer is written.
 func TestRequestBehindLastAnswerIsPassedOnOnlyIfAnswered(t *testing.T) {
 	const callers = 8
@@ -213,3 +225,33 @@
 	assert.NilError(t, err)
 	assert.Assert(t, second.Close)
 }
+
+// TestNoRequestIsReadAndDroppedAtEndOfShutdown sends requests until the listener is closed.
+func TestNoRequestIsReadAndDroppedAtEndOfShutdown(t *testing.T) {
+	const callers = 16
+	e := startEntry(t, nil, respondOK("x"))
+	e.holdUpShutdown()
+	ended := e.shutDown(500 * time.Millisecond)
+	var callersDone sync.WaitGroup
+	for range callers {
+		callersDone.Go(func() {
+			for {
+				conn, err := net.Dial("tcp", e.address)
+				if err != nil {
+					return
+				}
+				_ = conn.SetDeadline(time.Now().Add(5 * time.Second)) // a failure shows at the read
+				_, err = io.WriteString(conn, getLine("/look/x", "late"))
+				if err == nil {
+					_, err = http.ReadResponse(bufio.NewReader(conn), nil)
+				}
+				_ = conn.Close()
+				// With bytes unread, the connection would have been reset.
+				assert.Check(t, !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF), "a request was read and not answered")
+			}
+		})
+	}
+	<-ended // the time limit may end it
+	e.stop()
+	callersDone.Wait()
+}
--- a/internal/forward/shutdown_test.go
+++ b/internal/forward/shutdown_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
 )
 
 // TestRequestThatOutlastsShutdown checks that a request which may take longer than the
@@ -31,13 +30,7 @@
 		assert.Assert(t, resp.Close)
 		return resp.StatusCode
 	}
-	dial(t, e.address).send("GET /look/x HTTP/1.1\r\n") // a partly read request, which holds up the shutdown
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if e.server.readingConns() == 0 {
-			return poll.Continue("the request has not arrived yet")
-		}
-		return poll.Success()
-	}, poll.WithDelay(time.Millisecond))
+	e.holdUpShutdown()
 	shutDown(700 * time.Millisecond)
 	assert.Equal(t, statusWithin(200*time.Millisecond), http.StatusOK)
 	assert.Equal(t, statusWithin(time.Second), http.StatusServiceUnavailable)
