--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -152,6 +152,7 @@
 			sent, taken, rejected := i.entry.RelayedRequests()
 			return map[string]uint64{"sent": sent, "taken": taken, "rejected": rejected}
 		})
+		i.metrics.addGauge("responses_not_written", func() any { return i.entry.NotWritten() })
 		i.metrics.addGauge("rate_limits", func() any { return i.entry.RateLimits() })
 	}
 }
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -77,12 +77,16 @@
 
 	opened   time.Time
 	fromPeer bool // it is another entry's
+	// halfClosed reports that the last response was written, and the write side closed.
+	halfClosed bool
 
 	mu       sync.Mutex
-	pending  int  // requests read, without a response yet
-	reading  bool // part of a request was read
-	used     bool // a request was read
-	stopping bool // no further request is read
+	pending  int       // requests read whose response is not written yet
+	reading  bool      // part of a request was read
+	used     bool      // a request was read
+	stopping bool      // it closes after the responses that are due
+	closing  bool      // its last response was chosen; no further request is read
+	lastRead time.Time // when the last request was read
 }
 
 // byteLimiter bounds the bytes that may be read of a request's header or body. Past
@@ -106,10 +110,10 @@
 	return n, err
 }
 
-func (s *Server) serveConn(nc net.Conn, fromPeer bool) {
+func (s *Server) newConn(nc net.Conn, fromPeer bool) *callerConn {
 	ctx, cancel := context.WithCancel(s.ctx)
 	limiter := &byteLimiter{reader: nc}
-	c := &callerConn{
+	return &callerConn{
 		server:  s,
 		conn:    nc,
 		reader:  bufio.NewReaderSize(limiter, readBufferBytes),
@@ -121,8 +125,11 @@
 
 		fromPeer: fromPeer,
 	}
-	s.track(c)
-	defer s.untrack(c)
+}
+
+// serve reads and answers requests until the connection is closed.
+func (c *callerConn) serve() {
+	defer c.server.untrack(c)
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
@@ -131,8 +138,24 @@
 	c.readRequests()
 	close(c.queue)
 	<-written
-	cancel()
-	_ = nc.Close()
+	c.cancel()
+	if c.halfClosed {
+		c.discardUnread()
+	}
+	_ = c.conn.Close()
+}
+
+// maxLinger bounds the time for which a connection is kept open after its last response.
+const maxLinger = 2 * time.Second
+
+// discardUnread waits until the caller has closed the connection, and reads what it had sent
+// behind its last request: closing a connection with bytes unread resets it, and drops
+// the part of the last response that has not arrived.
+func (c *callerConn) discardUnread() {
+	_ = c.conn.SetReadDeadline(time.Now().Add(maxLinger))
+	// It ends with the caller's close, a reset or the deadline; the connection is closed
+	// after each of them.
+	_, _ = io.Copy(io.Discard, c.conn)
 }
 
 // readRequests reads requests until the caller disconnects or a request ends the
@@ -175,7 +198,13 @@
 // awaitClose cancels the requests in flight if the caller disconnects after its last
 // request.
 func (c *callerConn) awaitClose() {
+	c.mu.Lock()
+	if c.closing {
+		c.mu.Unlock()
+		return
+	}
 	_ = c.conn.SetReadDeadline(time.Time{})
+	c.mu.Unlock()
 	c.limiter.remaining = readBufferBytes
 	if _, err := c.reader.Peek(1); err != nil && c.ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
 		c.cancel()
@@ -197,7 +226,6 @@
 		return nil, nil, err
 	}
 	start := time.Now()
-	_ = c.conn.SetReadDeadline(start.Add(limits.HeaderTimeout))
 	c.limiter.remaining = limits.HeaderBytes + readBufferBytes
 	hr, err := http.ReadRequest(c.reader)
 	if err != nil {
@@ -268,7 +296,9 @@
 		var timeout net.Error
 		switch {
 		case err == nil:
-			c.startReading()
+			if !c.startReading(limits.HeaderTimeout) {
+				return errNoMoreRequests
+			}
 			return nil
 		case errors.As(err, &timeout) && timeout.Timeout():
 			if c.isStopping() || c.pendingCount() == 0 {
@@ -351,14 +381,13 @@
 // request.
 func (c *callerConn) closeWhenIdle() {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if !c.used && !c.reading && time.Since(c.opened) < firstRequestTime {
-		c.mu.Unlock()
 		return
 	}
 	c.stopping = true
-	idle := c.pending == 0 && !c.reading
-	c.mu.Unlock()
-	if idle {
+	if c.pending == 0 && !c.reading {
+		// With mu held, the deadline can't replace that of a request that begins now.
 		_ = c.conn.SetReadDeadline(time.Unix(1, 0))
 	}
 }
@@ -369,10 +398,17 @@
 	return c.stopping
 }
 
-func (c *callerConn) startReading() {
+// startReading begins a request whose header has to arrive within the timeout. It returns
+// false if the last response was chosen already.
+func (c *callerConn) startReading(timeout time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closing {
+		return false
+	}
 	c.reading = true
+	_ = c.conn.SetReadDeadline(time.Now().Add(timeout))
+	return true
 }
 
 // addPending counts a request that was read and is due a response. During a graceful
@@ -383,15 +419,37 @@
 	defer c.mu.Unlock()
 	c.reading, c.used, c.stopping = false, true, c.stopping || stopping
 	c.pending++
+	c.lastRead = time.Now()
+}
+
+// logUnanswered logs that the connection is closed while responses are due, if they are.
+func (c *callerConn) logUnanswered() {
+	c.mu.Lock()
+	pending, age := c.pending, time.Since(c.lastRead)
+	c.mu.Unlock()
+	if pending > 0 {
+		c.server.log.Warn("connection closed before its requests were answered", "caller", c.conn.RemoteAddr().String(),
+			"requests", pending, "last_read_ms", millis(age), "open_ms", millis(time.Since(c.opened)))
+	}
+}
+
+// isLast reports whether a response that is about to be written is the last one: it
+// closes the connection, or is the only one due on a connection that is stopping. No
+// request is read behind the last response, which could not be answered.
+func (c *callerConn) isLast(closes bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if closes || c.stopping && c.pending == 1 && !c.reading {
+		c.closing = true
+	}
+	return c.closing
 }
 
-// removePending counts a response. It reports whether the response is the last one
-// on a connection that is stopping.
-func (c *callerConn) removePending() bool {
+// removePending counts a response that was written, or given up.
+func (c *callerConn) removePending() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
-	return c.stopping && c.pending == 0 && !c.reading
 }
 
 func (c *callerConn) pendingCount() int {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -106,6 +106,7 @@
 	relay       string // address for other entries
 	server      *Server
 	stopControl func()
+	stop        func()                    // ends the entry at once
 	further     chan *instance.ViewUpdate // from the control instance
 
 	mu       sync.Mutex
@@ -178,7 +179,7 @@
 	})
 	e.t.Cleanup(stop)
 	server.ServePeers(peers)
-	e.server, e.address, e.relay = server, l.Addr().String(), peers.Addr().String()
+	e.server, e.address, e.relay, e.stop = server, l.Addr().String(), peers.Addr().String(), stop
 	for deadline := time.Now().Add(10 * time.Second); follower.View().ConfigIndex == 0; time.Sleep(10 * time.Millisecond) {
 		assert.Assert(e.t, time.Now().Before(deadline), "the entry received no view")
 	}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -65,10 +65,7 @@
 
 // ServePeers takes requests that other entries pass on, until the server's clean-up
 // function is called.
-func (s *Server) ServePeers(listener net.Listener) {
-	context.AfterFunc(s.ctx, func() { _ = listener.Close() })
-	go s.accept(listener, true)
-}
+func (s *Server) ServePeers(listener net.Listener) { s.acceptFrom(listener, true) }
 
 // RelayedRequests returns the numbers of requests that this entry passed on to others,
 // served for others, and rejected for a reason of its own.
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -75,6 +75,10 @@
 	advisedBy  uint64 // number of the report that the advice answers
 	// invalidRests counts answers with a Retry-After that can't be used.
 	invalidRests atomic.Uint64
+	notWritten   atomic.Uint64 // responses that callers did not get completely
+
+	listeners []net.Listener
+	accepting sync.WaitGroup // for the loops that accept connections of the listeners
 
 	mu           sync.Mutex
 	conns        map[*callerConn]bool
@@ -105,12 +109,15 @@
 	}
 	s.path = newPathMonitor(ctx, cfg.Clock, cfg.Log, func() []deployment.Target { return cfg.View.View().Live() }, s.targets.closeCircuits)
 	s.peers = newPeers(cfg.Clock, cfg.RelayAddress, cfg.AvailabilityZone)
-	go s.accept(listener, false)
+	s.acceptFrom(listener, false)
 	go s.reportLoop(ctx)
 	return s, func() {
 		cancel()
-		_ = listener.Close()
-		s.forEachConn(func(c *callerConn) { _ = c.conn.Close() })
+		s.closeListeners()
+		s.forEachConn(func(c *callerConn) {
+			c.logUnanswered()
+			_ = c.conn.Close()
+		})
 	}
 }
 
@@ -123,7 +130,9 @@
 		conn, err := listener.Accept()
 		switch {
 		case err == nil:
-			go s.serveConn(conn, fromPeers)
+			c := s.newConn(conn, fromPeers)
+			s.track(c)
+			go c.serve()
 		case errors.Is(err, net.ErrClosed):
 			return
 		default:
@@ -133,6 +142,29 @@
 	}
 }
 
+// acceptFrom begins to accept the connections of a listener.
+func (s *Server) acceptFrom(listener net.Listener, fromPeers bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listeners = append(s.listeners, listener)
+	s.accepting.Go(func() { s.accept(listener, fromPeers) })
+}
+
+func (s *Server) closeListeners() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.listeners {
+		_ = l.Close()
+	}
+}
+
+// stopAccepting closes the listeners. All connections that were accepted are tracked once it
+// returns.
+func (s *Server) stopAccepting() {
+	s.closeListeners()
+	s.accepting.Wait()
+}
+
 func (s *Server) track(c *callerConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -172,22 +204,28 @@
 }
 
 // Shutdown closes idle connections, and the others once their responses are written.
-// It returns when all are closed, or with an error when ctx ends. A new connection may
-// still send one request.
+// A new connection may still send one request. No further one is accepted once none is
+// open, or shortly before ctx ends. Shutdown returns when all are closed, or with an error
+// when ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
+	stopBy, bounded := ctx.Deadline()
 	s.mu.Lock()
-	s.stopping = true
-	s.stopBy, _ = ctx.Deadline()
+	s.stopping, s.stopBy = true, stopBy
 	s.mu.Unlock()
 	ticks, stop := s.cfg.Clock.Subscribe(shutdownPollInterval)
 	defer stop()
+	accepting := true
 	for {
 		s.forEachConn(func(c *callerConn) { c.closeWhenIdle() })
-		s.mu.Lock()
-		open := len(s.conns)
-		s.mu.Unlock()
-		if open == 0 {
+		open := s.Connections()
+		switch {
+		case open == 0 && !accepting:
 			return nil
+		case accepting && (open == 0 || bounded && time.Until(stopBy) < firstRequestTime):
+			// Connections that were accepted meanwhile still have time for a request.
+			s.stopAccepting()
+			accepting = false
+			continue
 		}
 		select {
 		case <-ctx.Done():
@@ -241,6 +279,9 @@
 // PathLosses returns how often no target could be reached any more.
 func (s *Server) PathLosses() uint64 { return s.path.Losses() }
 
+// NotWritten returns the number of responses that callers did not get completely.
+func (s *Server) NotWritten() uint64 { return s.notWritten.Load() }
+
 // RateLimits returns the rate limits of targets that are in force, in requests a second
 // of all entries together, by target.
 func (s *Server) RateLimits() map[string]float64 { return s.targets.rateLimits() }
--- a/internal/forward/shutdown_test.go
+++ b/internal/forward/shutdown_test.go
@@ -30,6 +30,7 @@
 		assert.Assert(t, resp.Close)
 		return resp.StatusCode
 	}
+	e.holdUpShutdown()
 	shutDown(700 * time.Millisecond)
 	assert.Equal(t, statusWithin(200*time.Millisecond), http.StatusOK)
 	assert.Equal(t, statusWithin(time.Second), http.StatusServiceUnavailable)
