Keep forks out of the check that a port is free

TestOneOwnerDuringFailures/owner_paused_and_resumed waited for an instance that had ended at its start: "listen tcp 127.249.235.187:10342: bind: address already in use". No other process uses that IP address. TestEntriesWithoutTargetsServe had failed once after 0.05 s, its log was not kept.

Cause: FreeAddress listens on an address and closes the socket. A process that is forked meanwhile by a parallel test has the socket until it runs its own program, so that the address is still taken when it is used. That this was the course of the two failures is inferred.

--- a/internal/local/address.go
+++ b/internal/local/address.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"syscall"
 )
 
 // ErrNoPort reports that FreeAddress found no free port.
@@ -40,11 +41,18 @@
 			addresses.next = firstPort
 		}
 		address := fmt.Sprintf("%s:%d", addresses.ip, addresses.next)
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
+		if isFree(address) {
+			return address, nil
 		}
-		return address, l.Close()
 	}
 	return "", ErrNoPort
 }
+
+// isFree reports whether nothing listens on an address. It keeps out forks meanwhile: a
+// process that is being started has the check's socket until it runs its own program.
+func isFree(address string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	l, err := net.Listen("tcp", address)
+	return err == nil && l.Close() == nil
+}
