--- a/internal/logwriter/logwriter.go
+++ b/internal/logwriter/logwriter.go
@@ -127,7 +127,9 @@
 			w.tokens.Store(routineLinesPerSecond)
 			reported = w.reportDropped(reported)
 		case <-ctx.Done():
-			w.write(nil)
+			for len(w.important.lines)+len(w.routine.lines) > 0 {
+				w.write(nil)
+			}
 			return
 		}
 	}
--- a/internal/logwriter/logwriter_test.go
+++ b/internal/logwriter/logwriter_test.go
@@ -71,3 +71,15 @@
 		_, _ = fmt.Fprintf(w.Important(), "{\"request_id\":%q}\n", "9c41d07be2a35f68")
 	}
 }
+
+func TestLastLinesAreWritten(t *testing.T) {
+	const lines = 2000 // of 256 bytes: more than one batch
+	var out bytes.Buffer
+	w, stop := logwriter.New(&out)
+	line := strings.Repeat("x", 255) + "\n"
+	for range lines {
+		_, _ = w.Important().Write([]byte(line))
+	}
+	stop()
+	assert.Equal(t, bytes.Count(out.Bytes(), []byte("\n")), lines)
+}
