Answer operators and targets in flight before a control instance ends

Cause: the HTTP server was closed, not shut down. Change: it takes no further calls and ends those in flight, for up to a second, before leadership is transferred.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -62,6 +62,7 @@
 	traffic    *instance.Traffic
 	metrics    *metrics
 	control    *Control
+	operator   *http.Server // of the control role
 	entry      *forward.Server
 	follower   *view.Follower
 	collectors collectors
@@ -121,7 +122,8 @@
 	}
 	i.addGauges()
 	if i.cfg.MetricsAddress != "" {
-		return i.listenHTTP(i.cfg.MetricsAddress, i.metrics)
+		_, err := i.listenHTTP(i.cfg.MetricsAddress, i.metrics)
+		return err
 	}
 	return nil
 }
@@ -184,7 +186,9 @@
 		return fmt.Errorf("listen for instances: %w", err)
 	}
 	i.cleanups.Add(instance.ServeDeployment(l, i.control, instance.Security{}, i.traffic))
-	return i.listenHTTP(i.cfg.OperatorAddress, i.adapter.Operator(i.control))
+	operator, err := i.listenHTTP(i.cfg.OperatorAddress, i.adapter.Operator(i.control))
+	i.operator = operator
+	return err
 }
 
 // Reload applies new seeds. Other settings take effect at the next start.
@@ -237,7 +241,8 @@
 		}
 		server.ServePeers(l)
 	}
-	return i.listenHTTP(i.cfg.BalancerAddress, i.adapter.Balancer(i.ready))
+	_, err = i.listenHTTP(i.cfg.BalancerAddress, i.adapter.Balancer(i.ready))
+	return err
 }
 
 const (
@@ -328,10 +333,10 @@
 	idleTimeout   = 30 * time.Second
 )
 
-func (i *Instance) listenHTTP(address string, h http.Handler) error {
+func (i *Instance) listenHTTP(address string, h http.Handler) (*http.Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return nil, fmt.Errorf("listen: %w", err)
 	}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	i.cleanups.Add(func() { _ = s.Close() })
@@ -340,7 +345,21 @@
 			i.fail(fmt.Errorf("serve %s: %w", address, err))
 		}
 	}()
-	return nil
+	return s, nil
+}
+
+// operatorTime is how long operators' and targets' calls in flight may take to end in a
+// graceful shutdown.
+const operatorTime = time.Second
+
+// stopOperator takes no further calls of operators and targets, and waits for the responses
+// to those in flight: what was accepted has to be acknowledged.
+func (i *Instance) stopOperator(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, operatorTime)
+	defer cancel()
+	if err := i.operator.Shutdown(ctx); err != nil {
+		i.log.Warn("calls of operators or targets were cut off", "error", err)
+	}
 }
 
 // exitMargin is the part of the grace period that is left for the process to exit
@@ -359,6 +378,7 @@
 	i.stopping = true
 	i.mu.Unlock()
 	if i.control != nil {
+		i.stopOperator(ctx)
 		i.control.transferLeadership(ctx)
 	}
 	if i.entry != nil {
