Keep passing requests on when three other entries have stopped

Change: a response of any peer within the last second disproves that. TestStoppedPeersDontSpendOthers failed before. TestBookingsAtStoppingPeers now runs its bookings at the entry's own targets too, counts these runs, and matches the body with the booking.

--- a/internal/forward/peers.go
+++ b/internal/forward/peers.go
@@ -18,7 +18,8 @@
 	// leader does not advise it again before.
 	peerRest = 5 * time.Second
 	// unreachablePeers is the number of peers in a row that can't be connected to, after
-	// which this entry's own link is assumed to fail, and no peer is tried for linkRest.
+	// which this entry's own link is assumed to fail, and no peer is tried for linkRest. A
+	// response within linkRest disproves that.
 	unreachablePeers = 3
 	linkRest         = time.Second
 	// otherZonePeerCost is the cost of a peer in another availability zone, as a multiple
@@ -36,6 +37,7 @@
 	mu          sync.Mutex
 	byAddress   map[string]*peer
 	unreachable int // peers in a row
+	servedAt    timer.Instant
 	restUntil   timer.Instant
 }
 
@@ -137,13 +139,13 @@
 	switch outcome {
 	case relayUnreachable:
 		known.restUntil = now.Add(peerRest)
-		if p.unreachable++; p.unreachable >= unreachablePeers {
+		if p.unreachable++; p.unreachable >= unreachablePeers && now.Sub(p.servedAt) > linkRest {
 			p.unreachable, p.restUntil = 0, now.Add(linkRest)
 		}
 	case relayUnable:
 		known.restUntil = now.Add(peerRest)
 		p.unreachable = 0
 	case relayServed, relayDeclined:
-		p.unreachable = 0
+		p.unreachable, p.servedAt = 0, now
 	}
 }
--- a/internal/forward/relay_faults_test.go
+++ b/internal/forward/relay_faults_test.go
@@ -174,6 +174,26 @@
 	}
 }
 
+// TestStoppedPeersDontSpendOthers checks that an entry which still serves requests is used
+// when several others can't be connected to.
+func TestStoppedPeersDontSpendOthers(t *testing.T) {
+	clock := timer.NewManual()
+	p := newPeers(clock, "own", "a")
+	clock.Advance(time.Minute)
+	p.Advise([]instance.Peer{{Address: "0"}, {Address: "1"}, {Address: "2"}, {Address: "3"}})
+	serving, ok := p.Take(nil)
+	assert.Assert(t, ok)
+	p.Done(serving, relayServed)
+	tried := []string{serving}
+	for range unreachablePeers {
+		address, ok := p.Take(tried)
+		assert.Assert(t, ok)
+		p.Done(address, relayUnreachable)
+		tried = append(tried, address)
+	}
+	assert.Assert(t, p.Available())
+}
+
 // serveAtPeer reports whether a request finds an entry that is not cut off.
 func serveAtPeer(p *peers, cut map[string]bool) bool {
 	var tried []string
@@ -211,13 +231,17 @@
 			_ = w.(net.Conn).Close()
 			return
 		}
-		respondOK("x")(w, r)
+		respondOK(r.Header.Get("Request-Id"))(w, r)
 	}
+	start := func() *testEntry { return startEntry(t, nil, handler, handler, handler, handler, handler) }
+	e := start()
+	e.cut()
 	var others []*testEntry
 	for range 4 {
-		others = append(others, startEntry(t, nil, handler, handler, handler, handler, handler))
+		other := start()
+		others = append(others, other)
+		e.server.peers.Advise([]instance.Peer{{Address: other.relay, AvailabilityZone: "a"}})
 	}
-	e := startCutEntry(t, others...)
 	var wg sync.WaitGroup
 	for n := range 20 {
 		wg.Go(func() { sendBookings(t, e, n, &mu, runs) })
@@ -263,7 +287,7 @@
 		if resp.StatusCode == http.StatusServiceUnavailable && ran > 0 {
 			t.Errorf("booking %s was rejected and ran", id)
 		}
-		if resp.StatusCode == http.StatusOK && (string(body) != "x" || resp.Header.Get("Request-Id") != id) {
+		if resp.StatusCode == http.StatusOK && (string(body) != id || resp.Header.Get("Request-Id") != id) {
 			t.Errorf("booking %s got the response %q of %s", id, body, resp.Header.Get("Request-Id"))
 		}
 	}
