Lose no request between the choice to close a connection and its close

- In a shutdown the wait for the caller's close ended at the next look at the connection, after 50 ms, so that a request sent ahead reset it and dropped the rest of the last answer.
- An idle connection was closed while its answer was written but had not arrived; a request that crossed the close dropped it.
It waits until all is acknowledged.
- Requests passed on behind a streamed answer that its target broke off got none.
An answer is streamed only if no other request has begun, and none begins meanwhile.
- A request that was being read when the last answer was chosen was passed on.

And, in the same code: "100 Continue" was sent inside another answer; the idle time counted from the last request and not its answer; a slow caller had 10 s for a whole answer; a chunked body with too many bytes of framing got a reset and no 413; an entry that drains took requests of other entries.

Cause: the state of a connection was decided in several places without one lock.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -10,8 +10,11 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
 )
 
@@ -80,13 +83,18 @@
 	// halfClosed reports that the last response was written, and the write side closed.
 	halfClosed bool
 
-	mu       sync.Mutex
-	pending  int       // requests read whose response is not written yet
-	reading  bool      // part of a request was read
-	used     bool      // a request was read
-	stopping bool      // it closes after the responses that are due
-	closing  bool      // its last response was chosen; no further request is read
-	lastRead time.Time // when the last request was read
+	mu         sync.Mutex
+	pending    int       // requests read whose response is not written yet
+	reading    bool      // part of a request was read
+	used       bool      // a request was read
+	stopping   bool      // it closes after the responses that are due
+	lastChosen bool      // its last response was chosen; no further request is read
+	lastRead   time.Time // when the last request was read
+	// streaming reports that a response is streamed. If its body breaks off, the connection
+	// has to be closed, so that no request is begun meanwhile.
+	streaming  bool
+	answeredAt time.Time  // when the last response was written
+	changed    *sync.Cond // of pending, streaming and lastChosen
 }
 
 // byteLimiter bounds the bytes that may be read of a request's header or body. Past
@@ -113,7 +121,7 @@
 func (s *Server) newConn(nc net.Conn, fromPeer bool) *callerConn {
 	ctx, cancel := context.WithCancel(s.ctx)
 	limiter := &byteLimiter{reader: nc}
-	return &callerConn{
+	c := &callerConn{
 		server:  s,
 		conn:    nc,
 		reader:  bufio.NewReaderSize(limiter, readBufferBytes),
@@ -125,6 +133,8 @@
 
 		fromPeer: fromPeer,
 	}
+	c.changed = sync.NewCond(&c.mu)
+	return c
 }
 
 // serve reads and answers requests until the connection is closed.
@@ -138,13 +148,53 @@
 	c.readRequests()
 	close(c.queue)
 	<-written
+	callerLeft := !c.halfClosed && c.ctx.Err() != nil
 	c.cancel()
 	if c.halfClosed {
 		c.discardUnread()
 	}
+	if !callerLeft {
+		c.awaitSent()
+	}
 	_ = c.conn.Close()
 }
 
+// awaitSent waits until the caller's machine has received all that was written, maxLinger at
+// most. A request that crosses the close of an idle connection stays unread, so that its
+// caller may repeat it, and resets the connection.
+func (c *callerConn) awaitSent() {
+	tcp, ok := c.conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	for waited := time.Duration(0); waited < maxLinger && unsentBytes(raw) > 0; waited += sentPollInterval {
+		time.Sleep(sentPollInterval)
+	}
+}
+
+// sentPollInterval is the time between two looks at a connection's send queue.
+const sentPollInterval = 5 * time.Millisecond
+
+// unsentBytes returns the number of bytes that the peer has not acknowledged, or 0 if that
+// is not known.
+func unsentBytes(raw syscall.RawConn) int {
+	n := 0
+	err := raw.Control(func(fd uintptr) {
+		var err error
+		if n, err = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ); err != nil {
+			n = 0
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // maxLinger bounds the time for which a connection is kept open after its last response.
 const maxLinger = 2 * time.Second
 
@@ -167,7 +217,9 @@
 			c.cancelIfDisconnected(err)
 			return
 		}
-		c.addPending()
+		if !c.addPending() {
+			return
+		}
 		respCh := make(chan response, 1)
 		select {
 		case c.queue <- respCh:
@@ -199,7 +251,7 @@
 // request.
 func (c *callerConn) awaitClose() {
 	c.mu.Lock()
-	if c.closing {
+	if c.lastChosen {
 		c.mu.Unlock()
 		return
 	}
@@ -288,7 +340,7 @@
 		if c.isStopping() {
 			return errNoMoreRequests
 		}
-		_ = c.conn.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
+		_ = c.conn.SetReadDeadline(time.Now().Add(c.idleLeft(limits.IdleTimeout)))
 		if c.isStopping() {
 			return errNoMoreRequests
 		}
@@ -301,7 +353,7 @@
 			}
 			return nil
 		case errors.As(err, &timeout) && timeout.Timeout():
-			if c.isStopping() || c.pendingCount() == 0 {
+			if c.isStopping() || c.idleLeft(limits.IdleTimeout) <= 0 {
 				return errNoMoreRequests
 			}
 		default:
@@ -316,7 +368,10 @@
 	}
 	c.limiter.remaining = 2*limits.BodyBytes + readBufferBytes
 	if hr.Header.Get("Expect") == "100-continue" {
-		if _, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		if !c.awaitAnswers() {
+			return nil, errNoMoreRequests
+		}
+		if err := c.send([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return nil, fmt.Errorf("continue: %w", err)
 		}
 	}
@@ -324,7 +379,10 @@
 	body, err := io.ReadAll(io.LimitReader(hr.Body, int64(limits.BodyBytes)+1))
 	if err != nil {
 		var timeout net.Error
-		if errors.As(err, &timeout) && timeout.Timeout() {
+		switch {
+		case errors.Is(err, errTooLarge):
+			return c.reject(http.StatusRequestEntityTooLarge, "request body is too large"), nil
+		case errors.As(err, &timeout) && timeout.Timeout():
 			return c.reject(http.StatusRequestTimeout, "timeout reading the request body"), nil
 		}
 		return nil, fmt.Errorf("read body: %w", err)
@@ -382,7 +440,7 @@
 func (c *callerConn) closeWhenIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.used && !c.reading && time.Since(c.opened) < firstRequestTime {
+	if c.lastChosen || !c.used && !c.reading && time.Since(c.opened) < firstRequestTime {
 		return
 	}
 	c.stopping = true
@@ -398,12 +456,15 @@
 	return c.stopping
 }
 
-// startReading begins a request whose header has to arrive within the timeout. It returns
-// false if the last response was chosen already.
+// startReading begins a request whose header has to arrive within the timeout, once no
+// response is streamed. It returns false if the last response was chosen already.
 func (c *callerConn) startReading(timeout time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing {
+	for c.streaming && !c.lastChosen {
+		c.changed.Wait()
+	}
+	if c.lastChosen {
 		return false
 	}
 	c.reading = true
@@ -411,15 +472,32 @@
 	return true
 }
 
+// awaitAnswers waits until no response is due. It returns false if the last response was
+// chosen.
+func (c *callerConn) awaitAnswers() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.pending > 0 && !c.lastChosen {
+		c.changed.Wait()
+	}
+	return !c.lastChosen
+}
+
 // addPending counts a request that was read and is due a response. During a graceful
-// shutdown it is the connection's last one.
-func (c *callerConn) addPending() {
+// shutdown it is the connection's last one. It returns false if the last response was
+// chosen while the request was read.
+func (c *callerConn) addPending() bool {
 	stopping := c.server.isStopping()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.lastChosen {
+		c.reading = false
+		return false
+	}
 	c.reading, c.used, c.stopping = false, true, c.stopping || stopping
 	c.pending++
 	c.lastRead = time.Now()
+	return true
 }
 
 // logUnanswered logs that the connection is closed while responses are due, if they are.
@@ -433,16 +511,26 @@
 	}
 }
 
-// isLast reports whether a response that is about to be written is the last one: it
+// chooseLast reports whether a response that is about to be written is the last one: it
 // closes the connection, or is the only one due on a connection that is stopping. No
 // request is read behind the last response, which could not be answered.
-func (c *callerConn) isLast(closes bool) bool {
+func (c *callerConn) chooseLast(closes bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if closes || c.stopping && c.pending == 1 && !c.reading {
-		c.closing = true
+		c.lastChosen = true
+		c.changed.Broadcast()
 	}
-	return c.closing
+	return c.lastChosen
+}
+
+// startStreaming reports whether a response may be streamed: no other request has been
+// begun, which could not be answered if the body breaks off.
+func (c *callerConn) startStreaming() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.streaming = c.pending == 1 && !c.reading
+	return c.streaming
 }
 
 // removePending counts a response that was written, or given up.
@@ -450,6 +538,22 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
+	c.streaming, c.answeredAt = false, time.Now()
+	c.changed.Broadcast()
+}
+
+// idleLeft returns for how long the connection may stay idle, which counts from its last
+// response.
+func (c *callerConn) idleLeft(timeout time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.pending > 0:
+		return timeout
+	case c.used:
+		return timeout - time.Since(c.answeredAt)
+	}
+	return timeout - time.Since(c.opened)
 }
 
 func (c *callerConn) pendingCount() int {
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -234,6 +234,9 @@
 // admitRelayed checks whether this entry can serve a request that another one passed on, and
 // returns why not, or an empty string.
 func (s *Server) admitRelayed(r *request, configIndex uint64) string {
+	if s.isDraining() {
+		return "this instance is stopping"
+	}
 	if s.path.Lost() {
 		return "this instance can reach no target either"
 	}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -21,7 +21,6 @@
 	stream    *targethttp.BodyStream // body that is still arriving; body is empty then
 	onWritten func(error)            // called after the response was written, or failed to be
 	closeConn bool                   // the connection closes after it
-	abort     bool                   // close the connection without a response
 	isHead    bool                   // answers a HEAD request
 	// otherMayServe is set in the rejection of a request that this entry can't serve for a
 	// reason of its own.
@@ -59,14 +58,17 @@
 			r.written(errConnectionClosed)
 			continue
 		}
-		isLast := c.isLast(r.closeConn)
+		if r.stream != nil && !c.startStreaming() {
+			r = c.readStream(r)
+		}
+		isLast := c.chooseLast(r.closeConn)
 		writeErr = c.write(r, isLast)
 		c.removePending()
 		if writeErr != nil {
 			c.logNotWritten(r, writeErr)
 		}
 		r.written(writeErr)
-		if r.abort || writeErr != nil || isLast {
+		if writeErr != nil || isLast {
 			closed = true
 			c.closeWrite()
 			c.halfClosed = writeErr == nil
@@ -74,6 +76,23 @@
 	}
 }
 
+// readStream returns a response with its whole body, or one that tells that the body broke
+// off.
+func (c *callerConn) readStream(r response) response {
+	body, err := r.stream.ReadAll(c.ctx)
+	r.written(err)
+	if err != nil {
+		failed := errorResponse(http.StatusBadGateway, "the target broke its answer off")
+		failed.closeConn, failed.isHead = r.closeConn, r.isHead
+		if id, ok := r.header[c.server.cfg.Headers.RequestID]; ok {
+			failed.header[c.server.cfg.Headers.RequestID] = id
+		}
+		return failed
+	}
+	r.body, r.stream, r.onWritten = body, nil, nil
+	return r
+}
+
 // logNotWritten counts a response that its caller did not get completely. It logs the
 // response, unless the caller has left or the response is a stream, which is logged at
 // its end.
@@ -88,11 +107,8 @@
 
 // write writes one response. The connection closes after it if closeAfter is set.
 func (c *callerConn) write(r response, closeAfter bool) error {
-	if r.abort {
-		return nil
-	}
 	link, size := c.server.cfg.Link, r.size()
-	small := r.stream == nil && (link == nil || size <= targethttp.StreamThresholdBytes)
+	small := r.stream == nil && size <= targethttp.StreamThresholdBytes
 	out := c.responseHead(r, closeAfter)
 	if small && !r.isHead {
 		out = append(out, r.body...)
@@ -115,9 +131,11 @@
 				return err
 			}
 		}
+		chunk := maxWriteBytes
 		if c.server.cfg.Link != nil {
-			part = part[:min(len(part), limit.ChunkBytes)]
+			chunk = limit.ChunkBytes
 		}
+		part = part[:min(len(part), chunk)]
 		if err := c.server.cfg.Link.Wait(c.ctx, len(part), size-sent); err != nil {
 			return err
 		}
@@ -129,6 +147,9 @@
 	return nil
 }
 
+// maxWriteBytes bounds the bytes that have writeTimeout to be taken by a slow caller.
+const maxWriteBytes = 256 << 10
+
 func (c *callerConn) send(data []byte) error {
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	_, err := c.conn.Write(data)
@@ -162,7 +183,8 @@
 // later: closing it at once might reset it and lose the last response.
 func (c *callerConn) closeWrite() {
 	c.mu.Lock()
-	c.stopping, c.closing = true, true
+	c.stopping, c.lastChosen = true, true
+	c.changed.Broadcast()
 	_ = c.conn.SetReadDeadline(time.Unix(1, 0))
 	c.mu.Unlock()
 	if tcp, ok := c.conn.(*net.TCPConn); ok {
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -113,7 +113,8 @@
 	go s.reportLoop(ctx)
 	return s, func() {
 		cancel()
-		s.closeListeners()
+		s.stopAccepting()
+		s.awaitResponses(lastResponseTime)
 		s.forEachConn(func(c *callerConn) {
 			c.logUnanswered()
 			_ = c.conn.Close()
@@ -121,6 +122,22 @@
 	}
 }
 
+// lastResponseTime is how long the responses to cancelled requests may take to be written.
+const lastResponseTime = 100 * time.Millisecond
+
+// awaitResponses waits until no response is due, or for the limit.
+func (s *Server) awaitResponses(limit time.Duration) {
+	const interval = 5 * time.Millisecond
+	for waited := time.Duration(0); waited < limit; waited += interval {
+		due := 0
+		s.forEachConn(func(c *callerConn) { due += c.pendingCount() })
+		if due == 0 {
+			return
+		}
+		time.Sleep(interval)
+	}
+}
+
 // acceptBackoff is the pause after a failed accept. It gives connections time to
 // close when the process is out of file descriptors.
 const acceptBackoff = 10 * time.Millisecond
