--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -89,15 +89,16 @@
 		if counts[relayUnreachable] >= maxRelayFailures || counts[relayUnable] >= maxRelayRejections || counts[relayDeclined] >= maxRelayDeclines {
 			break
 		}
+		address, ok := s.peers.Take(tried)
+		if !ok {
+			break
+		}
 		if c.sent > 0 && !s.chargeRetryBudget(c.service.Name) {
+			s.peers.Done(address, relayDeclined)
 			c.reason += "; retry budget exhausted"
 			out := s.finalResponse(ctx, c)
 			return &out
 		}
-		address, ok := s.peers.Take(tried)
-		if !ok {
-			break
-		}
 		tried = append(tried, address)
 		out, outcome := s.relayTo(ctx, c, address)
 		s.peers.Done(address, outcome)
