Don't take a full link of the entry's own for a lost path to targets

Cause: on links of 2 to 6.5 Mbit/s that are full, connections time out for all targets of a check, while answers come on others. The entry then passed all requests on, over the same link and that of another entry.

Change: timeouts mean a lost path only if no target has answered for a second; refused connections always do. A single owner counts as out of reach on narrow links only if it refuses connections.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -44,6 +44,7 @@
 	if err != nil {
 		return s.handleFailure(ctx, c, t, err, took)
 	}
+	s.path.RecordAnswer()
 	res := attemptResult{sentAt: c.sentAt, took: took, answered: true, leaving: a.Header.Get(s.cfg.Headers.Leaving) != ""}
 	if a.Status == http.StatusServiceUnavailable && s.cfg.Headers.ParseRest != nil {
 		if value := a.Header.Get("Retry-After"); value != "" {
@@ -152,7 +153,9 @@
 		took:   took,
 		sentAt: c.sentAt,
 
-		noConnection: !disconnected && errors.Is(err, targethttp.ErrNoConnection),
+		// On a narrow link a connection that does not open in time mostly shows that the
+		// link is full.
+		noConnection: !disconnected && errors.Is(err, targethttp.ErrNoConnection) && (s.cfg.Link == nil || !isTimeout(err)),
 	}
 	s.targets.requestEnded(t, res)
 	if res.failed && (errors.Is(err, targethttp.ErrNoConnection) || errors.Is(err, targethttp.ErrTimeout)) {
--- a/internal/forward/path.go
+++ b/internal/forward/path.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -30,6 +32,9 @@
 	lostIntervalGrowth = 125 // percent
 	// checkedTargets is the number of targets that a check connects to.
 	checkedTargets = 6
+	// answerWindow is the time within which an answer of any target shows that connections
+	// time out because the entry's own link is full.
+	answerWindow = time.Second
 	// checkTimeout bounds the time for connecting to them.
 	checkTimeout = 500 * time.Millisecond
 )
@@ -47,6 +52,7 @@
 	restored func()
 
 	mu        sync.Mutex
+	answered  atomic.Int64             // instant of the last answer of any target
 	failed    map[string]timer.Instant // last failures without an answer, by target ID
 	checkedAt timer.Instant
 	checking  bool
@@ -92,6 +98,9 @@
 	return p.losses
 }
 
+// RecordAnswer records that a target has answered.
+func (p *pathMonitor) RecordAnswer() { p.answered.Store(int64(p.clock.Now())) }
+
 // RecordFailure records that a target gave no answer. Failures of several targets start a
 // check.
 func (p *pathMonitor) RecordFailure(target string) {
@@ -118,7 +127,7 @@
 // or there is no other.
 func (p *pathMonitor) ReachesOthers(id string) bool {
 	others := slices.DeleteFunc(slices.Clone(p.targets()), func(t deployment.Target) bool { return t.ID == id })
-	opened, _ := p.connect(randomTargets(others, checkedTargets))
+	opened, _, _ := p.connect(randomTargets(others, checkedTargets))
 	return opened > 0 || len(others) == 0
 }
 
@@ -135,17 +144,19 @@
 }
 
 // check connects to a sample of the targets and returns whether the path is lost. It is
-// lost once no connection opens, and restored once half of them do.
+// lost once no connection opens, unless connections time out while targets answer on others.
+// It is restored once half of them open.
 func (p *pathMonitor) check() bool {
 	sample := randomTargets(p.targets(), checkedTargets)
-	opened, err := p.connect(sample)
+	opened, timeouts, err := p.connect(sample)
+	linkFull := timeouts > 0 && p.clock.Now().Sub(timer.Instant(p.answered.Load())) < answerWindow
 	p.mu.Lock()
 	wasLost := p.lost
 	switch {
 	case p.ctx.Err() != nil:
 	case len(sample) == 0 || 2*opened >= len(sample):
 		p.lost = false
-	case opened == 0:
+	case opened == 0 && !linkFull:
 		p.lost = true
 	}
 	lost, now := p.lost, p.clock.Now()
@@ -179,9 +190,9 @@
 	return out
 }
 
-// connect returns the number of targets to which a connection opens, and the error of one
-// to which none does.
-func (p *pathMonitor) connect(targets []deployment.Target) (opened int, err error) {
+// connect returns the number of targets to which a connection opens, the number to which it
+// times out, and the error of one to which none opens.
+func (p *pathMonitor) connect(targets []deployment.Target) (opened, timeouts int, err error) {
 	ctx, cancel := context.WithTimeout(p.ctx, checkTimeout)
 	defer cancel()
 	results := make(chan error, len(targets))
@@ -189,11 +200,21 @@
 		go func() { results <- p.dial(ctx, t.Address) }()
 	}
 	for range targets {
-		if dialErr := <-results; dialErr != nil {
-			err = dialErr
+		dialErr := <-results
+		if dialErr == nil {
+			opened++
 			continue
 		}
-		opened++
+		err = dialErr
+		if isTimeout(err) {
+			timeouts++
+		}
 	}
-	return opened, err
+	return opened, timeouts, err
+}
+
+// isTimeout reports whether a connection was not opened in time, rather than refused.
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout()
 }
--- a/internal/forward/path_test.go
+++ b/internal/forward/path_test.go
@@ -1,11 +1,12 @@
 package forward
 
 import (
+	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -21,6 +22,7 @@
 type fakeNetwork struct {
 	mu        sync.Mutex
 	reachable map[string]bool
+	err       error // of connections to other addresses; by default they are refused
 	dials     int
 }
 
@@ -29,7 +31,7 @@
 	defer n.mu.Unlock()
 	n.dials++
 	if !n.reachable[address] {
-		return errors.New("no route")
+		return cmp.Or(n.err, error(syscall.ECONNREFUSED))
 	}
 	return nil
 }
@@ -93,6 +95,24 @@
 		awaitLost(t, p, false)
 		assert.Equal(t, p.Losses(), uint64(1))
 	})
+	t.Run("is not lost while the entry's own link is full", func(t *testing.T) {
+		p, network, fail := startPathMonitor(t, 20)
+		_, addresses := testTargets(20)
+		network.set(false, addresses...)
+		network.err = context.DeadlineExceeded
+		p.RecordAnswer()
+		assert.Assert(t, !p.check())
+		time.Sleep(answerWindow) // without an answer
+		fail()
+		awaitLost(t, p, true)
+	})
+	t.Run("is lost when connections are refused, though targets answer on others", func(t *testing.T) {
+		p, network, _ := startPathMonitor(t, 20)
+		_, addresses := testTargets(20)
+		network.set(false, addresses...)
+		p.RecordAnswer()
+		assert.Assert(t, p.check())
+	})
 	t.Run("is not lost when some targets fail", func(t *testing.T) {
 		p, network, _ := startPathMonitor(t, 20)
 		network.set(false, "t0", "t1")
