--- a/internal/deployment/config.go
+++ b/internal/deployment/config.go
@@ -24,8 +24,11 @@
 	Lookup   Kind = "lookup"   // may run more than once
 	Download Kind = "download" // may run more than once; large responses
 	Booking  Kind = "booking"  // runs at most once per request ID
+	Upload   Kind = "upload"   // runs at most once per request ID; large requests
 )
 
+var kinds = []Kind{Lookup, Download, Booking, Upload}
+
 // Idempotent reports whether a request may be sent again although a target may have
 // run it.
 func (k Kind) Idempotent() bool { return k == Lookup || k == Download }
@@ -127,7 +130,7 @@
 	switch {
 	case r.Host == "":
 		return &FieldError{Field: field("host"), Value: r.Host, Rule: "must not be empty"}
-	case r.Kind != Lookup && r.Kind != Download && r.Kind != Booking:
+	case !slices.Contains(kinds, r.Kind):
 		return &FieldError{Field: field("kind"), Value: r.Kind, Rule: "must be a known kind"}
 	case r.Attempts < 1:
 		return &FieldError{Field: field("attempts"), Value: r.Attempts, Rule: "must be at least 1"}
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -259,3 +259,23 @@
 		rt.Fatalf("a snapshot does not preserve the ranges")
 	}
 }
+
+func TestKinds(t *testing.T) {
+	cases := []struct {
+		kind       deployment.Kind
+		idempotent bool
+	}{
+		{deployment.Lookup, true},
+		{deployment.Download, true},
+		{deployment.Booking, false},
+		{deployment.Upload, false},
+	}
+	for _, c := range cases {
+		t.Run(string(c.kind), func(t *testing.T) {
+			r := route("r", func(r *deployment.Route) { r.Kind = c.kind })
+			cfg := deployment.Config{Routes: []deployment.Route{r}, Services: []deployment.Service{{Name: "catalog"}}}
+			assert.NilError(t, cfg.Validate())
+			assert.Equal(t, c.kind.Idempotent(), c.idempotent)
+		})
+	}
+}
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -43,6 +43,9 @@
 // many it can run at once.
 type Load struct {
 	Running, Waiting, Slots int
+	// Slowdown is how long work takes at the target at this moment, as a multiple of the
+	// usual time; 1 for a target that does not report it.
+	Slowdown float64
 }
 
 // Observer receives an entry's measurements.
