Keep Go's first fork out of the check that a port is free

When a process is first started, package os tests the kernel's support of pidfds by a fork that does not hold syscall.ForkLock. That child has a copy of the check's socket.

Ruled out: other listeners on the port (none; the ephemeral range begins at 32768).

Change: isFree waits for that test first.

--- a/internal/local/address.go
+++ b/internal/local/address.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 )
@@ -48,9 +49,19 @@
 	return "", ErrNoPort
 }
 
+// awaitFirstFork waits until package os has tested whether the kernel supports pidfds. It does
+// so once, when a process is first started or found, by a fork that does not hold
+// syscall.ForkLock.
+var awaitFirstFork = sync.OnceFunc(func() {
+	if p, err := os.FindProcess(os.Getpid()); err == nil {
+		_ = p.Release()
+	}
+})
+
 // isFree reports whether nothing listens on an address. It keeps out forks meanwhile: a
 // process that is being started has the check's socket until it runs its own program.
 func isFree(address string) bool {
+	awaitFirstFork()
 	syscall.ForkLock.RLock()
 	defer syscall.ForkLock.RUnlock()
 	l, err := net.Listen("tcp", address)
