Advise entries of overloaded owners, not of each of their ranges

The advice named each range of an overloaded target. With grants by heartbeat a target has up to 64 ranges, so that it filled links of 1.5 Mbit/s, requests got late, and more targets counted as overloaded.

Change: one item for each overloaded target. A single key that causes the overload is named as before.

That the links were full was inferred from the message's size and the result, not read from them.

--- a/internal/forward/owner.go
+++ b/internal/forward/owner.go
@@ -102,7 +102,7 @@
 	expected, withinWindow := s.targets.expected(t)
 	c.target, c.expected, c.fence = t, expected, r.Fence
 	switch {
-	case s.rejectOverload(c.service.Name, c.key):
+	case s.rejectOverload(c.service.Name, c.key, t):
 		return overloadRetryAfter, errKeyOverloaded
 	case expected > c.maxExpected():
 		return expected / 2, errOwnerBusy
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -357,10 +357,10 @@
 const maxEntriesWithinQueue = 16
 
 // rejectOverload reports whether to reject a request for a key that gets more
-// requests than its owner can serve. It picks at random the share that the owner
+// requests than its owner can serve, or whose owner gets more for all of its keys. It picks at random the share that the owner
 // can't serve. With at most maxEntriesWithinQueue entries it rejects nothing, since
 // windows prevent overload.
-func (s *Server) rejectOverload(service string, key deployment.Key) bool {
+func (s *Server) rejectOverload(service string, key deployment.Key, owner deployment.Target) bool {
 	a := s.advice.Load()
 	if a == nil || a.Entries <= maxEntriesWithinQueue {
 		return false
@@ -370,5 +370,10 @@
 			return rand.Float64() > o.Share
 		}
 	}
+	for _, o := range a.OverloadedOwners {
+		if o.Target == owner.ID && o.StartMillis == owner.StartMillis {
+			return rand.Float64() > o.Share
+		}
+	}
 	return false
 }
--- a/internal/instance/deployment_messages.go
+++ b/internal/instance/deployment_messages.go
@@ -109,9 +109,13 @@
 
 // ReportResponse is the leader's advice, computed from the reports of all entries.
 type ReportResponse struct {
-	Entries   int             `msgpack:"entries"` // number of entries that report; 0 if not known yet
-	Overloads []Overload      `msgpack:"overloads"`
-	Failing   []FailingTarget `msgpack:"failing"` // worst first
+	Entries   int        `msgpack:"entries"` // number of entries that report; 0 if not known yet
+	Overloads []Overload `msgpack:"overloads"`
+	// OverloadedOwners lists the targets of whose keys only a share is admitted. One item
+	// for each target and not for each of its ranges keeps the advice small: it is sent to
+	// every entry four times a second, also over the narrowest links.
+	OverloadedOwners []OverloadedOwner `msgpack:"overloaded_owners,omitempty"`
+	Failing          []FailingTarget   `msgpack:"failing"` // worst first
 	// Leaving lists the targets that began to drain or left not long ago. They are in the
 	// view as well, which may come late over a full link.
 	Leaving []deployment.Incarnation `msgpack:"leaving,omitempty"`
@@ -153,6 +157,13 @@
 	FailureShare float64 `msgpack:"share"` // failed part of its requests, from 0 to 1
 }
 
+// OverloadedOwner is a target that gets more requests for its keys than it can serve.
+type OverloadedOwner struct {
+	Target      string  `msgpack:"target"`
+	StartMillis int64   `msgpack:"born"`
+	Share       float64 `msgpack:"share"` // part of the requests that it can serve
+}
+
 // Overload is a run of keys, both ends included, that get more requests than their
 // owner can serve.
 type Overload struct {
--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -50,7 +50,7 @@
 	for _, table := range m.state.Tables() {
 		for _, u := range m.targetUsages(table.Service) {
 			if u.utilization() > maxAdmittedUtilization && !u.boundByLimit() {
-				advice.Overloads = append(advice.Overloads, m.overloads(table, u)...)
+				m.adviseOverload(&advice, table, u)
 			}
 		}
 	}
@@ -95,12 +95,10 @@
 	return out
 }
 
-// overloads returns the share of requests that an overloaded target can serve, for
-// each of its ranges. If one key causes most of the load and the target can serve
-// all others, only that key is limited.
-func (m *Model) overloads(table deployment.KeyTable, u targetUsage) []instance.Overload {
+// adviseOverload adds an overloaded target to the advice. If one key causes most of its load
+// and the target can serve all others, only that key is limited, else all of its keys.
+func (m *Model) adviseOverload(advice *instance.ReportResponse, table deployment.KeyTable, u targetUsage) {
 	stats := m.statsOf(table.Service)
-	var all []instance.Overload
 	busiest, busiestRate := deployment.Key(0), 0.0
 	for _, r := range table.Ranges {
 		if r.Phase != deployment.Owned || r.Target != u.target.ID || r.StartMillis != u.target.StartMillis {
@@ -111,11 +109,13 @@
 				busiest, busiestRate = deployment.Key(k), rate
 			}
 		}
-		all = append(all, instance.Overload{Service: table.Service, From: r.From, To: r.To, Share: maxAdmittedUtilization / u.utilization()})
 	}
 	if others := (u.rate - busiestRate) * u.perRequest(); busiestRate > u.rate/2 && others < maxAdmittedUtilization {
 		share := max(minBusiestKeyShare, (maxAdmittedUtilization-others)/(busiestRate*u.perRequest()))
-		return []instance.Overload{{Service: table.Service, From: busiest, To: busiest, Share: share}}
+		advice.Overloads = append(advice.Overloads, instance.Overload{Service: table.Service, From: busiest, To: busiest, Share: share})
+		return
 	}
-	return all
+	advice.OverloadedOwners = append(advice.OverloadedOwners, instance.OverloadedOwner{
+		Target: u.target.ID, StartMillis: u.target.StartMillis, Share: maxAdmittedUtilization / u.utilization(),
+	})
 }
