Count bytes of calls by zone, and keep entries' control traffic in their own zone

Change: answered_call_bytes counts calls by method and by the caller's zone, at the instance that answers. With prefer_zone, entries follow and report to control instances of their own zone.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -212,10 +212,12 @@
 func (c *Control) Report(_ context.Context, req *instance.ReportRequest) (*instance.ReportResponse, error) {
 	if c.isLeader() {
 		res := c.lastReplica().leader.Report(*req)
+		res.AvailabilityZone = c.cfg.AvailabilityZone
 		return &res, nil
 	}
 	if req.Collect && c.Current() {
 		if res, ok := c.collector.add(*req, c.clock.Now()); ok {
+			res.AvailabilityZone = c.cfg.AvailabilityZone
 			return res, nil
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -94,6 +94,7 @@
 	}
 	i.cleanups.Add(cancel)
 	pool, closePool := instance.NewPool(ctx, instance.Security{}, i.traffic)
+	pool.SetZone(cfg.AvailabilityZone)
 	i.pool = pool
 	i.cleanups.Add(closePool)
 	if err := i.start(ctx); err != nil {
@@ -132,6 +133,7 @@
 func (i *Instance) addGauges() {
 	i.metrics.addGauge("instance_bytes_in", func() any { return i.traffic.In() })
 	i.metrics.addGauge("instance_bytes_out", func() any { return i.traffic.Out() })
+	i.metrics.addGauge("answered_call_bytes", func() any { return i.traffic.Answered() })
 	if c := i.control; c != nil {
 		i.metrics.addGauge("replica_role", func() any { return c.lastReplica().group.Role().Role.String() })
 		i.metrics.addGauge("replica_term", func() any { return c.lastReplica().group.Role().Term })
@@ -203,7 +205,10 @@
 }
 
 func (i *Instance) startEntry(ctx context.Context) error {
-	i.follower = view.Follow(ctx, view.FollowerConfig{Name: i.cfg.Name, Seeds: i.cfg.Seeds, Pool: i.pool, Log: i.log})
+	if i.cfg.PreferZone {
+		i.collectors.nearby = instance.NewNearby(i.cfg.AvailabilityZone, i.clock)
+	}
+	i.follower = view.Follow(ctx, view.FollowerConfig{Name: i.cfg.Name, Seeds: i.cfg.Seeds, Pool: i.pool, Log: i.log, Nearby: i.collectors.nearby})
 	targets, closeTargets := targethttp.NewPool(i.clock)
 	i.cleanups.Add(closeTargets)
 	l, err := net.Listen("tcp", i.cfg.CallerAddress)
@@ -273,10 +278,13 @@
 	defer cancel()
 	control := i.follower.View().Control
 	if r.Collect && len(control) > 0 {
-		res, err := instance.Call[instance.ReportRequest, instance.ReportResponse](ctx, i.pool, i.collectors.choose(i.cfg.Name, control), "Report", &r)
+		address := i.collectors.choose(i.cfg.Name, control)
+		res, err := instance.Call[instance.ReportRequest, instance.ReportResponse](ctx, i.pool, address, "Report", &r)
 		if err == nil {
+			i.collectors.nearby.Learn(address, res.AvailabilityZone)
 			return res
 		}
+		i.collectors.nearby.Failed(address)
 		i.log.Debug("report not collected", "error", err)
 		i.collectors.failures.Add(1)
 	}
--- a/internal/fleet/reports.go
+++ b/internal/fleet/reports.go
@@ -101,11 +101,16 @@
 }
 
 // collectors chooses the control instance to which an entry sends its reports, so that
-// entries spread over all of them. It moves on to the next one after a failure.
-type collectors struct{ failures atomic.Uint32 }
+// entries spread over all of them, or over those of their own availability zone. It moves
+// on to the next one after a failure.
+type collectors struct {
+	nearby   *instance.Nearby // nil to prefer no instance
+	failures atomic.Uint32
+}
 
 func (c *collectors) choose(entry string, control []string) string {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(entry)) // never fails
+	control = c.nearby.Prefer(control)
 	return control[(h.Sum32()+c.failures.Load())%uint32(len(control))]
 }
--- a/internal/instance/client.go
+++ b/internal/instance/client.go
@@ -39,6 +39,7 @@
 	ctx        context.Context
 	security   Security
 	traffic    *Traffic
+	zone       string // availability zone of this instance; empty to tell none
 	mu         sync.Mutex
 	conns      map[string]*grpc.ClientConn
 	received   map[string]*atomic.Int64 // bytes received, by address
@@ -67,6 +68,14 @@
 	}
 }
 
+// SetZone sets the availability zone that later connections tell in each call, so that the
+// instance called can count bytes by zone.
+func (p *Pool) SetZone(zone string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.zone = zone
+}
+
 // conn returns the connection to an address, and creates it on the first call. The
 // host of the address must be an IP literal, since names are not resolved.
 func (p *Pool) conn(address string) (*grpc.ClientConn, error) {
@@ -77,7 +86,7 @@
 	}
 	received := new(atomic.Int64)
 	reconnect := backoff.Config{BaseDelay: reconnectDelay, Multiplier: 2, MaxDelay: maxReconnectDelay}
-	c, err := grpc.NewClient("passthrough:///"+address,
+	c, err := grpc.NewClient("passthrough:///"+address, append(tellZone(p.zone),
 		grpc.WithTransportCredentials(p.security.clientCredentials()),
 		grpc.WithStatsHandler(p.traffic),
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
@@ -93,7 +102,7 @@
 			grpc.MaxCallRecvMsgSize(maxMessageBytes),
 			grpc.MaxCallSendMsgSize(maxMessageBytes),
 		),
-	)
+	)...)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
--- a/internal/instance/deployment_messages.go
+++ b/internal/instance/deployment_messages.go
@@ -129,8 +129,10 @@
 	// Parts holds the reporting entry's part of the requests to each service, from 0 to
 	// 1. It is set only while there are limits.
 	Parts map[string]float64 `msgpack:"parts,omitempty"`
+	// AvailabilityZone is that of the control instance which answers the report.
+	AvailabilityZone string `msgpack:"zone,omitempty"`
 	// NoAdvice reports that the report was taken and that there is no advice yet. All
-	// other fields are zero then.
+	// other fields but AvailabilityZone are zero then.
 	NoAdvice bool `msgpack:"no_advice,omitempty"`
 }
 
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -37,7 +37,10 @@
 	MaxLease    time.Duration // longest lease of keys that targets accept
 	Grants      GrantMode     // how targets are granted keys
 	Heartbeat   time.Duration // time between two heartbeats of a target
-	Unknown     []string      // names of the platform's settings that are ignored
+	// PreferZone makes entries follow and report to control instances of their own
+	// availability zone where there are any, because traffic between zones is costly.
+	PreferZone bool
+	Unknown    []string // names of the platform's settings that are ignored
 }
 
 // GrantMode is the way in which targets are granted keys.
@@ -89,6 +92,7 @@
 		TargetDrain:      s.Duration("target_drain", defaultTargetDrain, 0, maxPlatformTime),
 		MaxLease:         s.Duration("max_lease", defaultMaxLease, time.Second, maxPlatformTime),
 		Heartbeat:        s.Duration("heartbeat", defaultHeartbeat, 10*time.Millisecond, maxPlatformTime),
+		PreferZone:       s.Bool("prefer_zone", false),
 		Grants:           GrantMode(s.OneOf("grants", string(GrantByCall), string(GrantByCall), string(GrantByHeartbeat))),
 	}
 	out.readRolesAndAddresses(s)
--- a/internal/view/follow.go
+++ b/internal/view/follow.go
@@ -34,6 +34,9 @@
 	Seeds []string // addresses of control instances
 	Pool  *instance.Pool
 	Log   *log.Logger
+	// Nearby makes the follower prefer control instances of its own availability zone. It
+	// may be nil.
+	Nearby *instance.Nearby
 }
 
 const (
@@ -53,6 +56,9 @@
 	// maxOpening limits the control instances that are asked in parallel.
 	maxOpening = 3
 	retryDelay = 50 * time.Millisecond
+	// nearPeriod is how often a follower of a farther control instance looks for one in
+	// its own availability zone.
+	nearPeriod = time.Second
 )
 
 // errStalled ends a stream after openTimeout or silenceTimeout.
@@ -136,10 +142,16 @@
 	ended := make(chan *stream)
 	open := time.NewTimer(0) // when the next stream is opened
 	defer open.Stop()
+	look := time.NewTicker(nearPeriod)
+	defer look.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-look.C:
+			if followed != nil && len(streams) == 1 && f.hasNearer(followed.address) {
+				open.Reset(0)
+			}
 		case s := <-current:
 			if streams[s.address] != s {
 				continue
@@ -157,6 +169,7 @@
 				continue
 			}
 			delete(streams, s.address)
+			f.cfg.Nearby.Failed(s.address)
 			if followed == s {
 				followed = nil
 			}
@@ -164,7 +177,7 @@
 				open.Reset(retryDelay)
 			}
 		case <-open.C:
-			if followed != nil && len(streams) == 1 {
+			if followed != nil && len(streams) == 1 && !f.hasNearer(followed.address) {
 				f.cfg.Log.Warn("view stream stalled; asking other control instances too", "control", followed.address,
 					"version", f.View().Version, "view_age_ms", f.Age().Milliseconds())
 			}
@@ -185,19 +198,34 @@
 	if len(streams) >= maxOpening {
 		return ""
 	}
+	control := f.controlAddresses()
+	for _, list := range [][]string{f.cfg.Nearby.Prefer(control), control} {
+		for range list {
+			*pos++
+			if address := list[*pos%len(list)]; streams[address] == nil {
+				return address
+			}
+		}
+	}
+	return ""
+}
+
+// controlAddresses returns the addresses of the control instances that the view names, and
+// those of the seeds.
+func (f *Follower) controlAddresses() []string {
 	control := slices.Sorted(slices.Values(f.View().Control))
 	for _, seed := range *f.seeds.Load() {
 		if !slices.Contains(control, seed) {
 			control = append(control, seed)
 		}
 	}
-	for range control {
-		*pos++
-		if address := control[*pos%len(control)]; streams[address] == nil {
-			return address
-		}
-	}
-	return ""
+	return control
+}
+
+// hasNearer reports whether a control instance of the entry's own availability zone can be
+// followed, and the one at the address runs in another zone.
+func (f *Follower) hasNearer(address string) bool {
+	return f.cfg.Nearby != nil && !f.cfg.Nearby.IsNear(address) && slices.ContainsFunc(f.controlAddresses(), f.cfg.Nearby.IsNear)
 }
 
 // stream is an update stream from one control instance, or the attempt to open it.
--- a/internal/view/follow_test.go
+++ b/internal/view/follow_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/cranberrywind/cranberrywind/internal/instance"
 	"github.com/cranberrywind/cranberrywind/internal/view"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
 // fakeControl is a control instance that only streams views.
@@ -70,6 +71,39 @@
 	return view.Follow(ctx, view.FollowerConfig{Name: "entry", Seeds: seeds, Pool: pool, Log: log.New(io.Discard)})
 }
 
+// TestFollowNearby guards against an entry that goes on following a control instance of
+// another zone although one of its own zone answers, or that follows none when that fails.
+func TestFollowNearby(t *testing.T) {
+	far := &fakeControl{current: true, version: 7}
+	near := &fakeControl{current: true, version: 8}
+	seeds := serve(t, far)
+	l := listen(t)
+	near.requests = make(chan *instance.WatchRequest, 100)
+	stopNear := instance.ServeDeployment(l, near, instance.Security{}, &instance.Traffic{})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	pool, closePool := instance.NewPool(ctx, instance.Security{}, &instance.Traffic{})
+	t.Cleanup(closePool)
+	nearby := instance.NewNearby("a", timer.NewSystem(ctx))
+	f := view.Follow(ctx, view.FollowerConfig{Name: "entry", Seeds: seeds, Pool: pool, Log: log.New(io.Discard), Nearby: nearby})
+	awaitVersion(t, f, 7)
+	f.SetSeeds(append(seeds, l.Addr().String()))
+	nearby.Learn(l.Addr().String(), "a")
+	nearby.Learn(seeds[0], "b")
+	t.Run("turns to the nearer one", func(t *testing.T) { awaitVersion(t, f, 8) })
+	t.Run("turns back when that ends", func(t *testing.T) {
+		for len(far.requests) > 0 {
+			<-far.requests
+		}
+		stopNear()
+		select {
+		case <-far.requests:
+		case <-time.After(5 * time.Second):
+			t.Fatal("the other control instance was not asked")
+		}
+	})
+}
+
 // awaitVersion waits until the follower's view has the version.
 func awaitVersion(t *testing.T, f *view.Follower, version uint64) {
 	t.Helper()
