--- /dev/null
+++ b/internal/dispatch/queue.go
@@ -0,0 +1,224 @@
+package dispatch
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
+)
+
+// waiter is a request that has no slot yet.
+type waiter struct {
+	id          RequestID
+	level       *level
+	returning   bool
+	objective   time.Duration
+	latestStart timer.Instant // to meet its objective
+	limitStart  timer.Instant // it is rejected if it can't start until then
+	deadline    timer.Instant
+	body        int
+	excluded    []string
+	connected   []string
+}
+
+// compareWaiters orders the waiting requests of one level.
+func compareWaiters(a, b *waiter) int {
+	if a.returning != b.returning {
+		if a.returning {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(a.latestStart, b.latestStart)
+}
+
+// level holds the requests of one priority.
+type level struct {
+	priority int
+	inTime   []*waiter // can meet their objective
+	late     []*waiter // can't any more
+	// Decaying counts of the requests that came, that were accepted and that got a slot.
+	asked, granted share
+	accepted       share
+}
+
+// share is a count that decays.
+type share struct{ count float64 }
+
+const (
+	// rateTime is the time over which the rate of accepted requests is averaged. Demand
+	// swings within 13 s.
+	rateTime = 2 * time.Second
+	// shareTime is the time over which the served shares of priorities are compared.
+	shareTime = 10 * time.Second
+	// maxLoad bounds the load of more urgent requests in expected waits.
+	maxLoad = 0.9
+)
+
+func (s *share) decay(elapsed, life time.Duration) {
+	s.count *= math.Exp(-elapsed.Seconds() / life.Seconds())
+}
+
+// servedShare returns the share of the level's requests that got a slot of late.
+func (l *level) servedShare() float64 {
+	if l.asked.count < 1 {
+		return 1
+	}
+	return l.granted.count / l.asked.count
+}
+
+// perSecond returns the rate of accepted requests.
+func (l *level) perSecond() float64 { return l.accepted.count / rateTime.Seconds() }
+
+func insert(list []*waiter, w *waiter) []*waiter {
+	i, _ := slices.BinarySearchFunc(list, w, compareWaiters)
+	for i < len(list) && compareWaiters(list[i], w) == 0 {
+		i++
+	}
+	return slices.Insert(list, i, w)
+}
+
+func remove(list []*waiter, w *waiter) []*waiter {
+	if i := slices.Index(list, w); i >= 0 {
+		return slices.Delete(list, i, i+1)
+	}
+	return list
+}
+
+// queue holds the waiting requests: the most urgent first, by priority, then returning
+// callers, then by the latest start. Those that can't meet their objective any more go
+// behind those that can.
+type queue struct {
+	levels []*level // by priority
+	byID   map[RequestID]*waiter
+	// decayedAt is when the counts of the levels were last decayed.
+	decayedAt timer.Instant
+}
+
+func newQueue() queue { return queue{byID: make(map[RequestID]*waiter)} }
+
+func (q *queue) len() int { return len(q.byID) }
+
+// level returns the level of a priority.
+func (q *queue) level(priority int) *level {
+	i, ok := slices.BinarySearchFunc(q.levels, priority, func(l *level, p int) int { return cmp.Compare(l.priority, p) })
+	if !ok {
+		q.levels = slices.Insert(q.levels, i, &level{priority: priority})
+	}
+	return q.levels[i]
+}
+
+// add puts a request among those that can meet their objective, or among the late ones.
+func (q *queue) add(w *waiter, late bool) {
+	q.byID[w.id] = w
+	if late {
+		w.level.late = insert(w.level.late, w)
+	} else {
+		w.level.inTime = insert(w.level.inTime, w)
+	}
+}
+
+func (q *queue) remove(w *waiter) {
+	delete(q.byID, w.id)
+	w.level.inTime = remove(w.level.inTime, w)
+	w.level.late = remove(w.level.late, w)
+}
+
+// lateFirst reports whether the late requests of a level go before the less urgent ones
+// that are in time, since less urgent ones were served more often of late.
+func (q *queue) lateFirst(l *level) bool {
+	served := l.servedShare()
+	for _, other := range q.levels {
+		if other.priority > l.priority && other.servedShare() > served {
+			return true
+		}
+	}
+	return false
+}
+
+// walk calls f with the waiting requests in the order in which they get slots, until it
+// returns false. f may remove the request that it is called with.
+func (q *queue) walk(f func(w *waiter, late bool) bool) {
+	for _, l := range q.levels {
+		if !walkList(&l.inTime, false, f) {
+			return
+		}
+		if len(l.late) > 0 && q.lateFirst(l) && !walkList(&l.late, true, f) {
+			return
+		}
+	}
+	for _, l := range q.levels {
+		if len(l.late) > 0 && !q.lateFirst(l) && !walkList(&l.late, true, f) {
+			return
+		}
+	}
+}
+
+func walkList(list *[]*waiter, late bool, f func(*waiter, bool) bool) bool {
+	for i := 0; i < len(*list); {
+		w := (*list)[i]
+		if !f(w, late) {
+			return false
+		}
+		if i < len(*list) && (*list)[i] == w {
+			i++
+		}
+	}
+	return true
+}
+
+// ahead returns how many waiting requests go before a new one, and the rate at which
+// requests come that would go before it.
+func (q *queue) ahead(w *waiter, late bool) (n int, perSecond float64) {
+	allInTime := late && !q.lateFirst(w.level)
+	for _, l := range q.levels {
+		switch {
+		case l.priority < w.level.priority:
+			n += len(l.inTime)
+			if late || q.lateFirst(l) {
+				n += len(l.late)
+			}
+			perSecond += l.perSecond()
+		case l == w.level:
+			if late {
+				n += len(l.inTime) + len(l.late)
+				perSecond += l.perSecond()
+				continue
+			}
+			i, _ := slices.BinarySearchFunc(l.inTime, w, compareWaiters)
+			n += i
+		case allInTime:
+			n += len(l.inTime)
+			perSecond += l.perSecond()
+		}
+	}
+	return n, perSecond
+}
+
+// expireStarts moves the requests whose latest start has passed among the late ones.
+func (q *queue) expireStarts(now timer.Instant) {
+	for _, l := range q.levels {
+		for i := 0; i < len(l.inTime); {
+			w := l.inTime[i]
+			if now <= w.latestStart {
+				i++
+				continue
+			}
+			l.inTime = slices.Delete(l.inTime, i, i+1)
+			l.late = insert(l.late, w)
+		}
+	}
+}
+
+// decay lowers the counts of the levels for the time that has passed.
+func (q *queue) decay(now timer.Instant) {
+	elapsed := now.Sub(q.decayedAt)
+	q.decayedAt = now
+	for _, l := range q.levels {
+		l.accepted.decay(elapsed, rateTime)
+		l.asked.decay(elapsed, shareTime)
+		l.granted.decay(elapsed, shareTime)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/returns.go
@@ -0,0 +1,57 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
+)
+
+const (
+	// returnFrame is the span over which places for returns are counted.
+	returnFrame = 2 * time.Second
+	// returnFrames bounds how far ahead a caller is told to return.
+	returnFrames = 32
+	// returnShare is the share of the room that is given to returning callers.
+	returnShare = 0.9
+	// minReturnShare is the least share of the room that a kind of requests gets for its
+	// returns, however much more urgent ones take.
+	minReturnShare = 0.05
+	// minRetryAfter is the shortest time after which a caller may return.
+	minRetryAfter = 50 * time.Millisecond
+)
+
+// returns hands out places in the queue of returns: in each frame, no more callers are
+// told to return than can be served in it. It answers callers that would all repeat at
+// once after a shortage.
+type returns struct {
+	first  int64 // index of the frame at counts[first%returnFrames]
+	counts [returnFrames]int
+}
+
+// place returns when the next caller may return, at least wait from now, if perSecond of
+// such callers can be served.
+func (r *returns) place(now timer.Instant, wait time.Duration, perSecond float64) time.Duration {
+	current := int64(now) / int64(returnFrame)
+	for ; r.first < current; r.first++ {
+		if current-r.first > returnFrames {
+			r.first = current - returnFrames
+		}
+		r.counts[r.first%returnFrames] = 0
+	}
+	earliest := now.Add(max(wait, minRetryAfter))
+	gap := returnFrame.Seconds() / max(1, math.Floor(perSecond*returnFrame.Seconds())) // between two places
+	for f := int64(earliest) / int64(returnFrame); f < current+returnFrames; f++ {
+		start := timer.Instant(f * int64(returnFrame))
+		count := &r.counts[f%returnFrames]
+		if earliest > start {
+			*count = max(*count, int(math.Ceil(earliest.Sub(start).Seconds()/gap))) // earlier places stay empty
+		}
+		at := start.Add(seconds(float64(*count) * gap))
+		if at < start.Add(returnFrame) {
+			*count++
+			return at.Sub(now)
+		}
+	}
+	return returnFrame * returnFrames
+}
