--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -196,8 +196,9 @@
 }
 
 type ask struct {
-	work     time.Duration
-	granted  func(target string)
+	work time.Duration
+	// sent sends the granted request and calls answered; nil stands for sending it.
+	sent     func(target string, answered func(waiting int, took time.Duration))
 	rejected func(dispatch.Rejected)
 	ended    func()
 }
@@ -248,23 +249,27 @@
 }
 
 func (p *simPool) send(e dispatch.Granted, a ask) {
-	if a.granted != nil {
-		a.granted(e.Target)
+	t := p.targets[e.Target]
+	answered := func(waiting int, took time.Duration) {
+		delete(p.asks, e.ID)
+		if a.ended != nil {
+			a.ended()
+		}
+		ended := dispatch.Ended{
+			ID: e.ID, Target: e.Target, Outcome: dispatch.Succeeded, Took: took, LoadKnown: true,
+			Running: t.running, Waiting: waiting, Slowdown: t.slowdown(p.w.now),
+		}
+		p.w.after(p.delay, func() { ended.At = p.at(); p.update(ended) })
+	}
+	if a.sent != nil {
+		a.sent(e.Target, answered)
+		return
 	}
 	start := p.w.now
-	t := p.targets[e.Target]
 	p.w.after(network, func() {
 		t.serve(a.work, func() {
-			ended := dispatch.Ended{
-				ID: e.ID, Target: e.Target, Outcome: dispatch.Succeeded, LoadKnown: true,
-				Running: t.running, Waiting: len(t.queue), Slowdown: t.slowdown(p.w.now),
-			}
-			p.w.after(network, func() {
-				delete(p.asks, e.ID)
-				a.ended()
-				ended.Took = p.w.now - start
-				p.w.after(p.delay, func() { ended.At = p.at(); p.update(ended) })
-			})
+			waiting := len(t.queue)
+			p.w.after(network, func() { answered(waiting, p.w.now-start) })
 		})
 	})
 }
