--- a/internal/dispatch/alternatives_test.go
+++ b/internal/dispatch/alternatives_test.go
@@ -315,8 +315,8 @@
 
 func (p *pooled) request(entry int, work time.Duration, done, reject func()) {
 	pools := p.pools[entry%4]
-	pool := pools[p.rng.IntN(len(pools))]
-	if other := pools[p.rng.IntN(len(pools))]; better(p.status[other][entry], p.status[pool][entry]) {
+	pool := p.draw(pools)
+	if other := p.draw(pools); better(p.status[other][entry], p.status[pool][entry]) {
 		pool = other
 	}
 	var connected []string
@@ -342,6 +342,21 @@
 	})
 }
 
+// draw returns a random pool, weighted by its number of targets.
+func (p *pooled) draw(pools []*simPool) *simPool {
+	total := 0
+	for _, pool := range pools {
+		total += len(pool.targets)
+	}
+	n := p.rng.IntN(total)
+	for _, pool := range pools {
+		if n -= len(pool.targets); n < 0 {
+			return pool
+		}
+	}
+	return pools[0]
+}
+
 func better(a, b dispatch.Status) bool {
 	if a.Free != b.Free {
 		return a.Free > b.Free
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -182,7 +182,7 @@
 	w := p.newWaiter(e)
 	w.level.asked.count++
 	if p.queue.len() == 0 {
-		if t := p.choose(w, 0); t != nil {
+		if t := p.choose(w); t != nil {
 			p.grant(w, t, FreeSlot)
 			return
 		}
@@ -239,8 +239,7 @@
 
 // expectedStart returns when a request that comes now is expected to get a slot.
 func (p *Pool) expectedStart(w *waiter, late bool) timer.Instant {
-	n, perSecond := p.queue.ahead(w, late)
-	return p.startAfter(n, perSecond)
+	return p.startAfter(p.queue.ahead(w, late), p.queue.overtaking(w.level, late))
 }
 
 // startAfter returns when a request is expected to get a slot that has n requests before
@@ -267,43 +266,26 @@
 	return slices.ContainsFunc(p.targets, func(t *target) bool { return !slices.Contains(w.excluded, t.ID) })
 }
 
-// choose returns the best target with a free slot for a request that has n requests before
-// it, or nil. Failing targets come last.
-func (p *Pool) choose(w *waiter, n int) *target {
+// choose returns the best target with a free slot for a request, or nil. Failing targets
+// come last.
+func (p *Pool) choose(w *waiter) *target {
 	var best *target
-	bestCost, leastCost, bestFailing := 0.0, 0.0, false
+	bestCost, bestFailing := 0.0, false
 	for _, t := range p.targets {
 		if slices.Contains(w.excluded, t.ID) || t.circuitOpen(p.now) {
 			continue
 		}
-		cost := t.cost(w, p.now)
-		if leastCost == 0 || cost < leastCost {
-			leastCost = cost
-		}
 		if t.free(p.now) == 0 || !t.bodyFits(w.body, p.cfg.MaxTargetBodyBytes) {
 			continue
 		}
-		failing := t.failing()
+		cost, failing := t.cost(w, p.now), t.failing()
 		if best == nil || !failing && bestFailing || failing == bestFailing && cost < bestCost {
 			best, bestCost, bestFailing = t, cost, failing
 		}
 	}
-	if best != nil && p.betterWait(w, n, bestCost, leastCost) {
-		return nil
-	}
 	return best
 }
 
-// betterWait reports whether the request would miss its objective at the best target with
-// a free slot, while it is expected to meet it at another one whose slots are taken.
-func (p *Pool) betterWait(w *waiter, n int, bestCost, leastCost float64) bool {
-	if bestCost <= leastCost {
-		return false
-	}
-	objective := w.latestStart.Add(seconds(p.expected))
-	return p.now.Add(seconds(bestCost)) > objective && p.startAfter(n, 0).Add(seconds(leastCost)) <= objective
-}
-
 func (p *Pool) grant(w *waiter, t *target, reason Reason) {
 	t.take(w, p.now)
 	w.level.granted.count++
@@ -323,7 +305,7 @@
 		if free == 0 || tried == maxTried {
 			return false
 		}
-		t := p.choose(w, tried)
+		t := p.choose(w)
 		if t == nil {
 			tried++
 			return true
@@ -348,8 +330,8 @@
 func (p *Pool) checkWaiters() {
 	n := 0
 	p.queue.walk(func(w *waiter, late bool) bool {
-		perSecond := p.moreUrgent(w.level.priority)
-		if p.mayServe(w) && p.startAfter(n, perSecond) <= w.limitStart && p.now <= w.limitStart {
+		start := p.startAfter(n, p.queue.overtaking(w.level, late))
+		if p.mayServe(w) && start <= w.limitStart {
 			n++
 			return true
 		}
@@ -359,20 +341,9 @@
 	})
 }
 
-// moreUrgent returns the rate of accepted requests of higher priority.
-func (p *Pool) moreUrgent(priority int) float64 {
-	sum := 0.0
-	for _, l := range p.queue.levels {
-		if l.priority < priority {
-			sum += l.perSecond()
-		}
-	}
-	return sum
-}
-
 // reject rejects a request with the next place in the queue of returns.
 func (p *Pool) reject(w *waiter, late bool) {
-	room := max(p.rate-p.moreUrgent(w.level.priority), minReturnShare*p.rate) * returnShare
+	room := max(p.rate-p.queue.overtaking(w.level, false), minReturnShare*p.rate) * returnShare
 	wait := min(maxAnnouncedWait, p.startAfter(p.queue.len(), 0).Sub(p.now))
 	p.effects = append(p.effects, Rejected{
 		ID:         w.id,
@@ -392,7 +363,7 @@
 		warm = warm || !t.cold(p.now)
 		fits = fits || t.bodyFits(w.body, p.cfg.MaxTargetBodyBytes)
 	}
-	n, _ := p.queue.ahead(w, late)
+	n := p.queue.ahead(w, late)
 	own := len(w.level.inTime) + len(w.level.late)
 	switch {
 	case !usable:
@@ -401,7 +372,7 @@
 		return ColdTargets
 	case !fits:
 		return BodyMemory
-	case n > own || p.moreUrgent(w.level.priority) > 0 && p.startAfter(own, 0) <= w.limitStart:
+	case n > own || p.queue.overtaking(w.level, false) > 0 && p.startAfter(own, 0) <= w.limitStart:
 		return LessUrgent
 	}
 	return TooLate
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -169,10 +169,9 @@
 	return true
 }
 
-// ahead returns how many waiting requests go before a new one, and the rate at which
-// requests come that would go before it.
-func (q *queue) ahead(w *waiter, late bool) (n int, perSecond float64) {
-	allInTime := late && !q.lateFirst(w.level)
+// ahead returns how many waiting requests go before a new one.
+func (q *queue) ahead(w *waiter, late bool) int {
+	n := 0
 	for _, l := range q.levels {
 		switch {
 		case l.priority < w.level.priority:
@@ -180,21 +179,30 @@
 			if late || q.lateFirst(l) {
 				n += len(l.late)
 			}
-			perSecond += l.perSecond()
-		case l == w.level:
-			if late {
-				n += len(l.inTime) + len(l.late)
-				perSecond += l.perSecond()
-				continue
+		case l != w.level:
+			if late && !q.lateFirst(w.level) {
+				n += len(l.inTime)
 			}
+		case late:
+			n += len(l.inTime) + len(l.late)
+		default:
 			i, _ := slices.BinarySearchFunc(l.inTime, w, compareWaiters)
 			n += i
-		case allInTime:
-			n += len(l.inTime)
+		}
+	}
+	return n
+}
+
+// overtaking returns the rate of the requests that would go before waiting ones of a level
+// although they come later.
+func (q *queue) overtaking(of *level, late bool) float64 {
+	perSecond := 0.0
+	for _, l := range q.levels {
+		if l.priority < of.priority || late && (l == of || !q.lateFirst(of)) {
 			perSecond += l.perSecond()
 		}
 	}
-	return n, perSecond
+	return perSecond
 }
 
 // expireStarts moves the requests whose latest start has passed among the late ones.
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -3,8 +3,10 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
@@ -208,18 +210,25 @@
 		w: w, pool: dispatch.NewPool(dispatch.Config{}), targets: make(map[string]*simTarget),
 		asks: make(map[dispatch.RequestID]ask), delay: delay,
 	}
-	infos := make([]dispatch.TargetInfo, len(targets))
-	for i, t := range targets {
+	for _, t := range targets {
 		p.targets[t.info.ID] = t
-		infos[i].Target = t.info
 	}
-	p.update(dispatch.TargetsChanged{At: p.at(), Targets: infos})
+	p.update(dispatch.TargetsChanged{At: p.at(), Targets: p.infos()})
 	w.every(10*time.Millisecond, func() { p.update(dispatch.Ticked{At: p.at()}) })
 	return p
 }
 
 func (p *simPool) at() timer.Instant { return timer.Instant(p.w.now + time.Second) }
 
+// infos returns the targets, sorted by ID.
+func (p *simPool) infos() []dispatch.TargetInfo {
+	var out []dispatch.TargetInfo
+	for _, id := range slices.Sorted(maps.Keys(p.targets)) {
+		out = append(out, dispatch.TargetInfo{Target: p.targets[id].info})
+	}
+	return out
+}
+
 // request sends a request through the pool.
 func (p *simPool) request(e dispatch.Requested, a ask) dispatch.RequestID {
 	p.next++
