Count returns by the time that slots are held

The service time and the last slowdown overestimated the room by a fifth. TestKeyedTarget fails at half the room: requests of the most urgent kind are rejected as too late more often than less urgent ones.

--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -44,6 +44,10 @@
 
 // play lets callers of the kinds use the pool.
 func play(w *world, p *simPool, kinds ...*kind) {
+	playUntil(callersUntil+10*time.Second, w, p, kinds...)
+}
+
+func playUntil(end time.Duration, w *world, p *simPool, kinds ...*kind) {
 	for _, k := range kinds {
 		k.reasons = make(map[dispatch.Reason]int)
 		w.arrivals(k.perSecond, func() {
@@ -53,7 +57,7 @@
 			}
 		})
 	}
-	w.run(callersUntil + 10*time.Second)
+	w.run(end)
 }
 
 func (k *kind) ask(w *world, p *simPool, repeated, returned int, returning bool) {
@@ -182,7 +186,7 @@
 	patient, hasty := threeKinds(0.75 * room * 2)[0], threeKinds(0.75 * room * 2)[0]
 	patient.perSecond, hasty.perSecond = steady(0.75*room), steady(0.75*room)
 	hasty.repeats = 3
-	play(w, p, patient, hasty)
+	playUntil(callersUntil+5*time.Minute, w, p, patient, hasty) // all places are due
 	patient.report(t)
 	hasty.report(t)
 	assert.Assert(t, patient.reached() >= hasty.reached())
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -19,6 +19,9 @@
 	lateShare = 0.25
 	// checkPeriod is how often waiting requests and overdue grants are checked.
 	checkPeriod = 10 * time.Millisecond
+	// meanRateTime is the time over which the rate is averaged that returns are counted by.
+	// The rate of a moment is higher than what is served in a span.
+	meanRateTime = 5 * time.Second
 	// maxTried bounds the waiting requests for which a target is sought at an event.
 	maxTried = 32
 	// maxAnnouncedWait bounds the announced wait of a pool without room.
@@ -41,11 +44,13 @@
 	queue       queue
 	returns     returns
 	serviceTime movingAverage // over all targets
+	heldTime    movingAverage // over all targets
 	now         timer.Instant // the latest of all events
 	checkedAt   timer.Instant
 	// rate is how many requests a second the targets can serve, and expected is the mean
 	// expected time of a request in seconds, both as of the last event.
 	rate, expected float64
+	meanRate       float64 // average of rate over meanRateTime
 	effects        []Effect
 }
 
@@ -57,7 +62,8 @@
 	if cfg.ServiceTime <= 0 {
 		cfg.ServiceTime = initialServiceTime
 	}
-	return &Pool{cfg: cfg, queue: newQueue(), serviceTime: movingAverage{value: cfg.ServiceTime.Seconds()}}
+	assumed := movingAverage{value: cfg.ServiceTime.Seconds()}
+	return &Pool{cfg: cfg, queue: newQueue(), serviceTime: assumed, heldTime: assumed}
 }
 
 // Update applies an event and returns the decisions that follow from it. The slice is valid
@@ -116,12 +122,14 @@
 		p.measure()
 		return
 	}
+	elapsed := p.now.Sub(p.checkedAt)
 	p.checkedAt = p.now
 	for _, t := range p.targets {
 		t.expire(p.now)
 	}
-	p.queue.decay(p.now)
+	p.queue.decay(elapsed)
 	p.measure()
+	p.meanRate += (p.rate - p.meanRate) * min(1, elapsed.Seconds()/meanRateTime.Seconds())
 	if p.queue.len() > 0 {
 		p.queue.expireStarts(p.now)
 		p.grantWaiters()
@@ -156,7 +164,7 @@
 		if i >= 0 {
 			t = old[i]
 		} else {
-			t = &target{Target: info.Target, serviceTime: movingAverage{value: p.serviceTime.value}}
+			t = &target{Target: info.Target, serviceTime: movingAverage{value: p.serviceTime.value}, heldTime: movingAverage{value: p.heldTime.value}}
 		}
 		t.update(info, p.now)
 		p.targets = append(p.targets, t)
@@ -343,12 +351,12 @@
 
 // reject rejects a request with the next place in the queue of returns.
 func (p *Pool) reject(w *waiter, late bool) {
-	room := max(p.rate-p.queue.overtaking(w.level, false), minReturnShare*p.rate) * returnShare
+	room := min(p.rate, p.meanRate)
 	wait := min(maxAnnouncedWait, p.startAfter(p.queue.len(), 0).Sub(p.now))
 	p.effects = append(p.effects, Rejected{
 		ID:         w.id,
 		Reason:     p.rejectReason(w, late),
-		RetryAfter: p.returns.place(p.now, wait, room),
+		RetryAfter: p.returns.place(p.now, wait, room, max(room-p.queue.overtaking(w.level, false), minReturnShare*room)),
 	})
 }
 
@@ -407,9 +415,12 @@
 	}
 	work := t.updateOutcome(e, t.grants[i])
 	t.updateLoad(e, len(t.grants))
-	t.release(i)
+	g := t.release(i)
 	if work > 0 {
 		p.serviceTime.add(work, poolTimeWeight)
+		held := p.now.Sub(g.at).Seconds()
+		t.heldTime.add(held, heldTimeWeight)
+		p.heldTime.add(held, poolTimeWeight)
 	}
 }
 
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -93,8 +93,6 @@
 type queue struct {
 	levels []*level // by priority
 	byID   map[RequestID]*waiter
-	// decayedAt is when the counts of the levels were last decayed.
-	decayedAt timer.Instant
 }
 
 func newQueue() queue { return queue{byID: make(map[RequestID]*waiter)} }
@@ -221,9 +219,7 @@
 }
 
 // decay lowers the counts of the levels for the time that has passed.
-func (q *queue) decay(now timer.Instant) {
-	elapsed := now.Sub(q.decayedAt)
-	q.decayedAt = now
+func (q *queue) decay(elapsed time.Duration) {
 	for _, l := range q.levels {
 		l.accepted.decay(elapsed, rateTime)
 		l.asked.decay(elapsed, shareTime)
--- a/internal/dispatch/returns.go
+++ b/internal/dispatch/returns.go
@@ -10,8 +10,11 @@
 const (
 	// returnFrame is the span over which places for returns are counted.
 	returnFrame = 2 * time.Second
-	// returnFrames bounds how far ahead a caller is told to return.
-	returnFrames = 32
+	// returnFrames bounds how far ahead a caller is told to return, at 256 s.
+	returnFrames = 128
+	// returnSwing is how far ahead the demand of this moment says what more urgent requests
+	// will take: it swings within 13 s.
+	returnSwing = 6 * time.Second
 	// returnShare is the share of the room that is given to returning callers.
 	returnShare = 0.9
 	// minReturnShare is the least share of the room that a kind of requests gets for its
@@ -29,20 +32,19 @@
 	counts [returnFrames]int
 }
 
-// place returns when the next caller may return, at least wait from now, if perSecond of
-// such callers can be served.
-func (r *returns) place(now timer.Instant, wait time.Duration, perSecond float64) time.Duration {
+// place returns when the next caller may return, at least wait from now, if room requests
+// a second can be served, and left of them besides more urgent ones as of now.
+func (r *returns) place(now timer.Instant, wait time.Duration, room, left float64) time.Duration {
 	current := int64(now) / int64(returnFrame)
-	for ; r.first < current; r.first++ {
-		if current-r.first > returnFrames {
-			r.first = current - returnFrames
-		}
+	for r.first = max(r.first, current-returnFrames); r.first < current; r.first++ {
 		r.counts[r.first%returnFrames] = 0
 	}
-	earliest := now.Add(max(wait, minRetryAfter))
-	gap := returnFrame.Seconds() / max(1, math.Floor(perSecond*returnFrame.Seconds())) // between two places
+	earliest, gap := now.Add(max(wait, minRetryAfter)), returnGap(left)
 	for f := int64(earliest) / int64(returnFrame); f < current+returnFrames; f++ {
 		start := timer.Instant(f * int64(returnFrame))
+		if start.Sub(now) > returnSwing {
+			gap = returnGap(room)
+		}
 		count := &r.counts[f%returnFrames]
 		if earliest > start {
 			*count = max(*count, int(math.Ceil(earliest.Sub(start).Seconds()/gap))) // earlier places stay empty
@@ -55,3 +57,8 @@
 	}
 	return returnFrame * returnFrames
 }
+
+// returnGap returns the seconds between two places in a frame.
+func returnGap(perSecond float64) float64 {
+	return returnFrame.Seconds() / max(1, math.Floor(returnShare*perSecond*returnFrame.Seconds()))
+}
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -16,6 +16,8 @@
 	// service time, and poolTimeWeight that in the average of its pool.
 	serviceTimeWeight = 0.1
 	poolTimeWeight    = 0.02
+	// heldTimeWeight is that in the average time for which a target's slots are held.
+	heldTimeWeight = 0.02
 	// assumedSamples is the number of answers that an assumed service time counts as.
 	assumedSamples = 3
 	// slowdownLife is how long a reported slowdown counts. Targets change theirs about
@@ -66,6 +68,7 @@
 	grants       []grant
 	bodyBytes    int // of granted requests
 	serviceTime  movingAverage
+	heldTime     movingAverage // for which a request holds a slot, with slowdown
 	slowdown     float64
 	slowdownAt   timer.Instant // 0 for never
 	// foreign is the number of requests at the target that this pool did not grant, as
@@ -142,9 +145,10 @@
 	return t.serviceTime.value * t.currentSlowdown(now)
 }
 
-// rate returns how many requests a second the target can serve.
+// rate returns how many requests a second the target can serve. The mean of the times that
+// slots were held tells that more exactly than the service time and the last slowdown.
 func (t *target) rate(now timer.Instant) float64 {
-	rate := float64(t.slotCount(now)) / t.expected(now)
+	rate := float64(t.slotCount(now)) / t.heldTime.value
 	if t.cold(now) {
 		rate = min(rate, t.coldRate)
 	}
@@ -270,6 +274,7 @@
 			t.recordFailure(now, false)
 		}
 		if now >= g.until {
+			t.heldTime.add(now.Sub(g.at).Seconds(), heldTimeWeight)
 			t.release(i)
 		}
 	}
