--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -127,9 +127,9 @@
 	for _, t := range p.targets {
 		t.expire(p.now)
 	}
-	p.queue.decay(elapsed)
 	p.measure()
 	p.meanRate += (p.rate - p.meanRate) * min(1, elapsed.Seconds()/meanRateTime.Seconds())
+	p.queue.decay(elapsed, min(p.rate, p.meanRate))
 	if p.queue.len() > 0 {
 		p.queue.expireStarts(p.now)
 		p.grantWaiters()
@@ -188,7 +188,7 @@
 		return
 	}
 	w := p.newWaiter(e)
-	w.level.asked.count++
+	p.queue.asked++
 	if p.queue.len() == 0 {
 		if t := p.choose(w); t != nil {
 			p.grant(w, t, FreeSlot)
@@ -200,7 +200,7 @@
 		p.reject(w, late)
 		return
 	}
-	w.level.accepted.count++
+	w.level.accepted++
 	p.queue.add(w, late)
 	p.grantWaiters()
 }
@@ -296,9 +296,8 @@
 
 func (p *Pool) grant(w *waiter, t *target, reason Reason) {
 	t.take(w, p.now)
-	w.level.granted.count++
 	if reason == FreeSlot {
-		w.level.accepted.count++
+		w.level.accepted++
 	}
 	p.effects = append(p.effects, Granted{ID: w.id, Target: t.ID, Reason: reason})
 }
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -39,38 +39,24 @@
 	priority int
 	inTime   []*waiter // can meet their objective
 	late     []*waiter // can't any more
-	// Decaying counts of the requests that came, that were accepted and that got a slot.
-	asked, granted share
-	accepted       share
+	// accepted is a decaying count of the requests that got a slot or wait for one.
+	accepted float64
 }
 
-// share is a count that decays.
-type share struct{ count float64 }
-
 const (
 	// rateTime is the time over which the rate of accepted requests is averaged. Demand
 	// swings within 13 s.
 	rateTime = 2 * time.Second
-	// shareTime is the time over which the served shares of priorities are compared.
-	shareTime = 10 * time.Second
 	// maxLoad bounds the load of more urgent requests in expected waits.
 	maxLoad = 0.9
 )
 
-func (s *share) decay(elapsed, life time.Duration) {
-	s.count *= math.Exp(-elapsed.Seconds() / life.Seconds())
-}
-
-// servedShare returns the share of the level's requests that got a slot of late.
-func (l *level) servedShare() float64 {
-	if l.asked.count < 1 {
-		return 1
-	}
-	return l.granted.count / l.asked.count
-}
-
 // perSecond returns the rate of accepted requests.
-func (l *level) perSecond() float64 { return l.accepted.count / rateTime.Seconds() }
+func (l *level) perSecond() float64 { return certain(l.accepted) / rateTime.Seconds() }
+
+// certain returns a count of random events less its standard deviation, so that a few
+// requests that come together do not count as a higher demand.
+func certain(count float64) float64 { return max(0, count-math.Sqrt(count)) }
 
 func insert(list []*waiter, w *waiter) []*waiter {
 	i, _ := slices.BinarySearchFunc(list, w, compareWaiters)
@@ -89,10 +75,13 @@
 
 // queue holds the waiting requests: the most urgent first, by priority, then returning
 // callers, then by the latest start. Those that can't meet their objective any more go
-// behind those that can.
+// behind those of their priority that can, but not behind less urgent ones, which would
+// then be served more often.
 type queue struct {
 	levels []*level // by priority
 	byID   map[RequestID]*waiter
+	asked  float64 // decaying count of the requests that came
+	short  bool    // more requests come than can be served
 }
 
 func newQueue() queue { return queue{byID: make(map[RequestID]*waiter)} }
@@ -124,18 +113,6 @@
 	w.level.late = remove(w.level.late, w)
 }
 
-// lateFirst reports whether the late requests of a level go before the less urgent ones
-// that are in time, since less urgent ones were served more often of late.
-func (q *queue) lateFirst(l *level) bool {
-	served := l.servedShare()
-	for _, other := range q.levels {
-		if other.priority > l.priority && other.servedShare() > served {
-			return true
-		}
-	}
-	return false
-}
-
 // walk calls f with the waiting requests in the order in which they get slots, until it
 // returns false. f may remove the request that it is called with.
 func (q *queue) walk(f func(w *waiter, late bool) bool) {
@@ -143,12 +120,7 @@
 		if !walkList(&l.inTime, false, f) {
 			return
 		}
-		if len(l.late) > 0 && q.lateFirst(l) && !walkList(&l.late, true, f) {
-			return
-		}
-	}
-	for _, l := range q.levels {
-		if len(l.late) > 0 && !q.lateFirst(l) && !walkList(&l.late, true, f) {
+		if !walkList(&l.late, true, f) {
 			return
 		}
 	}
@@ -172,16 +144,9 @@
 	n := 0
 	for _, l := range q.levels {
 		switch {
-		case l.priority < w.level.priority:
-			n += len(l.inTime)
-			if late || q.lateFirst(l) {
-				n += len(l.late)
-			}
-		case l != w.level:
-			if late && !q.lateFirst(w.level) {
-				n += len(l.inTime)
-			}
-		case late:
+		case l.priority > w.level.priority:
+			return n
+		case l != w.level || late:
 			n += len(l.inTime) + len(l.late)
 		default:
 			i, _ := slices.BinarySearchFunc(l.inTime, w, compareWaiters)
@@ -196,7 +161,7 @@
 func (q *queue) overtaking(of *level, late bool) float64 {
 	perSecond := 0.0
 	for _, l := range q.levels {
-		if l.priority < of.priority || late && (l == of || !q.lateFirst(of)) {
+		if l.priority < of.priority || l == of && late && q.short {
 			perSecond += l.perSecond()
 		}
 	}
@@ -218,11 +183,13 @@
 	}
 }
 
-// decay lowers the counts of the levels for the time that has passed.
-func (q *queue) decay(elapsed time.Duration) {
+// decay lowers the counts for the time that has passed, and updates whether there is a
+// shortage if perSecond requests can be served.
+func (q *queue) decay(elapsed time.Duration, perSecond float64) {
+	factor := math.Exp(-elapsed.Seconds() / rateTime.Seconds())
+	q.asked *= factor
 	for _, l := range q.levels {
-		l.accepted.decay(elapsed, rateTime)
-		l.asked.decay(elapsed, shareTime)
-		l.granted.decay(elapsed, shareTime)
+		l.accepted *= factor
 	}
+	q.short = certain(q.asked) >= perSecond*rateTime.Seconds()
 }
