Ask dispatchers for slots of targets

Cause: entries that each see a few requests can't know of a free slot.

Change: where the configuration calls for it (Config.Coordinated), an entry asks the dispatcher of a pool for a slot before it sends a request. internal/dispatcher connects both sides by one stream for each pair of instances. The leader hands out the list of dispatchers with a version. Without an answer in time, an entry chooses by itself for a second, and never a cold target.

Result: the tests of internal/forward pass with -race. Nothing else is measured yet.

--- a/internal/deployment/config.go
+++ b/internal/deployment/config.go
@@ -65,6 +65,11 @@
 	// It is stored, but routing does not read it.
 	WarmUp time.Duration `msgpack:"warm"`
 	Source []byte        `msgpack:"source"`
+	// ColdTime is how long a target is cold after it starts, and ColdRate how many requests
+	// a second it takes from all entries together while it is cold. Without a ColdRate it
+	// takes as many as a warm one.
+	ColdTime time.Duration `msgpack:"cold_time,omitempty"`
+	ColdRate float64       `msgpack:"cold_rate,omitempty"`
 }
 
 // CallerLimits limit what a caller may send and how slowly.
@@ -95,6 +100,14 @@
 	return cfg.Services[i], true
 }
 
+// Coordinated reports whether the configuration states a limit that only a common count of
+// all entries can keep: a service with a cold rate, or a route for uploads. Entries then ask
+// dispatchers for the slots of targets.
+func (cfg Config) Coordinated() bool {
+	return slices.ContainsFunc(cfg.Services, func(s Service) bool { return s.ColdRate > 0 }) ||
+		slices.ContainsFunc(cfg.Routes, func(r Route) bool { return r.Kind == Upload })
+}
+
 // ErrInvalid matches the errors of an invalid configuration.
 var ErrInvalid = errors.New("configuration is invalid")
 
--- /dev/null
+++ b/internal/dispatcher/dispatcher.go
@@ -0,0 +1,395 @@
+// Package dispatcher connects entries with the dispatchers of targets. Each entry is both: it
+// asks the dispatcher of a pool for a slot before it sends a request to one of the pool's
+// targets, and it decides for the pools that are assigned to it. The decisions themselves are
+// those of package dispatch.
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/internal/dispatch"
+	"github.com/cranberrywind/cranberrywind/internal/instance"
+	"github.com/cranberrywind/cranberrywind/internal/view"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
+)
+
+// tickInterval is how often the pools are told the time while they dispatch.
+const tickInterval = 10 * time.Millisecond
+
+// View is the entry's view, which *view.Follower implements.
+type View interface {
+	View() *view.View
+	Changed() <-chan struct{}
+}
+
+// Config configures a Dispatcher.
+type Config struct {
+	Name string
+	// Address is where other entries ask this one for slots. It is empty if they can't; the
+	// entry then runs no pools.
+	Address string
+	View    View
+	Clock   timer.Clock
+	Log     *log.Logger
+	// Open opens a stream to the dispatcher at an address, which ends with ctx.
+	Open func(ctx context.Context, address string) (instance.DispatchStream, error)
+}
+
+// Dispatcher is an entry's part in dispatch. Its methods are safe for concurrent use.
+type Dispatcher struct {
+	cfg    Config
+	client *client
+	pools  *pools
+	wake   chan struct{}
+
+	active     atomic.Bool
+	assignment atomic.Pointer[dispatch.Assignment] // nil while no dispatcher is known
+	zones      atomic.Pointer[map[string][]string] // with pools, by service
+	coldUntil  atomic.Pointer[map[string]timer.Instant]
+
+	mu       sync.Mutex
+	list     []dispatch.Entry
+	version  uint64             // of the list; 0 if none is known
+	failing  map[string]float64 // failed shares, by target
+	changed  bool               // the list or failing has changed
+	draining bool
+	coldAt   map[string]coldSince // by target
+	seen     uint64               // fingerprint of the targets of the last assignment
+}
+
+// coldSince tells when a record of a cold target was received.
+type coldSince struct {
+	record uint64
+	at     timer.Instant
+}
+
+// New returns the dispatcher of an entry, which follows its view until ctx ends.
+func New(ctx context.Context, cfg Config) *Dispatcher {
+	d := &Dispatcher{cfg: cfg, wake: make(chan struct{}, 1), coldAt: make(map[string]coldSince)}
+	id := fmt.Sprintf("%s/%08x", cfg.Name, rand.Uint32())
+	d.pools = newPools(cfg.Clock, func() reducer { return dispatch.NewPool(dispatch.Config{}) })
+	d.client = newClient(ctx, id, cfg, d.pools)
+	go d.run(ctx)
+	return d
+}
+
+// Active reports whether the configuration asks for dispatch.
+func (d *Dispatcher) Active() bool { return d.active.Load() }
+
+// Address returns the address to report to the leader: empty while this entry is to run no
+// pools.
+func (d *Dispatcher) Address() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.draining || !d.active.Load() {
+		return ""
+	}
+	return d.cfg.Address
+}
+
+// Version returns the version of the list to report to the leader; 0 if none is needed.
+func (d *Dispatcher) Version() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.active.Load() {
+		return 0
+	}
+	return max(d.version, instance.NoDispatchers)
+}
+
+// Adopt takes over what the leader advises: the list of dispatchers, if the response has one,
+// and the failing targets.
+func (d *Dispatcher) Adopt(r *instance.ReportResponse) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(r.Dispatchers) > 0 && r.DispatchersVersion != d.version {
+		d.list, d.version, d.changed = nil, r.DispatchersVersion, true
+		for _, z := range r.Dispatchers {
+			for _, packed := range z.Addresses {
+				if address, ok := instance.UnpackAddress(packed); ok {
+					d.list = append(d.list, dispatch.Entry{ID: address, Address: address, Zone: z.Zone})
+				}
+			}
+		}
+	}
+	failing := make(map[string]float64, len(r.Failing))
+	for _, f := range r.Failing {
+		failing[f.Target] = f.FailureShare
+	}
+	if !sameShares(failing, d.failing) {
+		d.failing, d.changed = failing, true
+	}
+	if d.changed {
+		notify(d.wake)
+	}
+}
+
+// minShareChange is the change of a target's failed share of which pools are told.
+const minShareChange = 0.05
+
+func sameShares(a, b map[string]float64) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for id, share := range a {
+		if old, ok := b[id]; !ok || share-old > minShareChange || old-share > minShareChange {
+			return false
+		}
+	}
+	return true
+}
+
+// notify signals a channel with a buffer of one.
+func notify(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// run follows the view, the leader's advice and the time.
+func (d *Dispatcher) run(ctx context.Context) {
+	var ticks <-chan timer.Instant
+	stop := func() {}
+	defer func() { stop() }()
+	for {
+		changed := d.cfg.View.Changed()
+		if d.refresh(); d.Active() && ticks == nil {
+			ticks, stop = d.cfg.Clock.Subscribe(tickInterval)
+		}
+	wait:
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticks:
+				d.pools.tick()
+			case <-changed:
+				break wait
+			case <-d.wake:
+				break wait
+			}
+		}
+		if !d.Active() && ticks != nil {
+			stop()
+			ticks, stop = nil, func() {}
+		}
+	}
+}
+
+// refresh assigns targets and pools anew after a change.
+func (d *Dispatcher) refresh() {
+	v := d.cfg.View.View()
+	d.active.Store(v.Config.Coordinated())
+	if !d.Active() {
+		d.assignment.Store(nil)
+		d.pools.assign(nil)
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if seen := fingerprintOf(v); seen != d.seen || d.changed {
+		d.seen, d.changed = seen, false
+		d.reassign(v)
+	}
+}
+
+// fingerprintOf returns a number that changes with the targets of a view, and with the
+// configuration. Most views differ in the owners of keys only, which pools don't depend on.
+func fingerprintOf(v *view.View) uint64 {
+	sum := v.ConfigIndex
+	for t := range v.All() {
+		sum += mix(t.Changed*31 + uint64(t.StartMillis))
+	}
+	for i := range v.Config.Services {
+		for _, t := range v.Usable(v.Config.Services[i].Name) {
+			sum += mix(t.Changed*37 + uint64(t.StartMillis))
+		}
+	}
+	return sum
+}
+
+// mix spreads the bits of a number (the finalizer of MurmurHash3).
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	return h
+}
+
+// reassign assigns targets to pools and pools to entries, and updates the own pools. The
+// caller holds the mutex.
+func (d *Dispatcher) reassign(v *view.View) {
+	keyed := func(service string) bool { s, _ := v.Config.Service(service); return s.Keyed }
+	var targets []deployment.Target
+	for t := range v.All() {
+		if t.Status != deployment.Left {
+			targets = append(targets, t)
+		}
+	}
+	infos := d.targetInfos(v, targets, keyed)
+	d.setColdUntil(infos)
+	if len(d.list) == 0 {
+		d.assignment.Store(nil)
+		d.pools.assign(nil)
+		return
+	}
+	a := dispatch.Assign(targets, d.list, keyed)
+	d.assignment.Store(&a)
+	zones := make(map[string][]string)
+	for _, p := range a.Pools() {
+		if !slices.Contains(zones[p.Service], p.Zone) {
+			zones[p.Service] = append(zones[p.Service], p.Zone)
+		}
+	}
+	d.zones.Store(&zones)
+	d.client.setList(d.list)
+	own := make(map[string][]dispatch.TargetInfo)
+	for _, p := range a.Pools() {
+		if d.cfg.Address == "" || p.Dispatcher.Address != d.cfg.Address {
+			continue
+		}
+		list := make([]dispatch.TargetInfo, 0, len(p.Targets))
+		for _, id := range p.Targets {
+			if info, ok := infos[id]; ok {
+				list = append(list, info)
+			}
+		}
+		own[p.ID] = list
+	}
+	d.pools.assign(own)
+}
+
+// targetInfos returns the targets that may get requests, by ID. The owner of a key gets
+// requests as long as entries send them.
+func (d *Dispatcher) targetInfos(v *view.View, targets []deployment.Target, keyed func(string) bool) map[string]dispatch.TargetInfo {
+	now := d.cfg.Clock.Now()
+	out := make(map[string]dispatch.TargetInfo, len(targets))
+	add := func(t deployment.Target) {
+		s, _ := v.Config.Service(t.Service)
+		info := dispatch.TargetInfo{Target: t, FailureShare: d.failing[t.ID]}
+		if s.ColdRate > 0 && t.WarmUpMillis > 0 {
+			since, ok := d.coldAt[t.ID]
+			if record := t.Changed + uint64(t.StartMillis); !ok || since.record != record {
+				since = coldSince{record: record, at: now}
+				d.coldAt[t.ID] = since
+			}
+			info.ColdRate = s.ColdRate
+			info.ColdLeft = max(0, time.Duration(t.WarmUpMillis)*time.Millisecond-now.Sub(since.at))
+		}
+		out[t.ID] = info
+	}
+	for _, t := range targets {
+		if keyed(t.Service) {
+			add(t)
+		}
+	}
+	for i := range v.Config.Services {
+		if s := &v.Config.Services[i]; !s.Keyed {
+			for _, t := range v.Usable(s.Name) {
+				add(t)
+			}
+		}
+	}
+	for id := range d.coldAt {
+		if _, ok := out[id]; !ok {
+			delete(d.coldAt, id)
+		}
+	}
+	return out
+}
+
+// setColdUntil records until when targets are cold, for entries without a dispatcher.
+func (d *Dispatcher) setColdUntil(infos map[string]dispatch.TargetInfo) {
+	now := d.cfg.Clock.Now()
+	out := make(map[string]timer.Instant)
+	for id, info := range infos {
+		if info.ColdRate > 0 && info.ColdLeft > 0 {
+			out[id] = now.Add(info.ColdLeft)
+		}
+	}
+	d.coldUntil.Store(&out)
+}
+
+// ColdLeft returns for how long a target stays cold, if its service limits the requests to
+// cold targets.
+func (d *Dispatcher) ColdLeft(t deployment.Target) time.Duration {
+	until := d.coldUntil.Load()
+	if until == nil {
+		return 0
+	}
+	return max(0, (*until)[t.ID].Sub(d.cfg.Clock.Now()))
+}
+
+// Zones returns the availability zones with pools of a service.
+func (d *Dispatcher) Zones(service string) []string {
+	if z := d.zones.Load(); z != nil && d.assignment.Load() != nil {
+		return (*z)[service]
+	}
+	return nil
+}
+
+// PoolOf returns the pool of a target, and false while none is known.
+func (d *Dispatcher) PoolOf(target string) (dispatch.PoolInfo, bool) {
+	a := d.assignment.Load()
+	if a == nil {
+		return dispatch.PoolInfo{}, false
+	}
+	p, ok := a.PoolOf(target)
+	return p, ok && p.Dispatcher.Address != ""
+}
+
+// PoolsIn returns the pools of a service in an availability zone.
+func (d *Dispatcher) PoolsIn(service, zone string) []dispatch.PoolInfo {
+	a := d.assignment.Load()
+	if a == nil {
+		return nil
+	}
+	return slices.DeleteFunc(a.PoolsIn(service, zone), func(p dispatch.PoolInfo) bool { return p.Dispatcher.Address == "" })
+}
+
+// Status returns the status that a pool told last, and false if it told none.
+func (d *Dispatcher) Status(pool string) (dispatch.Status, bool) { return d.client.status(pool) }
+
+// Ask asks the dispatcher of a pool for a slot. The ID and the time of the request are set.
+// The result is to be awaited or withdrawn.
+func (d *Dispatcher) Ask(p dispatch.PoolInfo, r dispatch.Requested) *Pending {
+	return d.client.ask(p, r)
+}
+
+// Drain makes this entry report no address from now on, so that its pools move to others.
+// Requests are still served.
+func (d *Dispatcher) Drain() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.draining = true
+}
+
+// AwaitIdle waits until no request waits in a pool of this entry, or ctx ends.
+func (d *Dispatcher) AwaitIdle(ctx context.Context) {
+	ticks, stop := d.cfg.Clock.Subscribe(tickInterval)
+	defer stop()
+	for d.pools.waiting() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks:
+		}
+	}
+}
+
+// Dispatch serves the stream of another entry until it ends.
+func (d *Dispatcher) Dispatch(s instance.DispatchStream) error { return d.pools.serve(s) }
+
+// Running returns the number of pools that this entry decides for, and of requests that wait
+// in them.
+func (d *Dispatcher) Running() (pools, waiting int) { return d.pools.running(), d.pools.waiting() }
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -227,7 +227,7 @@
 	if !c.isLeader() {
 		return nil, c.notLeaderError()
 	}
-	res := c.lastReplica().leader.ReportBatch(req.Reports)
+	res := c.lastReplica().leader.ReportBatch(*req)
 	return &res, nil
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -18,6 +18,7 @@
 
 	"github.com/cranberrywind/cranberrywind/internal/cleanup"
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/internal/dispatcher"
 	"github.com/cranberrywind/cranberrywind/internal/forward"
 	"github.com/cranberrywind/cranberrywind/internal/instance"
 	"github.com/cranberrywind/cranberrywind/internal/leader"
@@ -65,6 +66,7 @@
 	operator   *http.Server // of the control role
 	entry      *forward.Server
 	follower   *view.Follower
+	dispatcher *dispatcher.Dispatcher
 	collectors collectors
 
 	cleanups cleanup.Stack
@@ -156,6 +158,20 @@
 		})
 		i.metrics.addGauge("responses_not_written", func() any { return i.entry.NotWritten() })
 		i.metrics.addGauge("rate_limits", func() any { return i.entry.RateLimits() })
+		i.metrics.addGauge("dispatch", func() any { return i.dispatchGauge() })
+	}
+}
+
+// dispatchGauge returns the numbers of decisions and fallbacks of this entry's requests, and of
+// the pools that it runs. It is null while the configuration does not call for dispatch.
+func (i *Instance) dispatchGauge() any {
+	if !i.dispatcher.Active() {
+		return nil
+	}
+	grants, rejections := i.entry.DispatchDecisions()
+	pools, waiting := i.dispatcher.Running()
+	return map[string]any{
+		"grants": grants, "rejections": rejections, "fallbacks": i.dispatcher.Fallbacks(), "pools": pools, "waiting": waiting,
 	}
 }
 
@@ -210,6 +226,9 @@
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
+	if err := i.startDispatcher(ctx); err != nil {
+		return err
+	}
 	leaderClient := instance.NewLeaderClient(i.pool, i.cfg.Seeds, reportTimeout)
 	server, stopServer := forward.Serve(ctx, l, forward.Config{
 		Name:             i.cfg.Name,
@@ -231,6 +250,7 @@
 		GrantsByHeartbeat: i.cfg.Grants == settings.GrantByHeartbeat,
 		RelayAddress:      i.cfg.RelayAddress,
 		Link:              newLink(i.cfg.LinkMbps),
+		Dispatcher:        i.dispatcher,
 	})
 	i.entry = server
 	i.cleanups.Add(stopServer)
@@ -245,6 +265,22 @@
 	return err
 }
 
+// startDispatcher starts to ask other entries for slots of targets, and to decide on theirs.
+func (i *Instance) startDispatcher(ctx context.Context) error {
+	i.dispatcher = dispatcher.New(ctx, dispatcher.Config{
+		Name: i.cfg.Name, Address: i.cfg.DispatchAddress, View: i.follower, Clock: i.clock, Log: i.log, Open: i.pool.OpenDispatch,
+	})
+	if i.cfg.DispatchAddress == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", i.cfg.DispatchAddress)
+	if err != nil {
+		return fmt.Errorf("listen for requests for slots: %w", err)
+	}
+	i.cleanups.Add(instance.ServeDispatch(l, i.dispatcher, instance.Security{}, i.traffic))
+	return nil
+}
+
 const (
 	// narrowLinkMbps is the bandwidth below which large responses are scheduled.
 	narrowLinkMbps = 100.0
@@ -390,6 +426,7 @@
 		if err := i.entry.Shutdown(ctx); err != nil {
 			i.log.Warn("graceful shutdown timed out", "error", err)
 		}
+		i.dispatcher.AwaitIdle(ctx)
 	}
 	i.log.Info("graceful shutdown finished")
 }
--- a/internal/fleet/reports.go
+++ b/internal/fleet/reports.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,10 @@
 	advice    *instance.ReportBatchResponse
 	advisedAt timer.Instant
 	failed    bool // the last batch was not delivered
+	// dispatchers is the last list of dispatchers, of the given version. The leader sends it
+	// only when it changes.
+	dispatchers        []instance.DispatcherZone
+	dispatchersVersion uint64
 }
 
 // add collects a report and returns the advice for its entry. It returns false and drops
@@ -45,6 +50,10 @@
 		return &instance.ReportResponse{NoAdvice: true}, true
 	}
 	out := r.advice.Advice
+	if out.DispatchersVersion == r.dispatchersVersion {
+		out.Dispatchers = r.dispatchers
+	}
+	out = out.WithoutKnownDispatchers(report.DispatchersVersion)
 	out.Parts = r.advice.Parts[report.Instance]
 	return &out, true
 }
@@ -63,6 +72,20 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.advice, r.advisedAt, r.failed = a, now, false
+	if len(a.Advice.Dispatchers) > 0 {
+		r.dispatchers, r.dispatchersVersion = a.Advice.Dispatchers, a.Advice.DispatchersVersion
+	}
+}
+
+// knownDispatchers returns the version of the list of dispatchers that the collector has, or
+// 0 if none of the reports asks for the list.
+func (r *reportCollector) knownDispatchers(reports []instance.ReportRequest) uint64 {
+	if !slices.ContainsFunc(reports, func(x instance.ReportRequest) bool { return x.DispatchersVersion > 0 }) {
+		return 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(r.dispatchersVersion, instance.NoDispatchers)
 }
 
 // setFailed records that the last batch was not delivered.
@@ -87,7 +110,7 @@
 		if len(reports) == 0 && !c.collector.hasFailed() {
 			return
 		}
-		req := &instance.ReportBatchRequest{Reports: reports}
+		req := &instance.ReportBatchRequest{Reports: reports, DispatchersVersion: c.collector.knownDispatchers(reports)}
 		advice, err := callLeader[instance.ReportBatchRequest, instance.ReportBatchResponse](ctx, c, "ReportBatch", req, c.ReportBatch)
 		if err != nil {
 			if !c.collector.hasFailed() {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -77,6 +77,7 @@
 	if invalid := s.invalidReason(a); invalid != "" {
 		res.failed, res.broken = true, true
 		s.targets.requestEnded(t, res)
+		s.releaseSlot(c, answeredOutcome(res), res)
 		c.reason = fmt.Sprintf("target %s: %s", t.ID, invalid)
 		s.logAttempt(c, t, res, c.reason)
 		return nil, s.mayRetry(c)
@@ -89,6 +90,7 @@
 func (s *Server) handleNotRun(c *call, t deployment.Target, res attemptResult, status int) bool {
 	c.reason = fmt.Sprintf("target %s did not run the request: status %d", t.ID, status)
 	s.targets.requestEnded(t, res)
+	s.releaseSlot(c, answeredOutcome(res), res)
 	s.logAttempt(c, t, res, c.reason)
 	// Sending it again is safe, so it is sent at least twice if no target ran it.
 	if c.mayHaveRun || c.sent >= max(c.route.Attempts, 2) {
@@ -119,6 +121,7 @@
 		s.crashes.recordAnswered(c.fingerprint)
 	}
 	s.targets.requestEnded(t, res)
+	s.releaseSlot(c, answeredOutcome(res), res)
 	out := &response{status: a.Status, header: forwardedHeaders(a.Header), body: a.Body, stream: a.Stream}
 	if length := a.Header.Get("Content-Length"); c.method == http.MethodHead && length != "" {
 		out.header["Content-Length"] = []string{length}
@@ -158,6 +161,7 @@
 		noConnection: !disconnected && errors.Is(err, targethttp.ErrNoConnection) && (s.cfg.Link == nil || !isTimeout(err)),
 	}
 	s.targets.requestEnded(t, res)
+	s.releaseSlot(c, failedOutcome(err, disconnected), res)
 	if res.failed && (errors.Is(err, targethttp.ErrNoConnection) || errors.Is(err, targethttp.ErrTimeout)) {
 		s.path.RecordFailure(t.ID)
 	}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/internal/dispatcher"
 	"github.com/cranberrywind/cranberrywind/internal/instance"
 	"github.com/cranberrywind/cranberrywind/internal/targethttp"
 	"github.com/cranberrywind/cranberrywind/internal/view"
@@ -104,6 +105,7 @@
 	t           *testing.T
 	address     string
 	relay       string // address for other entries
+	dispatch    string // address for other entries' requests for slots
 	server      *Server
 	stopControl func()
 	stop        func()                    // ends the entry at once
@@ -172,10 +174,17 @@
 	quiet := log.New(io.Discard)
 	l, peers := listenLocal(e.t), listenLocal(e.t)
 	follower := view.Follow(ctx, view.FollowerConfig{Name: "entry", Seeds: []string{control}, Pool: pool, Log: quiet})
+	dispatch := listenLocal(e.t)
+	d := dispatcher.New(ctx, dispatcher.Config{
+		Name: "entry", Address: dispatch.Addr().String(), View: follower, Clock: clock, Log: quiet, Open: pool.OpenDispatch,
+	})
+	e.t.Cleanup(instance.ServeDispatch(dispatch, d, instance.Security{}, &instance.Traffic{}))
+	e.dispatch = dispatch.Addr().String()
 	server, stop := Serve(ctx, l, Config{
 		Name: "entry", AvailabilityZone: "a", Headers: testHeaderNames(), View: follower, Pool: targetPool, Clock: clock, Log: quiet, RoutineLog: quiet,
 		Observer: nopObserver{}, Report: func(instance.ReportRequest) *instance.ReportResponse { return nil },
 		RetryRatio: 1, RetrySlack: 10, RetryShare: 1, MaxConfigLag: maxConfigLag, TargetDrain: testDrain, Link: link, RelayAddress: peers.Addr().String(),
+		Dispatcher: d,
 	})
 	e.t.Cleanup(stop)
 	server.ServePeers(peers)
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -68,6 +68,9 @@
 	if c.result.loadKnown {
 		fields = append(fields, "target_running", c.result.load.Running, "target_waiting", c.result.load.Waiting)
 	}
+	if c.dispatchReason != "" {
+		fields = append(fields, "dispatch_reason", string(c.dispatchReason))
+	}
 	if c.fence != 0 {
 		fields = append(fields, "fence", c.fence)
 	}
--- a/internal/forward/owner.go
+++ b/internal/forward/owner.go
@@ -22,6 +22,7 @@
 		oldOwnerTimer = time.After(min(oldOwnerDelay, time.Until(c.deadline)/2))
 	}
 	askOldOwner := false
+	c.withoutDispatcher = false
 	for {
 		changed := s.cfg.View.Changed()
 		v := s.cfg.View.View()
@@ -34,6 +35,11 @@
 			// Wait for the owner to learn of the key.
 		case (r.Phase == deployment.Owned || askOldOwner && t.Usable()) && !c.excludesRange(r):
 			retryAfter, err := s.checkOwner(c, t, r)
+			if errors.Is(err, errAskDispatcher) {
+				if retryAfter, err = s.askForOwner(ctx, c, t, r); errors.Is(err, errAskDispatcher) {
+					continue
+				}
+			}
 			if !errors.Is(err, errWindowFull) || !s.awaitWindow(waitCtx, c, t) {
 				return t, retryAfter, errorText(err)
 			}
@@ -99,9 +105,15 @@
 		}
 		c.admittedBy = t.ID
 	}
+	if s.dispatching() && !c.withoutDispatcher {
+		c.target, c.expected, c.fence = t, 0, r.Fence
+		return 0, errAskDispatcher
+	}
 	expected, withinWindow := s.targets.expected(t)
 	c.target, c.expected, c.fence = t, expected, r.Fence
 	switch {
+	case s.dispatching() && s.cfg.Dispatcher.ColdLeft(t) > 0:
+		return defaultRetryAfter, errColdOwner
 	case s.rejectOverload(c.service.Name, c.key, t):
 		return overloadRetryAfter, errKeyOverloaded
 	case expected > c.maxExpected():
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -67,6 +67,9 @@
 		Collect:      s.entryCount() > maxDirectEntries,
 		Targets:      s.targets.report(func(id string) bool { _, ok := v.Target(id); return ok }),
 	}
+	if s.cfg.Dispatcher != nil {
+		req.DispatchAddress, req.DispatchersVersion = s.cfg.Dispatcher.Address(), s.cfg.Dispatcher.Version()
+	}
 	switch {
 	case s.path.Lost():
 		req.Targets = withoutFailures(req.Targets)
@@ -121,6 +124,9 @@
 	}
 	s.advice.Store(a)
 	s.peers.Advise(a.Peers)
+	if s.cfg.Dispatcher != nil {
+		s.cfg.Dispatcher.Adopt(a)
+	}
 	s.targets.setFailureShares(a.Failing)
 	s.targets.setLeaving(a.Leaving, s.cfg.View.View().Target)
 	if a.LimitsKnown {
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/internal/dispatcher"
 	"github.com/cranberrywind/cranberrywind/internal/instance"
 	"github.com/cranberrywind/cranberrywind/internal/targethttp"
 	"github.com/cranberrywind/cranberrywind/internal/view"
@@ -52,6 +53,9 @@
 	// Link shares the bandwidth of a narrow link among responses. It is nil for a
 	// wide one.
 	Link *limit.Link
+	// Dispatcher asks for slots of targets where the configuration calls for it. It is nil
+	// for an entry that always chooses by itself.
+	Dispatcher *dispatcher.Dispatcher
 }
 
 // Server is an entry's HTTP server for callers.
@@ -66,6 +70,10 @@
 	path    *pathMonitor
 	peers   *peers
 	relays  relayCounts
+
+	dispatched *dispatchCounts
+	returns    *returnTimes
+
 	// peerConfig is the log index of the newest configuration by which a peer has served
 	// a request of this entry.
 	peerConfig atomic.Uint64
@@ -105,6 +113,8 @@
 		crashes:      newCrashRecorder(),
 		conns:        make(map[*callerConn]bool),
 		retryBudgets: make(map[string]limit.Budget),
+		dispatched:   newDispatchCounts(),
+		returns:      newReturnTimes(),
 	}
 	s.path = newPathMonitor(ctx, cfg.Clock, cfg.Log, func() []deployment.Target { return cfg.View.View().Live() }, s.targets.closeCircuits)
 	s.peers = newPeers(cfg.Clock, cfg.RelayAddress, cfg.AvailabilityZone)
@@ -208,6 +218,9 @@
 // Drain tells the server that a graceful shutdown follows, so that other entries pass no
 // more requests on to it.
 func (s *Server) Drain() {
+	if s.cfg.Dispatcher != nil {
+		s.cfg.Dispatcher.Drain()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining = true
--- a/internal/instance/client.go
+++ b/internal/instance/client.go
@@ -68,8 +68,9 @@
 }
 
 // conn returns the connection to an address, and creates it on the first call. The
-// host of the address must be an IP literal, since names are not resolved.
-func (p *Pool) conn(address string) (*grpc.ClientConn, error) {
+// host of the address must be an IP literal, since names are not resolved. The given
+// options override the usual ones.
+func (p *Pool) conn(address string, opts ...grpc.DialOption) (*grpc.ClientConn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c, ok := p.conns[address]; ok {
@@ -77,7 +78,7 @@
 	}
 	received := new(atomic.Int64)
 	reconnect := backoff.Config{BaseDelay: reconnectDelay, Multiplier: 2, MaxDelay: maxReconnectDelay}
-	c, err := grpc.NewClient("passthrough:///"+address,
+	c, err := grpc.NewClient("passthrough:///"+address, append([]grpc.DialOption{
 		grpc.WithTransportCredentials(p.security.clientCredentials()),
 		grpc.WithStatsHandler(p.traffic),
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
@@ -93,7 +94,7 @@
 			grpc.MaxCallRecvMsgSize(maxMessageBytes),
 			grpc.MaxCallSendMsgSize(maxMessageBytes),
 		),
-	)
+	}, opts...)...)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
--- a/internal/instance/deployment_messages.go
+++ b/internal/instance/deployment_messages.go
@@ -66,11 +66,19 @@
 	// RelayAddress is where other entries can pass requests on to this one; empty while
 	// they can't.
 	RelayAddress string `msgpack:"relay_address,omitempty"`
+	// DispatchAddress is where other entries ask this one for slots of targets; empty
+	// while it is no dispatcher.
+	DispatchAddress string `msgpack:"dispatch_address,omitempty"`
+	// DispatchersVersion is the version of the list of dispatchers that the entry has, and
+	// NoDispatchers if it has none. It is 0 if the entry needs no list.
+	DispatchersVersion uint64 `msgpack:"dispatchers_version,omitempty"`
 }
 
 // ReportBatchRequest passes reports of several entries on to the leader.
 type ReportBatchRequest struct {
 	Reports []ReportRequest `msgpack:"reports"`
+	// DispatchersVersion is that of the list that the sender has, as in ReportRequest.
+	DispatchersVersion uint64 `msgpack:"dispatchers_version,omitempty"`
 }
 
 // ReportBatchResponse is the leader's advice to the entries of a batch.
@@ -132,6 +140,10 @@
 	// NoAdvice reports that the report was taken and that there is no advice yet. All
 	// other fields are zero then.
 	NoAdvice bool `msgpack:"no_advice,omitempty"`
+	// DispatchersVersion is the version of the leader's list of dispatchers; 0 while it has
+	// none. Dispatchers holds the list only if the version in the report is another one.
+	DispatchersVersion uint64           `msgpack:"dispatchers_version,omitempty"`
+	Dispatchers        []DispatcherZone `msgpack:"dispatchers,omitempty"`
 }
 
 // Peer is an entry to which others can pass requests on.
--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -41,12 +41,16 @@
 		if m.now.Sub(at) > entryExpiry {
 			delete(m.lastReports, name)
 			delete(m.peers, name)
+			delete(m.dispatchers, name)
 		}
 	}
 	advice := instance.ReportResponse{Failing: m.failing(), Leaving: m.leaving(), Peers: m.nextPeers()}
 	if m.now.Sub(m.leadingSince) > entryCountDelay {
 		advice.Entries = len(m.lastReports)
 	}
+	if m.now.Sub(m.leadingSince) > dispatcherListDelay {
+		advice.Dispatchers, advice.DispatchersVersion = m.dispatchers.list()
+	}
 	for _, table := range m.state.Tables() {
 		for _, u := range m.targetUsages(table.Service) {
 			if u.utilization() > maxAdmittedUtilization && !u.boundByLimit() {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -145,15 +145,15 @@
 	if a == nil {
 		return instance.ReportResponse{}
 	}
-	out := a.Advice
+	out := a.Advice.WithoutKnownDispatchers(r.DispatchersVersion)
 	out.Parts = a.Parts[r.Instance]
 	return out
 }
 
 // ReportBatch is like Report for several entries.
-func (l *Leader) ReportBatch(reports []instance.ReportRequest) instance.ReportBatchResponse {
+func (l *Leader) ReportBatch(req instance.ReportBatchRequest) instance.ReportBatchResponse {
 	now := l.clock.Now()
-	for _, r := range reports {
+	for _, r := range req.Reports {
 		if err := l.loop.Send(Reported{At: now, Report: r}); err != nil {
 			break // the instance is stopping
 		}
@@ -162,7 +162,7 @@
 	if a == nil {
 		return instance.ReportBatchResponse{}
 	}
-	return instance.ReportBatchResponse{Advice: a.Advice, Parts: a.Parts}
+	return instance.ReportBatchResponse{Advice: a.Advice.WithoutKnownDispatchers(req.DispatchersVersion), Parts: a.Parts}
 }
 
 // feedModel sends changes of leadership, ticks and the committed state to the model.
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -71,6 +71,7 @@
 	if address := e.Report.RelayAddress; address != "" {
 		m.peers[e.Report.Instance] = instance.Peer{Address: address, AvailabilityZone: e.Report.Zone}
 	}
+	m.dispatchers.record(e.Report)
 	m.crashReports = append(m.crashReports, e.Report.CrashReports...)
 	load := m.entryLoadOf(e.Report.Instance)
 	slowWeight, fastWeight := rateWeight(e.Report.Interval, slowWindow), rateWeight(e.Report.Interval, fastWindow)
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -43,6 +43,7 @@
 	lastReports      map[string]timer.Instant // by entry
 	peers            map[string]instance.Peer // entries that take requests from others, by entry
 	advisedPeer      string                   // entry whose peer was advised last
+	dispatchers      dispatchers
 	lastAdvice       timer.Instant
 	crashReports     []deployment.CrashReport // to be committed
 	suspectedSince   map[string]timer.Instant // when a suspect was first seen, by fingerprint
@@ -190,6 +191,7 @@
 		arrivals:       make(map[string]serviceArrivals),
 		lastReports:    make(map[string]timer.Instant),
 		peers:          make(map[string]instance.Peer),
+		dispatchers:    make(dispatchers),
 		suspectedSince: make(map[string]timer.Instant),
 		health:         make(map[deployment.Incarnation]health),
 		limits:         make(map[deployment.Incarnation]namedLimit),
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -20,6 +20,7 @@
 	BalancerAddress  string   // for the balancer's readiness checks
 	OperatorAddress  string   // of a control instance, for operators and targets
 	RelayAddress     string   // where other entries pass requests on to this one; not served if empty
+	DispatchAddress  string   // where other entries ask this one for slots of targets; not served if empty
 	MetricsAddress   string   // not served if empty
 	DataDir          string   // data directory of a control instance
 	Seeds            []string // addresses of the first control instances
@@ -113,6 +114,7 @@
 	r.BalancerAddress = readAddress(s, "balancer_address", r.Entry)
 	r.OperatorAddress = readAddress(s, "operator_address", r.Control)
 	r.RelayAddress = readAddress(s, "relay_address", false)
+	r.DispatchAddress = readAddress(s, "dispatch_address", false)
 	r.MetricsAddress = readAddress(s, "metrics_address", false)
 }
 
