Send nothing to cold targets without a grant, and keep keys away from them

A target that has just started bears only a few requests a second, and crashes well above that. Entries can't count each other's requests, so that none of them may choose a cold target by itself: services state a cold rate, a heartbeat that says cold or warm where the record says otherwise is committed at once, and an entry leaves cold targets out when it chooses, for owners of keys, and right before it writes a request. Call.granted lifts that for the dispatcher. The leader places no keys on cold targets while there is a warm one, and counts a cold owner's capacity as the cold rate, so that rebalancing moves the excess away. What a target takes from all entries together is deployment.Limit, with its reason.

--- a/internal/deployment/config.go
+++ b/internal/deployment/config.go
@@ -65,6 +65,11 @@
 	// It is stored, but routing does not read it.
 	WarmUp time.Duration `msgpack:"warm"`
 	Source []byte        `msgpack:"source"`
+	// ColdTime is how long a target is cold after it starts, and ColdRate how many requests
+	// a second it takes from all entries together while it is cold. Without a ColdRate it
+	// takes as many as a warm one.
+	ColdTime time.Duration `msgpack:"cold_time,omitempty"`
+	ColdRate float64       `msgpack:"cold_rate,omitempty"`
 }
 
 // CallerLimits limit what a caller may send and how slowly.
--- a/internal/deployment/state.go
+++ b/internal/deployment/state.go
@@ -28,7 +28,7 @@
 	AvailabilityZone string `msgpack:"availability_zone"`
 	Software         string `msgpack:"software"`
 	Slots            int    `msgpack:"slots"`
-	WarmUpMillis     int64  `msgpack:"warm_up_millis"` // time left to warm up at the first announcement
+	WarmUpMillis     int64  `msgpack:"warm_up_millis"` // time left to warm up at this announcement; 0 for a warm target
 	Status           Status `msgpack:"status"`
 	Sequence         uint64 `msgpack:"sequence"` // of the announcement
 	Changed          uint64 `msgpack:"changed"`  // log index of the last change
--- a/internal/fleet/targets.go
+++ b/internal/fleet/targets.go
@@ -17,7 +17,7 @@
 // for the leader.
 func (c *Control) Announce(ctx context.Context, t deployment.Target) error {
 	old, known := c.State().Target(t.ID)
-	if known && c.Current() && !changesTarget(t, old) {
+	if known && c.Current() && !c.changesTarget(t, old) {
 		if t.StartMillis == old.StartMillis && t.Sequence > old.Sequence && old.Status != deployment.Left {
 			c.heartbeatBatch.add(deployment.Incarnation{ID: t.ID, StartMillis: t.StartMillis})
 		}
@@ -92,7 +92,7 @@
 			return nil, err
 		}
 		c.log.Info("target withdrew", "target", t.ID, "service", old.Service, "address", old.Address)
-	case !known || changesTarget(t, old):
+	case !known || c.changesTarget(t, old):
 		end, err := c.announcing.begin(ctx, incarnation)
 		if err != nil {
 			return nil, err
@@ -114,6 +114,31 @@
 	return &instance.AnnounceTargetResponse{}, nil
 }
 
+// changesTarget reports whether the announcement t must be committed, given the target's
+// record old.
+func (c *Control) changesTarget(t, old deployment.Target) bool {
+	if changesTarget(t, old) {
+		return true
+	}
+	cfg, _ := c.State().Config()
+	return cfg.ColdRateOf(t.Service) > 0 && changesCold(t, old, c.cfg.Heartbeat)
+}
+
+// changesCold reports whether a target turned cold or warm since its record, or turned cold
+// again before the record's time had passed. The record holds no time, so its age is taken
+// from the number of heartbeats since, which are sent once a period.
+func changesCold(t, old deployment.Target, period time.Duration) bool {
+	if t.StartMillis != old.StartMillis || old.Status == deployment.Left || t.Sequence <= old.Sequence {
+		return false
+	}
+	if t.Cold() != old.Cold() {
+		return true
+	}
+	// Heartbeats are not sent at exact intervals: two periods are allowed for.
+	left := old.WarmUp() - time.Duration(t.Sequence-old.Sequence)*period
+	return t.Cold() && t.WarmUp() > left+2*period
+}
+
 // changesTarget reports whether the announcement t must be committed, given the target's
 // record old: it is of a later incarnation, or the target has not left and it is newer
 // and has another status, address, service or number of slots. A change of other fields
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -38,7 +38,7 @@
 
 		BodyContext: c.bodyCtx,
 		// The target may have said otherwise while the connection was opened.
-		Allowed: func() bool { return s.targets.mayStillSend(t, s.cfg.TargetDrain) },
+		Allowed: func() bool { return s.mayStillSend(c, t) },
 	})
 	took := time.Since(start)
 	if err != nil {
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -68,10 +68,11 @@
 	if c.sampled {
 		return ts.sample(c, now)
 	}
+	coldRate := ts.coldRateOfAll(c.candidates)
 	best, bestCost := deployment.Target{}, -1.0
 	for _, t := range c.candidates {
 		s := ts.state(t)
-		if slices.Contains(c.excluded, t.ID) || !s.mayChoose(now) {
+		if slices.Contains(c.excluded, t.ID) || !s.mayChoose(now, coldRate) {
 			continue
 		}
 		if cost := s.cost(c, t, now); bestCost < 0 || cost < bestCost {
@@ -83,9 +84,8 @@
 
 // mayChoose reports whether the target may be chosen for a request to a service without
 // keys.
-func (s *targetState) mayChoose(now timer.Instant) bool {
-	_, ok := s.notice.MaySend(now)
-	return ok && !s.circuitOpen(now) && !s.windowFull() && s.limit.Allows(now)
+func (s *targetState) mayChoose(now timer.Instant, coldRate float64) bool {
+	return !s.circuitOpen(now) && !s.windowFull() && s.targetLimits.mayChoose(now, coldRate)
 }
 
 // cost returns the cost of a request at the target, in seconds.
@@ -118,9 +118,10 @@
 func (ts *targetStates) sample(c choice, now timer.Instant) (deployment.Target, bool) {
 	weights := make([]float64, len(c.candidates))
 	total := 0.0
+	coldRate := ts.coldRateOfAll(c.candidates)
 	for i, t := range c.candidates {
 		s := ts.state(t)
-		if slices.Contains(c.excluded, t.ID) || !s.mayChoose(now) {
+		if slices.Contains(c.excluded, t.ID) || !s.mayChoose(now, coldRate) {
 			continue
 		}
 		weights[i] = s.capacity(t, now) / (1 + c.zoneCost(t))
--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -102,6 +102,7 @@
 	reason         string        // why there is no answer yet
 	expected       time.Duration // expected time until the answer of the target that was chosen last
 	target         deployment.Target
+	granted        bool            // the dispatcher of the target granted the next attempt
 	admittedBy     string          // ID of the target whose rate limit counts the next attempt already
 	result         attemptResult   // of the last attempt
 	sentAt         timer.Instant   // of the last attempt
@@ -291,6 +292,9 @@
 		if retryAfter, limited := s.targets.rejectLimited(candidates, c.excluded); limited {
 			return t, retryAfter, errRateLimit.Error()
 		}
+		if retryAfter, cold := s.targets.untilWarm(candidates, c.excluded); cold {
+			return t, retryAfter, errTargetsCold.Error()
+		}
 		return t, defaultRetryAfter, "no target of the service is available"
 	}
 	expected, _ := s.targets.expected(t)
--- a/internal/forward/owner.go
+++ b/internal/forward/owner.go
@@ -32,6 +32,8 @@
 			return t, defaultRetryAfter, "the key has no owner"
 		case r.Phase == deployment.Owned && c.rangeID == rangeID(r) && time.Until(c.ownerRetryAt) > 0:
 			// Wait for the owner to learn of the key.
+		case r.Phase != deployment.Owned && !c.granted && s.targets.coldLimited(t):
+			// Wait for the next owner: the old one may take no request from this entry.
 		case (r.Phase == deployment.Owned || askOldOwner && t.Usable()) && !c.excludesRange(r):
 			retryAfter, err := s.checkOwner(c, t, r)
 			if !errors.Is(err, errWindowFull) || !s.awaitWindow(waitCtx, c, t) {
@@ -89,6 +91,9 @@
 	if retryAfter, ok := s.targets.maySendToOwner(t, s.cfg.TargetDrain); !ok {
 		return max(retryAfter, defaultRetryAfter), errOwnerNotice
 	}
+	if left := s.targets.coldLeft(t); left > 0 && !c.granted {
+		return min(left, maxReturnDelay), errOwnerCold
+	}
 	if retryAfter, ok := s.targets.available(t); !ok {
 		c.target, c.ownerUnreached = t, s.targets.onlyOthersReach(t)
 		return retryAfter, errOwnerUnavailable
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -27,6 +27,7 @@
 			return
 		case <-ticks:
 		}
+		s.noteColdTargets()
 		for _, id := range s.targets.overdue() {
 			s.path.RecordFailure(id)
 		}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -106,6 +106,7 @@
 		conns:        make(map[*callerConn]bool),
 		retryBudgets: make(map[string]limit.Budget),
 	}
+	s.targets.coldRate = func(service string) float64 { return cfg.View.View().Config.ColdRateOf(service) }
 	s.path = newPathMonitor(ctx, cfg.Clock, cfg.Log, func() []deployment.Target { return cfg.View.View().Live() }, s.targets.closeCircuits)
 	s.peers = newPeers(cfg.Clock, cfg.RelayAddress, cfg.AvailabilityZone)
 	s.acceptFrom(listener, false)
--- a/internal/forward/targetlimits.go
+++ b/internal/forward/targetlimits.go
@@ -31,12 +31,13 @@
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
 	now := ts.clock.Now()
+	coldRate := ts.coldRateOfAll(candidates)
 	var first *targetState
 	var next sharedLimit
 	var retryAfter time.Duration
 	for _, t := range candidates {
 		s := ts.state(t)
-		if slices.Contains(excluded, t.ID) || s.circuitOpen(now) || s.limit.Allows(now) {
+		if slices.Contains(excluded, t.ID) || s.circuitOpen(now) || s.limit.Allows(now) || coldRate > 0 && s.cold.Left(now) > 0 {
 			continue
 		}
 		if l, d := s.limit.WithRejection(now); first == nil || d < retryAfter {
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -55,6 +55,9 @@
 	mu             sync.Mutex
 	byID           map[string]*targetState
 	targetAverages map[string]movingAverage // service time in seconds, averaged over a service's targets, by service
+	// coldRate returns how many requests a second a cold target of a service takes, or 0 if
+	// it takes as many as a warm one. Nil stands for 0.
+	coldRate func(service string) float64
 }
 
 // movingAverage is an exponential moving average with its number of samples.
@@ -85,8 +88,7 @@
 	failures            uint32        // failed, missing or overdue answers since the last report
 	pending             []pendingRequest
 	advisedFailureShare float64 // share of failed requests over all entries, advised by the leader
-	limit               sharedLimit
-	notice              notice
+	targetLimits
 }
 
 // pendingRequest is a request in flight at a target.
@@ -107,8 +109,12 @@
 		if average, ok := ts.targetAverages[t.Service]; ok {
 			s.serviceTime = average.value
 		}
+		s.cold = coldness{sequence: t.Sequence, left: t.WarmUp(), since: ts.clock.Now()}
 		ts.byID[t.ID] = s
 	}
+	if t.Sequence > s.cold.sequence {
+		s.cold = s.cold.WithTarget(t, ts.clock.Now())
+	}
 	return s
 }
 
--- a/internal/leader/heartbeat_moves.go
+++ b/internal/leader/heartbeat_moves.go
@@ -57,7 +57,7 @@
 	if len(g.free) == 0 || !slices.ContainsFunc(g.free, func(f freeRange) bool { return f.Range.Service == t.Service }) {
 		return nil
 	}
-	usages := m.targetUsages(t.Service)
+	usages := placeable(m.targetUsages(t.Service))
 	own := slices.IndexFunc(usages, func(u targetUsage) bool { return u.target.ID == t.ID })
 	if own < 0 {
 		return nil
@@ -122,7 +122,7 @@
 	if !ok {
 		return nil
 	}
-	cached := g.usagesOf(m, t.Service)
+	cached := g.usagesOf(m, t)
 	own, ok := cached.index[t.ID]
 	if !ok || cached.list[own].utilization() < cached.givesFrom || len(cached.list[own].movableRanges) == 0 ||
 		len(table.Ranges) > maxRangesPerTarget*len(cached.list) {
@@ -137,10 +137,12 @@
 	return m.rebalanceUsages(table, usages)
 }
 
-// usagesOf returns the usages of a service's targets, at most a RebalanceInterval old.
-func (g *heartbeatGranter) usagesOf(m *Model, service string) cachedUsages {
+// usagesOf returns the usages of the targets of t's service, at most a RebalanceInterval old
+// and not from before t turned cold.
+func (g *heartbeatGranter) usagesOf(m *Model, t deployment.Target) cachedUsages {
+	service := t.Service
 	cached, ok := g.usages[service]
-	if ok && m.now.Sub(cached.at) < m.timing.RebalanceInterval {
+	if ok && m.now.Sub(cached.at) < m.timing.RebalanceInterval && !cached.turnedCold(m, t) {
 		return cached
 	}
 	m.statsOf(service).decay(m.now)
@@ -150,7 +152,7 @@
 	for i, u := range cached.list {
 		cached.index[u.target.ID] = i
 		utilizations = append(utilizations, u.utilization())
-		if u.width == 0 {
+		if u.width == 0 && !u.cold() {
 			idle++
 		}
 	}
@@ -162,3 +164,9 @@
 	g.usages[service] = cached
 	return cached
 }
+
+// turnedCold reports whether the target has turned cold since the usages were measured.
+func (c cachedUsages) turnedCold(m *Model, t deployment.Target) bool {
+	i, ok := c.index[t.ID]
+	return ok && t.Cold() && !c.list[i].cold() && m.coldRate(t.Service) > 0
+}
--- a/internal/leader/limits.go
+++ b/internal/leader/limits.go
@@ -66,10 +66,43 @@
 	return l
 }
 
-// limitOf returns the rate limit of a target, and false if it has none.
-func (m *Model) limitOf(incarnation deployment.Incarnation) (float64, bool) {
-	l, ok := m.limits[incarnation]
-	return l.perSecond, ok
+// limitOf returns what a target takes from all entries together, given the rate of cold
+// targets of its service, 0 for none.
+func (m *Model) limitOf(t deployment.Target, coldRate float64) deployment.Limit {
+	incarnation := incarnationOf(t)
+	var out deployment.Limit
+	if l, ok := m.limits[incarnation]; ok {
+		out = out.And(deployment.Limit{Reason: deployment.LimitNamed, PerSecond: l.perSecond})
+	}
+	if left, resting := m.resting(incarnation); resting {
+		out = out.And(deployment.Limit{Reason: deployment.LimitResting, Left: left})
+	}
+	if coldRate > 0 && t.Cold() {
+		out = out.And(deployment.Limit{Reason: deployment.LimitCold, PerSecond: coldRate})
+	}
+	return out
+}
+
+// coldRate returns how many requests a second a cold target of the service takes, or 0 if
+// it takes as many as a warm one.
+func (m *Model) coldRate(service string) float64 {
+	cfg, _ := m.state.Config()
+	return cfg.ColdRateOf(service)
+}
+
+// placeable returns the usages of the targets that may be given keys: the warm ones, or all
+// of them if none is warm.
+func placeable(usages []targetUsage) []targetUsage {
+	warm := make([]targetUsage, 0, len(usages))
+	for _, u := range usages {
+		if !u.cold() {
+			warm = append(warm, u)
+		}
+	}
+	if len(warm) == 0 {
+		return usages
+	}
+	return warm
 }
 
 // dropStaleLimits drops what was not reported for long.
--- a/internal/leader/notices.go
+++ b/internal/leader/notices.go
@@ -33,10 +33,13 @@
 	n.restUntil = max(n.restUntil, m.now.Add(tl.Rest))
 }
 
-// resting reports whether the target asked for no requests for now.
-func (m *Model) resting(incarnation deployment.Incarnation) bool {
+// resting reports whether the target asked for no requests for now, and for how long.
+func (m *Model) resting(incarnation deployment.Incarnation) (time.Duration, bool) {
 	n, ok := m.notices[incarnation]
-	return ok && m.now < n.restUntil
+	if !ok || m.now >= n.restUntil {
+		return 0, false
+	}
+	return n.restUntil.Sub(m.now), true
 }
 
 // nextLeaving returns the announcement as draining of a target that said to entries that
--- a/internal/leader/placement.go
+++ b/internal/leader/placement.go
@@ -19,14 +19,20 @@
 	return append(out, m.granter.place(m, reassignable)...)
 }
 
-// placeRange assigns a range to its planned owner if that is live, or else in parts to
-// the least busy targets.
+// placeRange assigns a range to its planned owner if that is live and may be given keys, or
+// else in parts to the least busy targets.
 func (m *Model) placeRange(a deployment.Assignment, planned map[string]float64) []deployment.Assignment {
 	usages := m.targetUsages(a.Range.Service)
 	if len(usages) == 0 {
 		return nil
 	}
-	if slices.ContainsFunc(usages, func(u targetUsage) bool { return incarnationOf(u.target) == a.To }) {
+	isPlanned := func(u targetUsage) bool { return incarnationOf(u.target) == a.To }
+	// An owner that rejects the range's fence is given its own keys again, also a cold one.
+	if m.ownsRange(a.To, a.Range) && slices.ContainsFunc(usages, isPlanned) {
+		return []deployment.Assignment{a}
+	}
+	usages = placeable(usages)
+	if slices.ContainsFunc(usages, isPlanned) {
 		return []deployment.Assignment{a}
 	}
 	stats := m.statsOf(a.Range.Service)
@@ -74,7 +80,8 @@
 	return out
 }
 
-// assignInitially assigns an equal part of all keys to each live target, once their
+// assignInitially assigns an equal part of all keys to each live target that may be given
+// keys, once their
 // number has not changed for InitialDelay, or MaxInitialDelay after the first one.
 func (m *Model) assignInitially(table deployment.KeyTable) []deployment.Assignment {
 	usages := m.targetUsages(table.Service)
@@ -91,6 +98,7 @@
 	}
 	var out []deployment.Assignment
 	all := deployment.RangeRef{Service: table.Service, From: 0, To: deployment.MaxKey}
+	usages = placeable(usages)
 	for i, part := range split(all, len(usages)) {
 		out = append(out, deployment.Assignment{Range: part, To: incarnationOf(usages[i].target)})
 	}
--- a/internal/leader/rebalance.go
+++ b/internal/leader/rebalance.go
@@ -45,9 +45,8 @@
 // targetUsage is the part of a service's keys and load that falls on one target.
 type targetUsage struct {
 	target        deployment.Target
-	serviceTime   float64            // seconds per request
-	limit         float64            // rate limit in requests a second; 0 for none
-	resting       bool               // it asked for no requests for now
+	serviceTime   float64 // seconds per request
+	limit         deployment.Limit
 	rate          float64            // requests a second
 	width         int                // keys owned
 	movableRanges []deployment.Range // owned ranges that may be moved
@@ -57,7 +56,7 @@
 // overloaded.
 func (u targetUsage) utilization() float64 {
 	utilization := u.rate * u.perRequest()
-	if u.resting {
+	if u.limit.Reason == deployment.LimitResting {
 		return max(utilization, restingUtilization)
 	}
 	return utilization
@@ -67,6 +66,7 @@
 // that is being released counts for its planned owner.
 func (m *Model) targetUsages(service string) []targetUsage {
 	stats := m.statsOf(service)
+	coldRate := m.coldRate(service)
 	var out []targetUsage
 	for _, t := range m.state.Targets() {
 		if t.Service != service || t.Status != deployment.Live || !m.recentHeartbeat(t) {
@@ -76,8 +76,7 @@
 		if !ok {
 			serviceTime = stats.meanServiceTime()
 		}
-		limit, _ := m.limitOf(incarnationOf(t))
-		out = append(out, targetUsage{target: t, serviceTime: serviceTime, limit: limit, resting: m.resting(incarnationOf(t))})
+		out = append(out, targetUsage{target: t, serviceTime: serviceTime, limit: m.limitOf(t, coldRate)})
 	}
 	index := make(map[deployment.Incarnation]int, len(out))
 	for i, u := range out {
@@ -170,6 +169,7 @@
 // can serve the highest rate, if that is sufficiently faster.
 func (m *Model) moveHotKeys(table deployment.KeyTable, usages []targetUsage) []deployment.RangeRef {
 	stats := m.statsOf(table.Service)
+	noneWarm := allCold(usages)
 	var out []deployment.RangeRef
 	for h := range usages {
 		high := &usages[h]
@@ -180,7 +180,7 @@
 			}
 			best := h
 			for k, u := range usages {
-				if u.perRequest() < usages[best].perRequest() {
+				if (noneWarm || !u.cold()) && u.perRequest() < usages[best].perRequest() {
 					best = k
 				}
 			}
@@ -200,11 +200,15 @@
 }
 
 // selectPair returns the indexes of the least busy target, preferring targets that
-// own nothing, and of the busiest other target with movable ranges; -1 if there is
+// own nothing and leaving out cold ones while one is warm, and of the busiest other target with movable ranges; -1 if there is
 // none.
 func selectPair(usages []targetUsage) (low, high int) {
 	low, high = -1, -1
+	noneWarm := allCold(usages)
 	for i, u := range usages {
+		if u.cold() && !noneWarm {
+			continue
+		}
 		if low < 0 || u.width == 0 && usages[low].width > 0 ||
 			(u.width == 0) == (usages[low].width == 0) && u.utilization() < usages[low].utilization() {
 			low = i
@@ -289,7 +293,7 @@
 // perRequest returns the utilization that one request a second causes.
 func (u targetUsage) perRequest() float64 {
 	if u.boundByLimit() {
-		return 1 / u.limit
+		return 1 / u.limit.PerSecond
 	}
 	return u.slotsPerRequest()
 }
@@ -301,7 +305,17 @@
 }
 
 // boundByLimit reports whether the target's rate limit allows less than its slots.
-func (u targetUsage) boundByLimit() bool { return u.limit > 0 && 1/u.limit > u.slotsPerRequest() }
+func (u targetUsage) boundByLimit() bool {
+	return u.limit.PerSecond > 0 && 1/u.limit.PerSecond > u.slotsPerRequest()
+}
+
+// cold reports whether the target has not warmed up and takes fewer requests until then.
+func (u targetUsage) cold() bool { return u.limit.Reason == deployment.LimitCold }
+
+// allCold reports whether no target is warm.
+func allCold(usages []targetUsage) bool {
+	return !slices.ContainsFunc(usages, func(u targetUsage) bool { return !u.cold() })
+}
 
 // meanPerRequest is like perRequest, for the mean service time of all targets.
 func (u targetUsage) meanPerRequest(stats *serviceStats) float64 {
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -37,7 +37,10 @@
 	MaxLease    time.Duration // longest lease of keys that targets accept
 	Grants      GrantMode     // how targets are granted keys
 	Heartbeat   time.Duration // time between two heartbeats of a target
-	Unknown     []string      // names of the platform's settings that are ignored
+	// A cold target may get ColdExcess times the cold rate of its service plus ColdSlack
+	// requests in any second, from all entries together.
+	ColdExcess, ColdSlack float64
+	Unknown               []string // names of the platform's settings that are ignored
 }
 
 // GrantMode is the way in which targets are granted keys.
@@ -59,6 +62,8 @@
 	defaultTargetDrain = 2 * time.Second
 	defaultMaxLease    = 10 * time.Second
 	defaultHeartbeat   = time.Second
+	defaultColdExcess  = 1.5
+	defaultColdSlack   = 8
 	maxPlatformTime    = 10 * time.Minute
 )
 
@@ -89,6 +94,8 @@
 		TargetDrain:      s.Duration("target_drain", defaultTargetDrain, 0, maxPlatformTime),
 		MaxLease:         s.Duration("max_lease", defaultMaxLease, time.Second, maxPlatformTime),
 		Heartbeat:        s.Duration("heartbeat", defaultHeartbeat, 10*time.Millisecond, maxPlatformTime),
+		ColdExcess:       defaultColdExcess,
+		ColdSlack:        defaultColdSlack,
 		Grants:           GrantMode(s.OneOf("grants", string(GrantByCall), string(GrantByCall), string(GrantByHeartbeat))),
 	}
 	out.readRolesAndAddresses(s)
