Count a target's slowdown while it lasts, and test cold targets

A fifth of the targets take three times as long for moments of 400 ms. Service times that averaged over this were too long after a slow moment and too short in one. The slowdown that answers report now multiplies the expected time, the cost and the capacity for 400 ms, and service times are stored without it. Without a report nothing changes.

--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -92,7 +92,7 @@
 func (s *targetState) cost(c choice, t deployment.Target, now timer.Instant) float64 {
 	// Entries don't see each other's requests. The random part keeps them from all
 	// choosing the same target.
-	cost := s.expected(t, now) + s.serviceTime*(float64(s.inFlight)/float64(max(t.Slots, 1))+rand.Float64()*randomCostShare)
+	cost := s.expected(t, now) + s.serviceTime*(s.slowdownNow(now)*float64(s.inFlight)/float64(max(t.Slots, 1))+rand.Float64()*randomCostShare)
 	cost += c.zoneCost(t) * s.serviceTime
 	if t.Status == deployment.Silent {
 		cost += silentCost * s.serviceTime
@@ -106,7 +106,7 @@
 // capacity returns how many requests a second the target can serve, for all entries
 // together.
 func (s *targetState) capacity(t deployment.Target, now timer.Instant) float64 {
-	capacity := float64(max(t.Slots, 1)) / s.serviceTime
+	capacity := float64(max(t.Slots, 1)) / (s.serviceTime * s.slowdownNow(now))
 	if perSecond, ok := s.limit.PerSecond(now); ok {
 		capacity = min(capacity, perSecond)
 	}
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -34,6 +34,12 @@
 	brokenAnswersToOpen = 6
 	minOpenTime         = 250 * time.Millisecond
 	maxOpenTime         = 2 * time.Second
+	// slowdownValidity is for how long a slowdown that a target reports counts. Slowdowns
+	// change many times a second, so that after this time the usual speed is likelier.
+	slowdownValidity = 400 * time.Millisecond
+	// minSlowdown and maxSlowdown bound a reported slowdown, so that an absurd one neither
+	// closes a target nor spoils its service time.
+	minSlowdown, maxSlowdown = 0.1, 10.0
 	// warmUpFactor is how many times slower a target is assumed to be while it
 	// warms up.
 	warmUpFactor = 2.0
@@ -71,8 +77,10 @@
 	startMillis         int64
 	firstSeen           timer.Instant // when this entry first saw it
 	inFlight            int
-	serviceTime         float64 // moving average in seconds
-	queueDelay          float64 // seconds that a request waits for a slot, as of queueDelayAt
+	serviceTime         float64 // moving average in seconds, at the usual speed
+	slowdown            float64 // as last reported; counts for slowdownValidity after slowdownAt
+	slowdownAt          timer.Instant
+	queueDelay          float64 // seconds that a request waits for a slot at the usual speed, as of queueDelayAt
 	queueDelayAt        timer.Instant
 	sentSince           int // requests sent since queueDelayAt
 	window              float64
@@ -121,16 +129,25 @@
 // expected returns the estimated time until the answer to a request sent now, in
 // seconds.
 func (s *targetState) expected(t deployment.Target, now timer.Instant) float64 {
-	serviceTime := s.serviceTime
+	slowdown := s.slowdownNow(now)
+	serviceTime := s.serviceTime * slowdown
 	if now.Sub(s.firstSeen) < time.Duration(t.WarmUpMillis)*time.Millisecond {
 		serviceTime *= warmUpFactor
 	}
 	slots := float64(max(t.Slots, 1))
-	queue := max(0, s.queueDelay-queueDecayRate*now.Sub(s.queueDelayAt).Seconds())
+	queue := max(0, s.queueDelay*slowdown-queueDecayRate*now.Sub(s.queueDelayAt).Seconds())
 	ahead := max(0, float64(max(s.sentSince, s.inFlight))+1-slots)
 	return serviceTime*(1+ahead/slots) + queue
 }
 
+// slowdownNow returns how long the target's work takes now, as a multiple of the usual time.
+func (s *targetState) slowdownNow(now timer.Instant) float64 {
+	if s.slowdown == 0 || now.Sub(s.slowdownAt) >= slowdownValidity {
+		return 1
+	}
+	return s.slowdown
+}
+
 // A request is overdue after overdueFactor times the target's service time plus its
 // queue delay, but not before minOverdue: a congested link may delay answers for that
 // long.
@@ -301,6 +318,9 @@
 		close(s.freed)
 		s.freed = nil
 	}
+	if slowdown, ok := res.slowdown(); ok {
+		s.slowdown, s.slowdownAt = slowdown, now
+	}
 	if res.loadKnown || res.ran {
 		s.updateQueue(t.Slots, res, now)
 	} else {
@@ -375,14 +395,18 @@
 	ts.targetAverages[service] = avg
 }
 
-// serviceTimeOf returns the service time of a request, as part of the time until its
-// answer. It assumes that the request waited in a queue as long as the one that the
-// answer reports.
+// serviceTimeOf returns the service time of a request at the target's usual speed, as part
+// of the time until its answer. It assumes that the request waited in a queue as long as the
+// one that the answer reports, and ran at the speed that it reports.
 func (s *targetState) serviceTimeOf(slots int, res attemptResult) time.Duration {
 	if !res.loadKnown {
 		return res.took
 	}
-	return time.Duration(float64(res.took) / (1 + float64(res.load.Waiting)/float64(max(slots, 1))))
+	took := float64(res.took)
+	if slowdown, ok := res.slowdown(); ok {
+		took /= slowdown
+	}
+	return time.Duration(took / (1 + float64(res.load.Waiting)/float64(max(slots, 1))))
 }
 
 // recordFailure counts a failure and opens the circuit breaker after several.
@@ -463,6 +487,14 @@
 	answered       bool          // a complete answer came, also one that did not run the request
 }
 
+// slowdown returns the slowdown that the target reported, and false if it reported none.
+func (r attemptResult) slowdown() (float64, bool) {
+	if !r.loadKnown || r.load.Slowdown <= 0 {
+		return 1, false
+	}
+	return min(max(r.load.Slowdown, minSlowdown), maxSlowdown), true
+}
+
 // overloaded reports whether the target reported at least as many waiting requests
 // as it has slots.
 func (r attemptResult) overloaded() bool { return r.loadKnown && r.load.Waiting >= r.load.Slots }
--- /dev/null
+++ b/internal/leader/cold_test.go
@@ -0,0 +1,129 @@
+package leader
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cranberrywind/cranberrywind/internal/deployment"
+)
+
+const testColdRate = 2.8
+
+// newColdSim starts a leader whose keyed service has a cold rate.
+func newColdSim(t *testing.T) *sim {
+	s := newSim(t)
+	s.commit(deployment.Command{ConfigChange: &deployment.ConfigChange{
+		Digest: "cold", Version: 2, Base: 1, Services: []deployment.Service{{Name: testService, Keyed: true, ColdRate: testColdRate}},
+	}})
+	return s
+}
+
+func cold(sequence uint64) func(t *deployment.Target) {
+	return func(t *deployment.Target) { t.Sequence, t.WarmUpMillis = sequence, 6000 }
+}
+
+// keysOf returns the number of keys that target n owns.
+func (s *sim) keysOf(n int) int {
+	keys := 0
+	for _, r := range s.ranges() {
+		if r.Target == incarnation(n).ID && r.Phase == deployment.Owned {
+			keys += r.Width()
+		}
+	}
+	return keys
+}
+
+// TestColdTargetTakesNoKeys guards against giving keys to targets that can't serve them.
+func TestColdTargetTakesNoKeys(t *testing.T) {
+	t.Run("at the first assignment", func(t *testing.T) {
+		s := newColdSim(t)
+		s.announce(1, nil)
+		s.announce(2, cold(1))
+		s.settle(1, 2)
+		assert.Equal(t, s.keysOf(2), 0)
+		s.announce(2, func(x *deployment.Target) { x.Sequence = 2 })
+		s.settle(1, 2)
+		assert.Assert(t, s.keysOf(2) > 0)
+	})
+	t.Run("of an owner that leaves", func(t *testing.T) {
+		s := newColdSim(t)
+		for n := 1; n <= 3; n++ {
+			s.announce(n, nil)
+		}
+		s.settle(1, 2, 3)
+		before := s.keysOf(2)
+		s.announce(2, cold(2))
+		s.announce(1, func(x *deployment.Target) { x.Sequence, x.Status = 2, deployment.Draining })
+		s.settle(1, 2, 3)
+		assert.Equal(t, s.keysOf(1), 0)
+		assert.Assert(t, s.keysOf(2) <= before)
+	})
+	t.Run("unless all are cold", func(t *testing.T) {
+		s := newColdSim(t)
+		s.announce(1, cold(1))
+		s.announce(2, cold(1))
+		s.settle(1, 2)
+		assert.Assert(t, s.keysOf(1) > 0 && s.keysOf(2) > 0)
+	})
+	t.Run("a service without a cold rate places keys as before", func(t *testing.T) {
+		s := newSim(t)
+		s.announce(1, nil)
+		s.announce(2, cold(1))
+		s.settle(1, 2)
+		assert.Assert(t, s.keysOf(2) > 0)
+	})
+}
+
+// TestOwnerThatTurnsCold guards against keys whose requests a cold owner can't serve.
+func TestOwnerThatTurnsCold(t *testing.T) {
+	s := newColdSim(t)
+	for n := 1; n <= 4; n++ {
+		s.announce(n, nil)
+	}
+	s.settle(1, 2, 3, 4)
+	s.reportLimited(10, 3, 0, 1, 2, 3, 4)
+	before := s.rateAt(1)
+	s.announce(1, cold(2))
+	s.reportLimited(10, 3, 0, 1, 2, 3, 4)
+	assert.Assert(t, before > 15, "%.1f requests a second", before)
+	assert.Assert(t, s.rateAt(1) <= testColdRate, "%.1f requests a second", s.rateAt(1))
+	s.settle(1, 2, 3, 4)
+	assert.Assert(t, s.keysOf(1) > 0, "it keeps what it can serve")
+}
+
+// TestOwnerThatTurnsColdWithHeartbeats is TestOwnerThatTurnsCold with grants by heartbeat.
+func TestOwnerThatTurnsColdWithHeartbeats(t *testing.T) {
+	w := newHeartbeatWorld(t, 1, 4, 0)
+	w.commit(deployment.Command{ConfigChange: &deployment.ConfigChange{
+		Digest: "cold", Version: 2, Base: 1, Services: []deployment.Service{{Name: testService, Keyed: true, ColdRate: testColdRate}},
+	}})
+	w.run(6 * time.Second)
+	rates := make(map[deployment.Key]uint32)
+	for i := range deployment.Key(16) {
+		rates[i*4096] = 1 // 5 requests a second each
+	}
+	play := func(d time.Duration) {
+		for end := w.now.Add(d); w.now < end; {
+			w.report(rates)
+			w.run(200 * time.Millisecond)
+		}
+	}
+	rate := func() float64 {
+		for _, u := range w.model.targetUsages(testService) {
+			if u.target.ID == w.targets[0].incarnation().ID {
+				return u.rate
+			}
+		}
+		return 0
+	}
+	play(3 * time.Second)
+	assert.Assert(t, rate() > 10, "%.1f requests a second", rate())
+	x, _ := w.state.Target(w.targets[0].incarnation().ID)
+	x.WarmUpMillis, x.Sequence = 6000, w.targets[0].sequence
+	w.commit(deployment.Command{Announce: &x})
+	play(4 * time.Second)
+	assert.Assert(t, rate() <= testColdRate, "%.1f requests a second", rate())
+	w.assertAllHeld()
+}
