Read request bodies within a budget, and reject uploads before their bodies

Uploads of up to 360 KB at entries with 136 MB exceeded their memory, and a body was read completely before a request without a route, time or target was rejected. Bodies now share a budget of an eighth of memory_mb. An upload is checked as soon as its header is read, without counting anything, and admitted once its body is complete. A long body is written while the response is awaited, so that an early response is returned at once; the connection is used again only after the whole body was written, and else closed. The body is no longer copied. The time that an upload's body takes on a narrow link counts toward the expected time, and not as the target's service time.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -102,7 +102,7 @@
 	}
 	i.log.Info("instance started", "availability_zone", cfg.AvailabilityZone, "entry", cfg.Entry, "control", cfg.Control,
 		"bootstrap", cfg.Bootstrap, "seeds", cfg.Seeds, "grace", cfg.Grace, "retry_ratio", cfg.RetryRatio, "retry_slack", cfg.RetrySlack,
-		"config_apply", cfg.ConfigApply, "target_drain", cfg.TargetDrain, "max_lease", cfg.MaxLease, "grants", cfg.Grants, "link_mbps", cfg.LinkMbps)
+		"config_apply", cfg.ConfigApply, "target_drain", cfg.TargetDrain, "max_lease", cfg.MaxLease, "grants", cfg.Grants, "link_mbps", cfg.LinkMbps, "memory_mb", cfg.MemoryMB)
 	if len(cfg.Unknown) > 0 {
 		i.log.Warn("unknown settings of the platform ignored", "names", cfg.Unknown)
 	}
@@ -155,6 +155,7 @@
 			return map[string]uint64{"sent": sent, "taken": taken, "rejected": rejected}
 		})
 		i.metrics.addGauge("responses_not_written", func() any { return i.entry.NotWritten() })
+		i.metrics.addGauge("request_body_bytes", func() any { return i.entry.HeldBodyBytes() })
 		i.metrics.addGauge("rate_limits", func() any { return i.entry.RateLimits() })
 	}
 }
@@ -231,6 +232,7 @@
 		GrantsByHeartbeat: i.cfg.Grants == settings.GrantByHeartbeat,
 		RelayAddress:      i.cfg.RelayAddress,
 		Link:              newLink(i.cfg.LinkMbps),
+		BodyBudget:        int(i.cfg.MemoryMB * bodyShare * (1 << 20)),
 	})
 	i.entry = server
 	i.cleanups.Add(stopServer)
@@ -249,6 +251,9 @@
 	// narrowLinkMbps is the bandwidth below which large responses are scheduled.
 	narrowLinkMbps = 100.0
 	bytesPerMbit   = 1e6 / 8
+	// bodyShare is the share of an instance's memory for the bodies of requests. The heap
+	// grows to several times that before it is collected.
+	bodyShare = 1.0 / 8
 	// responseShare is the share of a link for responses to callers. The rest is for
 	// requests to targets, traffic between instances, and packet headers.
 	responseShare = 0.92
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -13,7 +13,10 @@
 const configRetryAfter = 300 * time.Millisecond
 
 // admit finds the route, service, key and deadline of a request, or rejects it.
-func (s *Server) admit(r *request) (*call, *response) {
+func (s *Server) admit(r *request) (*call, *response) { return s.admitTo(r, s.chooseService) }
+
+// admitTo is admit for the service that choose returns. It changes no state itself.
+func (s *Server) admitTo(r *request, choose func(*request, *deployment.Route) (string, bool)) (*call, *response) {
 	reject := func(out response) (*call, *response) { return nil, &out }
 	v := s.cfg.View.View()
 	if v.ConfigIndex == 0 {
@@ -36,7 +39,7 @@
 	if id == "" {
 		return reject(errorResponse(http.StatusBadRequest, s.cfg.Headers.RequestID+" header is missing"))
 	}
-	name, ok := s.chooseService(r, route)
+	name, ok := choose(r, route)
 	if !ok {
 		return reject(unavailableResponse("no service of this route has a weight above zero", defaultRetryAfter))
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -26,11 +26,14 @@
 	}
 	maxConns := max(minConns, int(connectionShare*float64(c.service.Connections)/float64(s.entryCount())))
 	start := time.Now()
-	c.admittedBy = ""
+	c.admittedBy, c.bodyTime = "", 0
 	c.sentAt = s.targets.requestSent(t)
 	a, err := s.cfg.Pool.Do(ctx, t.Address, maxConns, s.cfg.Headers.RequestID, targethttp.Request{
-		Method:         c.method,
-		Head:           func() []byte { return s.requestHead(c, t, time.Now()) },
+		Method: c.method,
+		Head: func() []byte {
+			s.countBody(c)
+			return s.requestHead(c, t, time.Now())
+		},
 		Body:           c.body,
 		ID:             c.id,
 		NonIdempotent:  !c.route.Kind.Idempotent(),
@@ -45,7 +48,7 @@
 		return s.handleFailure(ctx, c, t, err, took)
 	}
 	s.path.RecordAnswer()
-	res := attemptResult{sentAt: c.sentAt, took: took, answered: true, leaving: a.Header.Get(s.cfg.Headers.Leaving) != ""}
+	res := attemptResult{sentAt: c.sentAt, took: took, bodyTime: c.bodyTime, answered: true, leaving: a.Header.Get(s.cfg.Headers.Leaving) != ""}
 	if a.Status == http.StatusServiceUnavailable && s.cfg.Headers.ParseRest != nil {
 		if value := a.Header.Get("Retry-After"); value != "" {
 			if rest, ok := s.cfg.Headers.ParseRest(value); ok {
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -62,6 +62,7 @@
 	body      []byte
 	closeConn bool // the caller asked to close the connection
 	relayed   bool // another entry passed it on
+	heldBytes int  // of the body, counted in the entry's budget
 }
 
 // callerConn is one connection of a caller. Pipelined requests run concurrently;
@@ -166,19 +167,25 @@
 			return
 		}
 		if !c.addPending() {
+			c.server.releaseBody(r)
 			return
 		}
 		respCh := make(chan response, 1)
 		select {
 		case c.queue <- respCh:
 		case <-c.ctx.Done():
+			c.server.releaseBody(r)
 			return
 		}
 		if rejection != nil {
 			respCh <- *rejection
 			return
 		}
-		go func() { respCh <- c.server.handle(r) }()
+		go func() {
+			out := c.server.handle(r)
+			c.server.releaseBody(r)
+			respCh <- out
+		}()
 		if r.closeConn {
 			c.awaitClose()
 			return
@@ -227,6 +234,9 @@
 		return nil, c.reject(http.StatusRequestEntityTooLarge, "request body is too large"), nil
 	}
 	rejection, err := c.readBody(hr, r, limits)
+	if rejection != nil || err != nil {
+		c.server.releaseBody(r)
+	}
 	return r, rejection, err
 }
 
@@ -289,6 +299,9 @@
 	if hr.Body == nil || hr.Body == http.NoBody {
 		return nil, nil
 	}
+	if out := c.server.rejectEarly(r, hr.ContentLength); out != nil {
+		return c.rejectBody(r, *out), nil
+	}
 	c.limiter.remaining = 2*limits.BodyBytes + readBufferBytes
 	if hr.Header.Get("Expect") == "100-continue" {
 		if !c.awaitAnswers() {
@@ -299,10 +312,12 @@
 		}
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(io.LimitReader(hr.Body, int64(limits.BodyBytes)+1))
+	body, err := c.server.readWithinBudget(hr, r, limits.BodyBytes)
 	if err != nil {
 		var timeout net.Error
 		switch {
+		case errors.Is(err, errBodyBudget):
+			return c.rejectForBudget(r, int(max(hr.ContentLength, int64(r.heldBytes)))), nil
 		case errors.Is(err, errTooLarge):
 			return c.reject(http.StatusRequestEntityTooLarge, "request body is too large"), nil
 		case errors.As(err, &timeout) && timeout.Timeout():
--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -102,6 +102,7 @@
 	reason         string        // why there is no answer yet
 	expected       time.Duration // expected time until the answer of the target that was chosen last
 	target         deployment.Target
+	bodyTime       time.Duration   // of the last attempt, that its body takes on this entry's link
 	granted        bool            // the dispatcher of the target granted the next attempt
 	admittedBy     string          // ID of the target whose rate limit counts the next attempt already
 	result         attemptResult   // of the last attempt
@@ -298,6 +299,7 @@
 		return t, defaultRetryAfter, "no target of the service is available"
 	}
 	expected, _ := s.targets.expected(t)
+	expected += s.bodyTime(c)
 	c.target, c.expected = t, expected
 	if expected > c.maxExpected() {
 		return t, expected / 2, "the chosen target would take too long"
--- a/internal/forward/owner.go
+++ b/internal/forward/owner.go
@@ -105,6 +105,7 @@
 		c.admittedBy = t.ID
 	}
 	expected, withinWindow := s.targets.expected(t)
+	expected += s.bodyTime(c)
 	c.target, c.expected, c.fence = t, expected, r.Fence
 	switch {
 	case s.rejectOverload(c.service.Name, c.key, t):
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -49,6 +49,9 @@
 	// RelayAddress is where other entries pass requests on to this one, at ServePeers. It
 	// is empty if they can't.
 	RelayAddress string
+	// BodyBudget bounds the bytes of request bodies that are held in memory; 0 stands for
+	// defaultBodyBudget.
+	BodyBudget int
 	// Link shares the bandwidth of a narrow link among responses. It is nil for a
 	// wide one.
 	Link *limit.Link
@@ -66,6 +69,7 @@
 	path    *pathMonitor
 	peers   *peers
 	relays  relayCounts
+	bodies  *bodyBudget
 	// peerConfig is the log index of the newest configuration by which a peer has served
 	// a request of this entry.
 	peerConfig atomic.Uint64
@@ -103,6 +107,7 @@
 		split:        newSplitter(),
 		keys:         newKeyCounts(),
 		crashes:      newCrashRecorder(),
+		bodies:       newBodyBudget(cfg.BodyBudget),
 		conns:        make(map[*callerConn]bool),
 		retryBudgets: make(map[string]limit.Budget),
 	}
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -216,7 +216,7 @@
 // the window to it.
 func (s *targetState) updateQueue(slots int, res attemptResult, now timer.Instant) {
 	slotCount := float64(max(slots, 1))
-	waiting := max(0, res.took.Seconds()-s.serviceTime) / s.serviceTime * slotCount
+	waiting := max(0, res.workTime().Seconds()-s.serviceTime) / s.serviceTime * slotCount
 	if res.loadKnown {
 		waiting = float64(res.load.Waiting)
 	}
@@ -400,9 +400,9 @@
 // one that the answer reports, and ran at the speed that it reports.
 func (s *targetState) serviceTimeOf(slots int, res attemptResult) time.Duration {
 	if !res.loadKnown {
-		return res.took
+		return res.workTime()
 	}
-	took := float64(res.took)
+	took := float64(res.workTime())
 	if slowdown, ok := res.slowdown(); ok {
 		took /= slowdown
 	}
@@ -475,6 +475,7 @@
 	success   bool          // the answer was a success
 	sentAt    timer.Instant // as returned by requestSent
 	took      time.Duration
+	bodyTime  time.Duration // part of took for which the body was on the entry's own link
 	load      Load
 	loadKnown bool
 	// rateLimit is the rate limit that the answer named, in requests a second; 0 unless
@@ -487,6 +488,15 @@
 	answered       bool          // a complete answer came, also one that did not run the request
 }
 
+// minWorkShare is the least share of the time until an answer that counts as the target's
+// work: the time of the body on the entry's own link is an estimate.
+const minWorkShare = 0.25
+
+// workTime returns the time until the answer without that of the body on the entry's own link.
+func (r attemptResult) workTime() time.Duration {
+	return max(r.took-r.bodyTime, time.Duration(minWorkShare*float64(r.took)))
+}
+
 // slowdown returns the slowdown that the target reported, and false if it reported none.
 func (r attemptResult) slowdown() (float64, bool) {
 	if !r.loadKnown || r.load.Slowdown <= 0 {
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -30,6 +30,7 @@
 	Grace      time.Duration // time limit of a graceful shutdown, until the process has exited
 	RetryRatio float64       // retries of all entries together, as a share of requests
 	RetrySlack float64       // retries of all entries together beyond that share
+	MemoryMB   float64       // memory of the instance; 0 if it is not known
 	LinkMbps   float64       // bandwidth of the instance's network link; 0 if it is not a bottleneck
 
 	ConfigApply time.Duration // time within which an acknowledged configuration is in force at entries
@@ -89,6 +90,7 @@
 		Grace:            s.Duration("grace", defaultGrace, 0, maxGrace),
 		RetryRatio:       s.Float("retry_ratio", defaultRetryRatio, 0, 1),
 		RetrySlack:       s.Float("retry_slack", defaultRetrySlack, 0, 1e6),
+		MemoryMB:         s.Float("memory_mb", 0, 0, 1e7),
 		LinkMbps:         s.Float("link_mbps", 0, 0, 1e6),
 		ConfigApply:      s.Duration("config_apply", defaultConfigApply, 0, maxPlatformTime),
 		TargetDrain:      s.Duration("target_drain", defaultTargetDrain, 0, maxPlatformTime),
--- a/internal/targethttp/exchange.go
+++ b/internal/targethttp/exchange.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"os"
 	"time"
 )
 
@@ -86,11 +85,7 @@
 			err = fmt.Errorf("%w: %w", ErrIncompleteResponse, err)
 		}
 	}
-	if !stop() || err != nil || !reusable || c.reader.Buffered() > 0 {
-		p.discard(c)
-	} else {
-		p.put(c)
-	}
+	p.recycle(c, stop() && err == nil && reusable)
 	if err == nil {
 		return out, nil
 	}
@@ -110,16 +105,24 @@
 // responses with another ID; only an error response may lack the ID. It reports
 // whether the connection may be reused once the body has been read.
 func (c *conn) exchange(idHeader string, r Request) (*http.Response, bool, error) {
-	n, writeErr := c.write(r)
-	if writeErr != nil && n == 0 && !errors.Is(writeErr, os.ErrDeadlineExceeded) {
-		return nil, false, fmt.Errorf("%w: %w", ErrNotSent, writeErr)
+	c.sending = c.write(r)
+	if c.sending.Ended() {
+		if err := c.sending.notSent(); err != nil {
+			return nil, false, err
+		}
 	}
-	// The response is read even after a failed write, because a target may respond
-	// and close the connection before it has read a long body.
+	// The response is read even after a failed write, and while a long body is written,
+	// because a target may respond before it has read the body, and then close the
+	// connection or not.
 	for range maxResponsesRead {
 		c.limiter.limited, c.limiter.remaining = true, maxHeadBytes
 		resp, err := c.readHeader(r.Method)
 		if err != nil {
+			_ = c.SetWriteDeadline(time.Unix(1, 0))
+			<-c.sending.done
+			if err := c.sending.notSent(); err != nil {
+				return nil, false, err
+			}
 			return nil, false, fmt.Errorf("%w: %w", ErrIncompleteResponse, err)
 		}
 		c.limiter.limited = false
@@ -127,7 +130,7 @@
 		closeDelimited := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 		keepAlive := !resp.Close && !closeDelimited
 		if got := resp.Header.Get(idHeader); got == r.ID || got == "" && resp.StatusCode >= http.StatusBadRequest {
-			return resp, keepAlive && writeErr == nil, nil
+			return resp, keepAlive, nil
 		}
 		if err := discardBody(resp); err != nil {
 			return nil, false, fmt.Errorf("%w: %w", ErrIncompleteResponse, err)
@@ -139,16 +142,6 @@
 	return nil, false, fmt.Errorf("%w: responses belong to other requests", ErrIncompleteResponse)
 }
 
-// write sends the request in a single write and returns the number of bytes sent.
-func (c *conn) write(r Request) (int, error) {
-	head := r.Head()
-	if len(r.Body) == 0 {
-		return c.Write(head)
-	}
-	buf := make([]byte, 0, len(head)+len(r.Body))
-	return c.Write(append(append(buf, head...), r.Body...))
-}
-
 // readHeader reads the header of the next response, skipping interim ones.
 func (c *conn) readHeader(method string) (*http.Response, error) {
 	for {
--- a/internal/targethttp/pool.go
+++ b/internal/targethttp/pool.go
@@ -79,6 +79,7 @@
 	lastUsed timer.Instant
 	maxIdle  time.Duration // longest idle time after which it is reused
 	reused   bool
+	sending  *sending // the last request, whose body may still be sent
 }
 
 // Option configures a Pool.
--- a/internal/targethttp/stream.go
+++ b/internal/targethttp/stream.go
@@ -100,9 +100,5 @@
 func (p *Pool) fillStream(ctx context.Context, c *conn, resp *http.Response, stream *BodyStream, reusable bool) {
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	err := stream.fill(resp)
-	if !stop() || err != nil || !reusable || c.reader.Buffered() > 0 {
-		p.discard(c)
-		return
-	}
-	p.put(c)
+	p.recycle(c, stop() && err == nil && reusable)
 }
--- a/pkg/limit/link.go
+++ b/pkg/limit/link.go
@@ -49,6 +49,17 @@
 	l.countLocked(bytes)
 }
 
+// Delay returns how long it takes until the link has sent bytes that are added now. It is 0
+// on a nil Link.
+func (l *Link) Delay(bytes int) time.Duration {
+	if l == nil {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(0, time.Until(l.freeAt)) + time.Duration(float64(bytes)/l.rate*float64(time.Second))
+}
+
 // countLocked adds bytes to the backlog. The caller holds l.mu.
 func (l *Link) countLocked(bytes int) {
 	if now := time.Now(); l.freeAt.Before(now) {
