--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -119,6 +119,7 @@
 	withoutDispatcher bool            // the dispatcher of the key's owner is lost
 	exactRetryAfter   bool            // the time for the caller is a dispatcher's
 	bodyCtx           context.Context // ends when the caller disconnects, and bodyGrace after the deadline
+	bodyTime          time.Duration   // of the last attempt, that its body takes on this entry's link
 }
 
 // handle returns the final response to a request.
@@ -311,9 +312,13 @@
 		if retryAfter, limited := s.targets.rejectLimited(candidates, c.excluded); limited {
 			return t, retryAfter, errRateLimit.Error()
 		}
+		if retryAfter, cold := s.targets.untilWarm(candidates, c.excluded); cold {
+			return t, retryAfter, errTargetsCold.Error()
+		}
 		return t, defaultRetryAfter, "no target of the service is available"
 	}
 	expected, _ := s.targets.expected(t)
+	expected += s.bodyTime(c)
 	c.target, c.expected = t, expected
 	if expected > c.maxExpected() {
 		return t, expected / 2, "the chosen target would take too long"
--- a/internal/forward/owner.go
+++ b/internal/forward/owner.go
@@ -33,6 +33,8 @@
 			return t, defaultRetryAfter, "the key has no owner"
 		case r.Phase == deployment.Owned && c.rangeID == rangeID(r) && time.Until(c.ownerRetryAt) > 0:
 			// Wait for the owner to learn of the key.
+		case r.Phase != deployment.Owned && !c.granted && s.targets.coldLimited(t):
+			// Wait for the next owner: the old one may take no request from this entry.
 		case (r.Phase == deployment.Owned || askOldOwner && t.Usable()) && !c.excludesRange(r):
 			retryAfter, err := s.checkOwner(c, t, r)
 			if errors.Is(err, errAskDispatcher) {
@@ -95,6 +97,9 @@
 	if retryAfter, ok := s.targets.maySendToOwner(t, s.cfg.TargetDrain); !ok {
 		return max(retryAfter, defaultRetryAfter), errOwnerNotice
 	}
+	if left := s.targets.coldLeft(t); left > 0 && !c.granted {
+		return min(left, maxReturnDelay), errOwnerCold
+	}
 	if retryAfter, ok := s.targets.available(t); !ok {
 		c.target, c.ownerUnreached = t, s.targets.onlyOthersReach(t)
 		return retryAfter, errOwnerUnavailable
@@ -110,6 +115,7 @@
 		return 0, errAskDispatcher
 	}
 	expected, withinWindow := s.targets.expected(t)
+	expected += s.bodyTime(c)
 	c.target, c.expected, c.fence = t, expected, r.Fence
 	switch {
 	case s.dispatching() && s.cfg.Dispatcher.ColdLeft(t) > 0:
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -50,6 +50,9 @@
 	// RelayAddress is where other entries pass requests on to this one, at ServePeers. It
 	// is empty if they can't.
 	RelayAddress string
+	// BodyBudget bounds the bytes of request bodies that are held in memory; 0 stands for
+	// defaultBodyBudget.
+	BodyBudget int
 	// Link shares the bandwidth of a narrow link among responses. It is nil for a
 	// wide one.
 	Link *limit.Link
@@ -74,6 +77,7 @@
 	dispatched *dispatchCounts
 	returns    *returnTimes
 
+	bodies *bodyBudget
 	// peerConfig is the log index of the newest configuration by which a peer has served
 	// a request of this entry.
 	peerConfig atomic.Uint64
@@ -111,11 +115,13 @@
 		split:        newSplitter(),
 		keys:         newKeyCounts(),
 		crashes:      newCrashRecorder(),
+		bodies:       newBodyBudget(cfg.BodyBudget),
 		conns:        make(map[*callerConn]bool),
 		retryBudgets: make(map[string]limit.Budget),
 		dispatched:   newDispatchCounts(),
 		returns:      newReturnTimes(),
 	}
+	s.targets.coldRate = func(service string) float64 { return cfg.View.View().Config.ColdRateOf(service) }
 	s.path = newPathMonitor(ctx, cfg.Clock, cfg.Log, func() []deployment.Target { return cfg.View.View().Live() }, s.targets.closeCircuits)
 	s.peers = newPeers(cfg.Clock, cfg.RelayAddress, cfg.AvailabilityZone)
 	s.acceptFrom(listener, false)
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -31,6 +31,7 @@
 	Grace      time.Duration // time limit of a graceful shutdown, until the process has exited
 	RetryRatio float64       // retries of all entries together, as a share of requests
 	RetrySlack float64       // retries of all entries together beyond that share
+	MemoryMB   float64       // memory of the instance; 0 if it is not known
 	LinkMbps   float64       // bandwidth of the instance's network link; 0 if it is not a bottleneck
 
 	ConfigApply time.Duration // time within which an acknowledged configuration is in force at entries
@@ -41,7 +42,10 @@
 	// PreferZone makes entries follow and report to control instances of their own
 	// availability zone where there are any, because traffic between zones is costly.
 	PreferZone bool
-	Unknown    []string // names of the platform's settings that are ignored
+	// A cold target may get ColdExcess times the cold rate of its service plus ColdSlack
+	// requests in any second, from all entries together.
+	ColdExcess, ColdSlack float64
+	Unknown               []string // names of the platform's settings that are ignored
 }
 
 // GrantMode is the way in which targets are granted keys.
@@ -63,6 +67,8 @@
 	defaultTargetDrain = 2 * time.Second
 	defaultMaxLease    = 10 * time.Second
 	defaultHeartbeat   = time.Second
+	defaultColdExcess  = 1.5
+	defaultColdSlack   = 8
 	maxPlatformTime    = 10 * time.Minute
 )
 
@@ -88,12 +94,15 @@
 		Grace:            s.Duration("grace", defaultGrace, 0, maxGrace),
 		RetryRatio:       s.Float("retry_ratio", defaultRetryRatio, 0, 1),
 		RetrySlack:       s.Float("retry_slack", defaultRetrySlack, 0, 1e6),
+		MemoryMB:         s.Float("memory_mb", 0, 0, 1e7),
 		LinkMbps:         s.Float("link_mbps", 0, 0, 1e6),
 		ConfigApply:      s.Duration("config_apply", defaultConfigApply, 0, maxPlatformTime),
 		TargetDrain:      s.Duration("target_drain", defaultTargetDrain, 0, maxPlatformTime),
 		MaxLease:         s.Duration("max_lease", defaultMaxLease, time.Second, maxPlatformTime),
 		Heartbeat:        s.Duration("heartbeat", defaultHeartbeat, 10*time.Millisecond, maxPlatformTime),
 		PreferZone:       s.Bool("prefer_zone", false),
+		ColdExcess:       defaultColdExcess,
+		ColdSlack:        defaultColdSlack,
 		Grants:           GrantMode(s.OneOf("grants", string(GrantByCall), string(GrantByCall), string(GrantByHeartbeat))),
 	}
 	out.readRolesAndAddresses(s)
