Agree on evacuated zones, tell entries of them, and move keys out

An operator evacuates an availability zone by a command of the log. Entries learn of it through the view, and the leader gives no keys to targets there and moves theirs away.

--- a/internal/deployment/commands.go
+++ b/internal/deployment/commands.go
@@ -20,6 +20,7 @@
 	Move          []RangeRef    `msgpack:"move,omitempty"`
 	CrashReport   *CrashReport  `msgpack:"blame,omitempty"`
 	ClearSuspects []string      `msgpack:"pardon,omitempty"` // fingerprints
+	Evacuate      *Evacuate     `msgpack:"evacuate,omitempty"`
 }
 
 // Incarnation identifies one start of a target's process.
@@ -68,7 +69,7 @@
 // Outcomes of a configuration change.
 const (
 	Accepted ChangeOutcome = "accepted"
-	Conflict ChangeOutcome = "conflict" // its base is not the version in force
+	Conflict ChangeOutcome = "conflict" // its base is not the version in force, or a later call had the opposite aim
 	Invalid  ChangeOutcome = "invalid"
 )
 
@@ -114,6 +115,8 @@
 		return s, Result{}
 	case len(c.Move) > 0:
 		return s.move(index, c.Move), Result{}
+	case c.Evacuate != nil:
+		return s.evacuate(index, *c.Evacuate)
 	default:
 		return s, Result{Outcome: Invalid, Reason: "command is empty"}
 	}
--- a/internal/deployment/state.go
+++ b/internal/deployment/state.go
@@ -51,6 +51,12 @@
 	tables        []KeyTable
 	suspects      []Suspect
 	suspectsIndex uint64 // log index of the last change of the suspects
+
+	zones          []zoneRecord // for which an operator called, sorted by name
+	forgottenCalls uint64       // latest zoneRecord.Called that was dropped
+	evacuated      []Evacuation // of zones
+	evacuatedIndex uint64       // log index of the last change of the evacuated zones
+
 	// earlierConfigs are the configurations before the one in force, oldest first.
 	// They are not part of a snapshot.
 	earlierConfigs []indexedConfig
@@ -171,6 +177,10 @@
 	Tables        []KeyTable `msgpack:"tables"`
 	Suspects      []Suspect  `msgpack:"suspects"`
 	SuspectsIndex uint64     `msgpack:"blamed"`
+
+	Zones          []zoneRecord `msgpack:"zones,omitempty"`
+	ForgottenCalls uint64       `msgpack:"forgotten_calls,omitempty"`
+	EvacuatedIndex uint64       `msgpack:"evacuated_index,omitempty"`
 }
 
 // Encode returns the state as a snapshot for Decode.
@@ -184,6 +194,10 @@
 		Tables:        s.tables,
 		Suspects:      s.suspects,
 		SuspectsIndex: s.suspectsIndex,
+
+		Zones:          s.zones,
+		ForgottenCalls: s.forgottenCalls,
+		EvacuatedIndex: s.evacuatedIndex,
 	})
 }
 
@@ -202,5 +216,10 @@
 		tables:        in.Tables,
 		suspects:      in.Suspects,
 		suspectsIndex: in.SuspectsIndex,
+
+		zones:          in.Zones,
+		forgottenCalls: in.ForgottenCalls,
+		evacuated:      evacuationsOf(in.Zones),
+		evacuatedIndex: in.EvacuatedIndex,
 	}, nil
 }
--- a/internal/instance/deployment_messages.go
+++ b/internal/instance/deployment_messages.go
@@ -17,6 +17,17 @@
 	Result deployment.Result `msgpack:"result"`
 }
 
+// EvacuateRequest asks the leader to commit an operator's call to evacuate an availability
+// zone or to withdraw that.
+type EvacuateRequest struct {
+	Evacuate deployment.Evacuate `msgpack:"evacuate"`
+}
+
+// EvacuateResponse holds the outcome of the call.
+type EvacuateResponse struct {
+	Result deployment.Result `msgpack:"result"`
+}
+
 // AnnounceTargetRequest forwards a target's announcement or withdrawal to the leader.
 type AnnounceTargetRequest struct {
 	// Target is the target as announced. For a withdrawal only ID and StartMillis
@@ -209,6 +220,9 @@
 	// Suspects holds all suspects if SuspectsChanged is set, else nothing.
 	Suspects        []deployment.Suspect `msgpack:"suspects"`
 	SuspectsChanged bool                 `msgpack:"suspects_changed"`
+	// Evacuated holds all evacuations in force if EvacuatedChanged is set, else nothing.
+	Evacuated        []deployment.Evacuation `msgpack:"evacuated,omitempty"`
+	EvacuatedChanged bool                    `msgpack:"evacuated_changed,omitempty"`
 	// Current reports that the sender leads or receives its leader's heartbeats.
 	Current bool `msgpack:"current"`
 	// Part is one part of an update that was compressed and split. Beside it only
--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -45,6 +45,7 @@
 type DeploymentHandler interface {
 	GroupHandler
 	ChangeConfig(ctx context.Context, req *ConfigChangeRequest) (*ConfigChangeResponse, error)
+	Evacuate(ctx context.Context, req *EvacuateRequest) (*EvacuateResponse, error)
 	AnnounceTarget(ctx context.Context, req *AnnounceTargetRequest) (*AnnounceTargetResponse, error)
 	Barrier(ctx context.Context, req *BarrierRequest) (*BarrierResponse, error)
 	Report(ctx context.Context, req *ReportRequest) (*ReportResponse, error)
@@ -126,6 +127,7 @@
 		HandlerType: (*DeploymentHandler)(nil),
 		Methods: append(groupMethods(),
 			unary("Change", DeploymentHandler.ChangeConfig),
+			unary("Evacuate", DeploymentHandler.Evacuate),
 			unary("Announced", DeploymentHandler.AnnounceTarget),
 			unary("Barrier", DeploymentHandler.Barrier),
 			unary("Report", DeploymentHandler.Report),
--- a/internal/leader/heartbeat_granter.go
+++ b/internal/leader/heartbeat_granter.go
@@ -122,7 +122,7 @@
 	before := g.free
 	g.free = nil
 	for _, a := range reassignable {
-		if t, ok := m.state.Target(a.To.ID); ok && m.ownsRange(a.To, a.Range) && t.Usable() {
+		if t, ok := m.state.Target(a.To.ID); ok && m.ownsRange(a.To, a.Range) && !m.mustLeave(t) {
 			out = append(out, g.assignment(a.Range, a.To, a.Handover))
 			continue
 		}
--- a/internal/leader/heartbeat_moves.go
+++ b/internal/leader/heartbeat_moves.go
@@ -14,6 +14,7 @@
 	list      []targetUsage
 	index     map[string]int // into list, by target ID
 	givesFrom float64        // utilization from which a target may have to give up keys
+	evacuated uint64         // log index of the last change of the evacuated zones
 }
 
 // propose proposes what a heartbeat of the target causes: that it gives up or takes over
@@ -22,7 +23,7 @@
 	if m.commandPending || !m.graceOver() {
 		return nil
 	}
-	if !t.Usable() {
+	if m.mustLeave(t) {
 		if moves := g.ownedBy(m, incarnationOf(t)); len(moves) > 0 {
 			return m.propose(deployment.Command{Move: moves}, "owner is leaving")
 		}
@@ -140,11 +141,11 @@
 // usagesOf returns the usages of a service's targets, at most a RebalanceInterval old.
 func (g *heartbeatGranter) usagesOf(m *Model, service string) cachedUsages {
 	cached, ok := g.usages[service]
-	if ok && m.now.Sub(cached.at) < m.timing.RebalanceInterval {
+	if ok && m.now.Sub(cached.at) < m.timing.RebalanceInterval && cached.evacuated == m.state.EvacuatedIndex() {
 		return cached
 	}
 	m.statsOf(service).decay(m.now)
-	cached = cachedUsages{at: m.now, list: m.targetUsages(service), index: make(map[string]int), givesFrom: minBusyUtilization}
+	cached = cachedUsages{at: m.now, list: m.targetUsages(service), index: make(map[string]int), givesFrom: minBusyUtilization, evacuated: m.state.EvacuatedIndex()}
 	var utilizations []float64
 	idle := 0
 	for i, u := range cached.list {
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -52,6 +52,7 @@
 	entryLoads       map[string]*entryLoad // by entry
 	notices          map[deployment.Incarnation]*targetNotice
 	drainingSince    map[deployment.Incarnation]timer.Instant // when this leader first saw that a target drains or has left
+	refuges          refuges
 }
 
 // serviceArrivals records when targets of a service arrived before its keys were first
@@ -322,7 +323,7 @@
 		return reassign
 	case rs.released && m.now > rs.unansweredExpiry:
 		return reassign
-	case rs.fenced && t.Status == deployment.Live && m.recentHeartbeat(t):
+	case rs.fenced && t.Status == deployment.Live && m.recentHeartbeat(t) && !m.mustLeave(t):
 		// The owner itself, under a newer fence.
 		reassign.reassignable[0].To = incarnationOf(t)
 		return reassign
@@ -339,7 +340,7 @@
 		return rangeStep{}
 	case r.Phase == deployment.Releasing:
 		return m.granter.release(m, t, ref, rs)
-	case !t.Usable() && m.graceOver():
+	case m.mustLeave(t) && m.graceOver():
 		return rangeStep{moves: []deployment.RangeRef{ref}}
 	case !m.granter.responsive(m, t, rs):
 		return rangeStep{}
--- a/internal/leader/rebalance.go
+++ b/internal/leader/rebalance.go
@@ -63,13 +63,13 @@
 	return utilization
 }
 
-// targetUsages returns the live targets of a service with their keys and load. A range
-// that is being released counts for its planned owner.
+// targetUsages returns the live targets of a service outside of evacuated zones, with their
+// keys and load. A range that is being released counts for its planned owner.
 func (m *Model) targetUsages(service string) []targetUsage {
 	stats := m.statsOf(service)
 	var out []targetUsage
 	for _, t := range m.state.Targets() {
-		if t.Service != service || t.Status != deployment.Live || !m.recentHeartbeat(t) {
+		if t.Service != service || !m.mayOwn(t) {
 			continue
 		}
 		serviceTime, ok := stats.serviceTime[t.ID]
--- a/internal/view/follow.go
+++ b/internal/view/follow.go
@@ -26,6 +26,8 @@
 	done        <-chan struct{} // closed when the follower stops
 	mu          sync.Mutex
 	changed     chan struct{}
+
+	confirmations confirmations // guarded by mu
 }
 
 // FollowerConfig configures a Follower.
@@ -239,10 +241,13 @@
 				return err
 			}
 		}
+		if err := f.apply(u); err != nil {
+			return err
+		}
 		if u.Current {
-			f.confirmedAt.Store(time.Now().UnixNano())
+			f.confirm()
 		}
-		return f.apply(u)
+		return nil
 	})
 	if cause := context.Cause(s.ctx); cause != nil {
 		err = cause
@@ -258,6 +263,15 @@
 	}
 }
 
+// confirm records that a control instance with a leader has confirmed the view.
+func (f *Follower) confirm() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	f.confirmedAt.Store(now.UnixNano())
+	f.confirmations = f.confirmations.With(now)
+}
+
 // errOtherConfig ends a stream whose next change applies to another configuration than
 // the view's, which another stream has brought meanwhile.
 var errOtherConfig = errors.New("change applies to another configuration")
@@ -275,6 +289,9 @@
 		return errOtherConfig
 	}
 	next := old.With(u)
+	if u.EvacuatedChanged {
+		f.noteEvacuated(old, next)
+	}
 	f.view.Store(next)
 	if u.Version == old.Version && !u.Whole {
 		return nil
@@ -286,3 +303,15 @@
 	f.changed = make(chan struct{})
 	return nil
 }
+
+// noteEvacuated handles that the next view has other evacuated zones than the old one.
+func (f *Follower) noteEvacuated(old, next *View) {
+	now := time.Now()
+	fresh := f.confirmations.Fresh(now)
+	if fresh {
+		next.allowOwners(old, now.Add(ownerGrace))
+	}
+	if len(old.evacuated) > 0 || len(next.evacuated) > 0 {
+		f.cfg.Log.Info("evacuated zones changed", "zones", slices.Sorted(maps.Keys(next.evacuated)), "version", next.Version, "view_fresh", fresh)
+	}
+}
--- a/internal/view/parts.go
+++ b/internal/view/parts.go
@@ -28,7 +28,7 @@
 
 // isLarge reports whether an update is to be split.
 func isLarge(u *instance.ViewUpdate) bool {
-	n := len(u.Targets) + len(u.AllTargets) + len(u.Removed) + len(u.Suspects)
+	n := len(u.Targets) + len(u.AllTargets) + len(u.Removed) + len(u.Suspects) + len(u.Evacuated)
 	if c := u.ConfigChange; c != nil {
 		n += len(c.Routes) + len(c.Services) + len(c.DropRoutes)
 	}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -18,12 +18,16 @@
 	Config      deployment.Config
 	Routes      deployment.RouteTable
 	Control     []string // addresses of control instances
+	// EvacuatedVersion is the version of the last update that changed the evacuated zones.
+	EvacuatedVersion uint64
 
 	targets  map[string]deployment.Target
 	usable   map[string][]deployment.Target // usable targets by service, sorted by ID
 	live     []deployment.Target            // targets that send heartbeats and are not leaving
 	tables   map[string]deployment.KeyTable
 	suspects map[string]bool // by fingerprint; true if blocked
+
+	evacuated map[string]evacuation // by availability zone
 }
 
 // Target returns the target with the ID.
@@ -32,11 +36,13 @@
 	return t, ok
 }
 
-// Usable returns the targets of a service that may get new requests, sorted by ID.
+// Usable returns the targets of a service that may get new requests, sorted by ID. It
+// leaves out those in evacuated zones.
 // The slice is shared and must not be changed.
 func (v *View) Usable(service string) []deployment.Target { return v.usable[service] }
 
-// Live returns the targets that send heartbeats and are not leaving, in no certain order.
+// Live returns the targets that send heartbeats and are not leaving, outside of evacuated
+// zones, in no certain order.
 // The slice is shared and must not be changed.
 func (v *View) Live() []deployment.Target { return v.live }
 
@@ -69,6 +75,12 @@
 		live:        v.live,
 		tables:      v.tables,
 		suspects:    v.suspects,
+		evacuated:   v.evacuated,
+
+		EvacuatedVersion: v.EvacuatedVersion,
+	}
+	if u.EvacuatedChanged {
+		next.applyEvacuated(u)
 	}
 	if u.SuspectsChanged {
 		next.suspects = make(map[string]bool, len(u.Suspects))
@@ -87,7 +99,7 @@
 		next.Config = u.ConfigChange.ApplyTo(old)
 		next.Routes = deployment.NewRouteTable(next.Config)
 	}
-	if u.Whole || len(u.Targets) > 0 || len(u.Removed) > 0 || len(u.AllTargets) > 0 {
+	if u.Whole || len(u.Targets) > 0 || len(u.Removed) > 0 || len(u.AllTargets) > 0 || u.EvacuatedChanged {
 		next.applyTargets(u)
 	}
 	if u.Whole || len(u.Tables) > 0 {
@@ -119,6 +131,9 @@
 	v.usable = make(map[string][]deployment.Target)
 	v.live = nil
 	for _, t := range targets {
+		if v.Evacuated(t.AvailabilityZone) {
+			continue
+		}
 		if t.Status == deployment.Live {
 			v.live = append(v.live, t)
 		}
@@ -161,6 +176,9 @@
 	if old == nil || suspectsIndex > old.Version() {
 		u.Suspects, u.SuspectsChanged = suspects, true
 	}
+	if old == nil || state.EvacuatedIndex() > old.Version() {
+		u.Evacuated, u.EvacuatedChanged = state.Evacuated(), true
+	}
 	if old == nil {
 		whole := cfg.ChangeFrom(deployment.Config{})
 		u.Whole, u.ConfigChange, u.Targets, u.Tables = true, &whole, state.Targets(), state.Tables()
@@ -232,6 +250,9 @@
 	if suspects, suspectsIndex := state.Suspects(); suspectsIndex > have.Version {
 		u.Suspects, u.SuspectsChanged = suspects, true
 	}
+	if state.EvacuatedIndex() > have.Version {
+		u.Evacuated, u.EvacuatedChanged = state.Evacuated(), true
+	}
 	addChanges(u, have.Version, state)
 	for _, t := range state.Targets() {
 		u.AllTargets = append(u.AllTargets, t.ID)
