--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -81,6 +81,34 @@
 	return res.Result, nil
 }
 
+// EvacuateZone sends an operator's call to evacuate an availability zone, or to withdraw
+// that, to the leader and returns the decision. It may be called at any control instance. If
+// ctx ends before the command is sent, the command is not sent: nobody waits for its outcome,
+// and the operator may have made a later call.
+func (c *Control) EvacuateZone(ctx context.Context, zone string, withdraw bool) (deployment.Result, error) {
+	if err := deployment.ValidateZone(zone); err != nil {
+		return deployment.Result{Outcome: deployment.Invalid, Reason: err.Error()}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	read, err := callLeader[instance.BarrierRequest, instance.BarrierResponse](ctx, c, "Barrier", &instance.BarrierRequest{}, c.Barrier)
+	if err == nil {
+		err = wrapUnavailable(ctx.Err())
+	}
+	if err != nil {
+		return deployment.Result{}, err
+	}
+	deadline, _ := ctx.Deadline()
+	ctx, cancelCommand := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	defer cancelCommand()
+	req := &instance.EvacuateRequest{Evacuate: deployment.Evacuate{Zone: zone, Withdraw: withdraw, Base: read.Index}}
+	res, err := callLeader[instance.EvacuateRequest, instance.EvacuateResponse](ctx, c, "Evacuate", req, c.Evacuate)
+	if err != nil {
+		return deployment.Result{}, err
+	}
+	return res.Result, nil
+}
+
 // Configuration returns a configuration that includes every change acknowledged before
 // the call, and whether one has been accepted yet.
 func (c *Control) Configuration(ctx context.Context) (deployment.Config, bool, error) {
@@ -184,6 +212,23 @@
 	return &instance.ConfigChangeResponse{Result: result}, nil
 }
 
+// Evacuate commits an operator's call to evacuate an availability zone or to withdraw that.
+// Only the leader accepts the call; EvacuateZone makes it.
+func (c *Control) Evacuate(ctx context.Context, req *instance.EvacuateRequest) (*instance.EvacuateResponse, error) {
+	if !c.isLeader() {
+		return nil, c.notLeaderError()
+	}
+	e := req.Evacuate
+	result, err := c.propose(ctx, deployment.Command{Evacuate: &e})
+	if err != nil {
+		c.log.Warn("evacuation not decided", "zone", e.Zone, "withdraw", e.Withdraw, "base", e.Base, "error", err)
+		return nil, err
+	}
+	c.log.Info("evacuation decided", "zone", e.Zone, "withdraw", e.Withdraw, "base", e.Base, "outcome", result.Outcome, "reason", result.Reason,
+		"evacuated", zoneNames(c.State().Evacuated()))
+	return &instance.EvacuateResponse{Result: result}, nil
+}
+
 // propose commits a command and returns its result.
 func (c *Control) propose(ctx context.Context, command deployment.Command) (deployment.Result, error) {
 	committed, err := c.lastReplica().group.Propose(ctx, wire.Encode(command))
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -122,7 +122,7 @@
 	}
 	i.addGauges()
 	if i.cfg.MetricsAddress != "" {
-		_, err := i.listenHTTP(i.cfg.MetricsAddress, i.metrics)
+		_, err := i.listenHTTP(i.cfg.MetricsAddress, newAdmin(i.control, i.metrics))
 		return err
 	}
 	return nil
@@ -139,11 +139,13 @@
 		i.metrics.addGauge("config_version", func() any { cfg, _ := c.State().Config(); return cfg.Version })
 		i.metrics.addGauge("invalid_key_reports", func() any { return c.invalidKeyReports.Load() })
 		i.metrics.addGauge("targets", func() any { return countTargets(c.State().Targets()) })
+		i.metrics.addGauge("evacuated_zones", func() any { return len(c.State().Evacuated()) })
 	}
 	if v := i.follower; v != nil {
 		i.metrics.addGauge("view_version", func() any { return v.View().Version })
 		i.metrics.addGauge("view_age_milliseconds", func() any { return v.Age().Milliseconds() })
 		i.metrics.addGauge("config_version", func() any { return v.View().Config.Version })
+		i.metrics.addGauge("evacuated_zones", func() any { return v.View().EvacuatedZones() })
 		i.metrics.addGauge("config_lag_milliseconds", func() any { return v.ConfigLag().Milliseconds() })
 		i.metrics.addGauge("caller_connections", func() any { return i.entry.Connections() })
 		i.metrics.addGauge("retry_budgets", func() any { return i.entry.RetryBudgets() })
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -38,7 +38,7 @@
 
 		BodyContext: c.bodyCtx,
 		// The target may have said otherwise while the connection was opened.
-		Allowed: func() bool { return s.targets.mayStillSend(t, s.cfg.TargetDrain) },
+		Allowed: func() bool { return s.targets.mayStillSend(t, s.cfg.TargetDrain) && s.zoneAllows(c, t) },
 	})
 	took := time.Since(start)
 	if err != nil {
@@ -84,6 +84,16 @@
 	return s.handleAnswer(c, t, res, a)
 }
 
+// zoneAllows reports whether the request may be sent to the target as far as the evacuated
+// zones tell.
+func (s *Server) zoneAllows(c *call, t deployment.Target) bool {
+	v := s.cfg.View.View()
+	if c.service.Keyed {
+		return v.OwnerAllowed(t, time.Now())
+	}
+	return !v.Evacuated(t.AvailabilityZone)
+}
+
 // handleNotRun handles an answer by which the target reports that it did not run
 // the request. It returns whether another attempt may help.
 func (s *Server) handleNotRun(c *call, t deployment.Target, res attemptResult, status int) bool {
@@ -167,6 +177,9 @@
 	}
 	s.logAttempt(c, t, res, c.reason)
 	if errors.Is(err, targethttp.ErrNotSent) {
+		if c.service.Keyed && errors.Is(err, targethttp.ErrNotAllowed) && !s.zoneAllows(c, t) {
+			return nil, !disconnected // it waits for the next owner
+		}
 		if c.service.Keyed {
 			c.failedConnects++
 			if c.ownerUnreached = res.noConnection && s.targets.onlyOthersReach(t); c.ownerUnreached {
--- a/internal/forward/owner.go
+++ b/internal/forward/owner.go
@@ -30,6 +30,11 @@
 		switch {
 		case r.Phase == deployment.Unowned || !known || t.StartMillis != r.StartMillis:
 			return t, defaultRetryAfter, "the key has no owner"
+		case !v.OwnerAllowed(t, time.Now()):
+			// Wait for the leader to move the key, or for the evacuation to be withdrawn.
+			if !hasLive(v.Usable(c.service.Name)) {
+				return t, defaultRetryAfter, errEvacuated.Error()
+			}
 		case r.Phase == deployment.Owned && c.rangeID == rangeID(r) && time.Until(c.ownerRetryAt) > 0:
 			// Wait for the owner to learn of the key.
 		case (r.Phase == deployment.Owned || askOldOwner && t.Usable()) && !c.excludesRange(r):
@@ -52,6 +57,12 @@
 	}
 }
 
+// hasLive reports whether one of the targets sends heartbeats. Only such a target can take
+// over keys.
+func hasLive(targets []deployment.Target) bool {
+	return slices.ContainsFunc(targets, func(t deployment.Target) bool { return t.Status == deployment.Live })
+}
+
 // waitUntil returns a channel that receives the time at the given one, or nil if that has
 // passed.
 func waitUntil(at time.Time) <-chan time.Time {
@@ -70,6 +81,7 @@
 	errOwnerBusy        = errors.New("the key's owner would take too long")
 	errRateLimit        = errors.New("the target's rate limit is reached")
 	errWindowFull       = errors.New("this entry's window at the key's owner is full")
+	errEvacuated        = errors.New("the zone of the key's owner is evacuated, and no target elsewhere can take the key")
 )
 
 func errorText(err error) string {
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -22,6 +22,9 @@
 	// relayConfigHeader holds the log index of the configuration by which the sender
 	// routes. The receiver rejects a request if its own is older, and answers with its own.
 	relayConfigHeader = relayHeaderPrefix + "Config"
+	// relayZonesHeader holds the version of the view in which the sender learned which
+	// availability zones are evacuated. The receiver rejects a request if its view is older.
+	relayZonesHeader = relayHeaderPrefix + "Zones"
 	// relayAttemptsHeader holds the number of targets to which the request may still be
 	// sent.
 	relayAttemptsHeader = relayHeaderPrefix + "Attempts"
@@ -208,6 +211,7 @@
 func (s *Server) relayHead(c *call, now time.Time) []byte {
 	out := s.callerHead(c, now)
 	out = appendHeader(out, relayConfigHeader, strconv.FormatUint(max(s.cfg.View.View().ConfigIndex, s.peerConfig.Load()), 10))
+	out = appendHeader(out, relayZonesHeader, strconv.FormatUint(s.cfg.View.View().EvacuatedVersion, 10))
 	out = appendHeader(out, relayAttemptsHeader, strconv.Itoa(max(c.route.Attempts-c.sent, 1)))
 	out = appendHeader(out, relayServiceHeader, c.service.Name)
 	return append(out, "\r\n"...)
@@ -244,6 +248,9 @@
 	if index, err := strconv.ParseUint(r.header.Get(relayConfigHeader), 10, 64); err != nil || index > configIndex {
 		return "the sender's configuration has not arrived yet"
 	}
+	if version, err := strconv.ParseUint(r.header.Get(relayZonesHeader), 10, 64); err == nil && version > s.cfg.View.View().Version {
+		return "the sender's evacuated zones have not arrived yet"
+	}
 	return ""
 }
 
--- a/internal/leader/heartbeat_world_test.go
+++ b/internal/leader/heartbeat_world_test.go
@@ -43,6 +43,15 @@
 	nextID    uint64
 	fences    map[int]uint64 // highest fence taken, by 1,024 keys
 	harm      float64        // share of messages that are delayed, lost or repeated
+	zones     []string       // of the targets, in turn; none for a world without zones
+}
+
+// zoneOf returns a target's availability zone.
+func (w *heartbeatWorld) zoneOf(x *worldTarget) string {
+	if len(w.zones) == 0 {
+		return ""
+	}
+	return w.zones[x.n%len(w.zones)]
 }
 
 // worldProposal is a command that is being committed.
