--- a/internal/leader/evacuation_test.go
+++ b/internal/leader/evacuation_test.go
@@ -181,6 +181,21 @@
 	}
 }
 
+// awaitAllHeld waits until every key is held, for as long as a range takes that just moves to
+// a target without keys: until the next heartbeats of its owner and of its next owner.
+func (w *heartbeatWorld) awaitAllHeld() {
+	for end := w.now.Add(3 * heartbeatPeriod); w.now < end; w.step() {
+		held := true
+		for key := 0; held && key <= int(deployment.MaxKey); key += 61 {
+			held = w.holders(deployment.Key(key)) == 1
+		}
+		if held {
+			return
+		}
+	}
+	w.assertAllHeld()
+}
+
 func playEvacuations(t *testing.T, seed int64) {
 	w := newHeartbeatWorld(t, seed, 6, 0.1)
 	w.zones = []string{"a", "b", "c"}
@@ -202,7 +217,7 @@
 		w.commit(deployment.Command{Evacuate: &deployment.Evacuate{Zone: zone, Withdraw: zone != "b", Base: w.index}})
 	}
 	w.run(20 * time.Second)
-	w.assertAllHeld()
+	w.awaitAllHeld()
 	for _, x := range w.targets {
 		if w.zoneOf(x) == "b" {
 			assert.Equal(t, len(x.held), 0, "target %d", x.n)
@@ -210,7 +225,7 @@
 	}
 	w.commit(deployment.Command{Evacuate: &deployment.Evacuate{Zone: "b", Withdraw: true, Base: w.index}})
 	w.run(20 * time.Second)
-	w.assertAllHeld()
+	w.awaitAllHeld()
 	for _, x := range w.targets {
 		assert.Assert(t, len(x.held) > 0, "target %d holds no keys", x.n)
 	}
--- a/internal/leader/rebalance.go
+++ b/internal/leader/rebalance.go
@@ -268,13 +268,19 @@
 	order := make([]int, len(high.movableRanges))
 	rates := make([]float64, len(high.movableRanges))
 	for i, r := range high.movableRanges {
-		order[i], rates[i] = i, s.rateOf(r.From, r.To)
+		order[i] = i
+		if rate := s.rateOf(r.From, r.To); rate >= idleRate {
+			rates[i] = rate
+		}
 	}
-	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(rates[b], rates[a]) })
+	// Of idle ranges the widest comes first: a range of one key can't be halved.
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Or(cmp.Compare(rates[b], rates[a]), cmp.Compare(high.movableRanges[b].Width(), high.movableRanges[a].Width()))
+	})
 	for _, i := range order {
 		r := high.movableRanges[i]
 		ref := deployment.RangeRef{Service: service, From: r.From, To: r.To, Fence: r.Fence}
-		if rates[i] < idleRate {
+		if rates[i] == 0 {
 			ref.From = r.From + deployment.Key(r.Width()/2)
 			return i, ref, 0, r.Width() > 1 && low.width == 0
 		}
