Pace long request bodies on narrow links

Cause: a body of 60 kB was written at once and occupied a link of 2.3 Mbit/s for 0.2 s, while responses, requests for slots and new connections waited behind it.

Change: long bodies go in chunks of 8 kB at the link's pace, as large responses do.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -18,6 +18,15 @@
 	return min(max(objective/2, minConnectTimeout), maxConnectTimeout)
 }
 
+// paceBody returns the function that paces a long request body on a narrow link, so that small
+// requests and responses don't wait behind it; nil on a wide link.
+func (s *Server) paceBody(ctx context.Context) func(chunk, remaining int) error {
+	if s.cfg.Link == nil {
+		return nil
+	}
+	return func(chunk, remaining int) error { return s.cfg.Link.Wait(ctx, chunk, remaining) }
+}
+
 // attempt sends the request to one target. It returns the final response, or nil
 // and whether another attempt may help.
 func (s *Server) attempt(ctx context.Context, c *call, t deployment.Target) (*response, bool) {
@@ -39,6 +48,7 @@
 		NonIdempotent:  !c.route.Kind.Idempotent(),
 		ConnectTimeout: connectTimeout(c.route.Objective),
 
+		Pace:        s.paceBody(ctx),
 		BodyContext: c.bodyCtx,
 		// The target may have said otherwise while the connection was opened.
 		Allowed: func() bool { return s.mayStillSend(c, t) && s.zoneAllows(c, t) },
--- a/internal/targethttp/exchange.go
+++ b/internal/targethttp/exchange.go
@@ -25,6 +25,9 @@
 	// connection may have taken long or the process may have been suspended. If it
 	// returns false, the request is not sent. Nil always allows it.
 	Allowed func() bool
+	// Pace is called before each chunk of a long body with the chunk's size and the bytes
+	// that are left, and waits until it may be sent. Nil sends the body at once.
+	Pace func(chunk, remaining int) error
 	// BodyContext lets Do return before a large body is complete; the body is then
 	// read until the context ends. If it is nil, Do reads every body completely.
 	BodyContext context.Context
--- a/internal/targethttp/sending.go
+++ b/internal/targethttp/sending.go
@@ -6,6 +6,8 @@
 	"net"
 	"os"
 	"time"
+
+	"github.com/cranberrywind/cranberrywind/pkg/limit"
 )
 
 // longBodyBytes is the length above which a body is written while the response is awaited.
@@ -55,13 +57,33 @@
 	}
 	go func() {
 		defer close(out.done)
-		buffers := net.Buffers{head, r.Body} // not copied into one buffer, which would double the memory
-		n, err := buffers.WriteTo(c.Conn)
-		out.n, out.err = int(n), err
+		out.n, out.err = c.writePaced(head, r)
 	}()
 	return out
 }
 
+// writePaced writes the head and a long body, and returns the number of bytes written. The body
+// is not copied into one buffer with the head, which would double the memory.
+func (c *conn) writePaced(head []byte, r Request) (int, error) {
+	if r.Pace == nil {
+		buffers := net.Buffers{head, r.Body}
+		n, err := buffers.WriteTo(c.Conn)
+		return int(n), err
+	}
+	n, err := c.Write(head)
+	for rest := r.Body; len(rest) > 0 && err == nil; {
+		chunk := rest[:min(len(rest), limit.ChunkBytes)]
+		if err = r.Pace(len(chunk), len(rest)); err != nil {
+			return n, err
+		}
+		var written int
+		written, err = c.Write(chunk)
+		n += written
+		rest = rest[len(chunk):]
+	}
+	return n, err
+}
+
 // recycle makes a connection whose response has been read available to later requests, or
 // closes it. While the target has not got the whole body of the request, nothing else may be
 // sent on the connection: it would be taken for the rest of the body.
