--- a/internal/fleet/targets.go
+++ b/internal/fleet/targets.go
@@ -117,11 +117,8 @@
 // changesTarget reports whether the announcement t must be committed, given the target's
 // record old.
 func (c *Control) changesTarget(t, old deployment.Target) bool {
-	if changesTarget(t, old) {
-		return true
-	}
 	cfg, _ := c.State().Config()
-	return cfg.ColdRateOf(t.Service) > 0 && changesCold(t, old, c.cfg.Heartbeat)
+	return changesTarget(t, old) || cfg.ColdRateOf(t.Service) > 0 && changesCold(t, old, c.cfg.Heartbeat)
 }
 
 // changesCold reports whether a target turned cold or warm since its record, or turned cold
--- a/internal/forward/cold_test.go
+++ b/internal/forward/cold_test.go
@@ -127,9 +127,14 @@
 		assert.Assert(t, retryAfter >= time.Second, "%s: %v", uri, retryAfter)
 	}
 	assert.Equal(t, e.receivedCount(), 0)
-	t.Run("a request that was chosen before is not sent", func(t *testing.T) {
-		assert.Assert(t, !e.server.mayStillSend(&call{}, warm))
-		assert.Assert(t, e.server.mayStillSend(&call{granted: true}, warm))
+	t.Run("a request that was chosen before is not sent without a grant", func(t *testing.T) {
+		for _, granted := range []bool{false, true} {
+			c, _ := e.server.admit(&request{ctx: t.Context(), start: time.Now(), method: http.MethodGet, uri: "/look/x", path: "/look/x", host: "h", header: http.Header{"Request-Id": {"x"}}})
+			c.granted, c.bodyCtx = granted, t.Context()
+			out, _ := e.server.attempt(t.Context(), c, warm)
+			assert.Equal(t, out != nil, granted)
+		}
+		assert.Equal(t, e.receivedCount(), 1)
 	})
 	t.Run("the dispatcher learns of it", func(t *testing.T) {
 		info := e.server.TargetInfo(cold)
--- a/internal/leader/cold_test.go
+++ b/internal/leader/cold_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -43,6 +44,9 @@
 		s.announce(2, cold(1))
 		s.settle(1, 2)
 		assert.Equal(t, s.keysOf(2), 0)
+		before := s.ranges()
+		s.settle(1, 2)
+		assert.Assert(t, slices.Equal(s.ranges(), before), "keys were released for the cold target")
 		s.announce(2, func(x *deployment.Target) { x.Sequence = 2 })
 		s.settle(1, 2)
 		assert.Assert(t, s.keysOf(2) > 0)
