--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -18,13 +18,18 @@
 	return min(max(objective/2, minConnectTimeout), maxConnectTimeout)
 }
 
+// maxConns returns the number of connections that this entry may open to a target.
+func (s *Server) maxConns(service deployment.Service) int {
+	return max(minConns, int(connectionShare*float64(service.Connections)/float64(s.entryCount())))
+}
+
 // attempt sends the request to one target. It returns the final response, or nil
 // and whether another attempt may help.
 func (s *Server) attempt(ctx context.Context, c *call, t deployment.Target) (*response, bool) {
 	if !c.service.Keyed {
 		c.excluded = append(c.excluded, t.ID)
 	}
-	maxConns := max(minConns, int(connectionShare*float64(c.service.Connections)/float64(s.entryCount())))
+	maxConns := s.maxConns(c.service)
 	start := time.Now()
 	c.admittedBy, c.bodyTime = "", 0
 	c.sentAt = s.targets.requestSent(t)
--- a/internal/targethttp/sending_test.go
+++ b/internal/targethttp/sending_test.go
@@ -21,7 +21,9 @@
 	defer cancel()
 	return p.Do(ctx, address, 4, idHeader, Request{
 		Method: http.MethodPost, ID: id, NonIdempotent: true, Body: make([]byte, n),
-		Head: func() []byte { return fmt.Appendf(nil, "POST / HTTP/1.1\r\nHost: h\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", idHeader, id, n) },
+		Head: func() []byte {
+			return fmt.Appendf(nil, "POST / HTTP/1.1\r\nHost: h\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", idHeader, id, n)
+		},
 	})
 }
 
