Ask one pool of another zone at most, and keep what a target's announcement says of its cold time

Cause: where all pools are full, each further question delays the rejection.

Change: a request asks two pools of its zone and one of another. A record that changes without a new announcement does not restart the time for which its target is cold.

--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"github.com/cranberrywind/cranberrywind/internal/dispatch"
 	"github.com/cranberrywind/cranberrywind/internal/instance"
 )
@@ -117,6 +119,11 @@
 	for _, e := range list {
 		c.known[e.Address] = true
 	}
+	for f, until := range c.fallbacks {
+		if !c.known[f.address] && time.Now().After(until) {
+			delete(c.fallbacks, f)
+		}
+	}
 	for address, l := range c.links {
 		if !c.known[address] && l.open <= 0 {
 			l.cancel()
@@ -179,7 +186,7 @@
 			return true
 		}
 		delete(c.fallbacks, f)
-		c.logOnce("fallback ended: the dispatcher is asked again", "dispatcher", address, "pool", f.pool)
+		c.logOnce(log.InfoLevel, "fallback ended: the dispatcher is asked again", "dispatcher", address, "pool", f.pool)
 	}
 	return false
 }
@@ -256,7 +263,7 @@
 func (c *client) fallBack(f fallback, reason string) {
 	c.counts[reason]++
 	c.fallbacks[f] = time.Now().Add(fallbackTime)
-	c.logOnce("fallback begun: targets are chosen without the dispatcher", "dispatcher", f.address, "pool", f.pool, "reason", reason)
+	c.logOnce(log.WarnLevel, "fallback begun: targets are chosen without the dispatcher", "dispatcher", f.address, "pool", f.pool, "reason", reason)
 }
 
 // logPeriod is the shortest time between two lines with the same message.
@@ -264,13 +271,13 @@
 
 // logOnce logs a line unless one with the same message was logged within logPeriod. The
 // caller holds the mutex.
-func (c *client) logOnce(message string, fields ...any) {
+func (c *client) logOnce(level log.Level, message string, fields ...any) {
 	now := time.Now()
 	if now.Sub(c.lastLog[message]) < logPeriod {
 		return
 	}
 	c.lastLog[message] = now
-	c.cfg.Log.Warn(message, fields...)
+	c.cfg.Log.Log(level, message, fields...)
 }
 
 // Withdraw withdraws a request that is not decided. Afterwards Await returns ErrLost.
@@ -465,7 +472,7 @@
 	if c.ctx.Err() != nil || lost == 0 && !c.known[l.address] {
 		return
 	}
-	c.logOnce("dispatcher lost", "dispatcher", l.address, "waiting", lost, "error", err)
+	c.logOnce(log.WarnLevel, "dispatcher lost", "dispatcher", l.address, "waiting", lost, "error", err)
 	c.fallBack(fallback{address: l.address}, brokenStream)
 }
 
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -66,10 +66,11 @@
 	seen     uint64               // fingerprint of the targets of the last assignment
 }
 
-// coldSince tells when a record of a cold target was received.
+// coldSince tells when the announcement of a cold target was received.
 type coldSince struct {
-	record uint64
-	at     timer.Instant
+	startMillis int64
+	sequence    uint64
+	at          timer.Instant
 }
 
 // New returns the dispatcher of an entry, which follows its view until ctx ends.
@@ -279,8 +280,8 @@
 		info := dispatch.TargetInfo{Target: t, FailureShare: d.failing[t.ID]}
 		if s.ColdRate > 0 && t.WarmUpMillis > 0 {
 			since, ok := d.coldAt[t.ID]
-			if record := t.Changed + uint64(t.StartMillis); !ok || since.record != record {
-				since = coldSince{record: record, at: now}
+			if !ok || since.startMillis != t.StartMillis || since.sequence != t.Sequence {
+				since = coldSince{startMillis: t.StartMillis, sequence: t.Sequence, at: now}
 				d.coldAt[t.ID] = since
 			}
 			info.ColdRate = s.ColdRate
--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -18,10 +18,13 @@
 )
 
 const (
-	// maxPoolsAsked is the number of pools of a zone that are asked for a slot before the
-	// request is rejected or goes to another zone, and maxOtherZones that of other zones.
+	// maxPoolsAsked is the number of pools in the zone for a request that are asked for a slot,
+	// and maxOtherPools that in another zone. Where all pools are full, each further one delays
+	// the rejection and costs processor time at two instances.
 	maxPoolsAsked = 2
-	maxOtherZones = 2
+	maxOtherPools = 1
+	// minRetryAfter is the shortest time after which a caller is told to return.
+	minRetryAfter = 10 * time.Millisecond
 )
 
 // Errors of acquiring a slot.
@@ -32,9 +35,20 @@
 	errColdOwner     = errors.New("the key's owner is cold and its dispatcher can't be asked")
 )
 
+// dispatchState is what dispatchers decided on a call.
+type dispatchState struct {
+	slot              *dispatcher.Pending // granted for the next attempt or the one in flight; nil for none
+	dispatchReason    dispatch.Reason     // of the last decision
+	exactRetryAfter   bool                // the caller is told a dispatcher's time to return
+	withoutDispatcher bool                // the dispatcher of the key's owner is lost
+}
+
 // dispatching reports whether dispatchers decide which requests go to which targets.
 func (s *Server) dispatching() bool { return s.cfg.Dispatcher != nil && s.cfg.Dispatcher.Active() }
 
+// asksDispatcher reports whether the dispatcher of the owner of the request's key is asked.
+func (s *Server) asksDispatcher(c *call) bool { return s.dispatching() && !c.withoutDispatcher }
+
 // zoneFor returns the availability zone whose targets a request to the service goes to first.
 func (s *Server) zoneFor(string) string { return s.cfg.AvailabilityZone }
 
@@ -63,8 +77,11 @@
 func (s *Server) acquireUnkeyed(ctx context.Context, c *call) (deployment.Target, time.Duration, string) {
 	var first *rejected
 	for i, zone := range s.zonesFor(c.service.Name) {
-		pools := s.cfg.Dispatcher.PoolsIn(c.service.Name, zone)
-		for range maxPoolsAsked {
+		pools, limit := s.cfg.Dispatcher.PoolsIn(c.service.Name, zone), maxPoolsAsked
+		if i > 0 {
+			limit = maxOtherPools
+		}
+		for range limit {
 			if len(pools) == 0 || time.Until(c.deadline) < minTimeLeft {
 				break
 			}
@@ -91,9 +108,6 @@
 				return t, defaultRetryAfter, err.Error()
 			}
 		}
-		if i >= maxOtherZones {
-			break
-		}
 	}
 	if first != nil {
 		return s.rejectedBy(c, first)
@@ -105,19 +119,20 @@
 // that the dispatcher gave.
 func (s *Server) rejectedBy(c *call, r *rejected) (deployment.Target, time.Duration, string) {
 	c.dispatchReason, c.exactRetryAfter = r.reason, true
-	s.returns.told(c.fingerprint, time.Now().Add(r.retryAfter))
-	return deployment.Target{}, r.retryAfter, r.Error()
+	retryAfter := max(r.retryAfter, minRetryAfter)
+	s.returns.told(c.fingerprint, time.Now().Add(retryAfter))
+	return deployment.Target{}, retryAfter, r.Error()
 }
 
-// zonesFor returns the availability zones with targets of a service, that for its requests
-// first and the others in random order.
+// zonesFor returns the availability zones whose pools are asked for a request to a service:
+// that for its requests, if it has targets there, and another one.
 func (s *Server) zonesFor(service string) []string {
 	zones := slices.Clone(s.cfg.Dispatcher.Zones(service))
 	rand.Shuffle(len(zones), func(i, j int) { zones[i], zones[j] = zones[j], zones[i] })
 	if i := slices.Index(zones, s.zoneFor(service)); i > 0 {
 		zones[0], zones[i] = zones[i], zones[0]
 	}
-	return zones
+	return zones[:min(len(zones), 2)]
 }
 
 // takeBetter picks two pools at random and returns the one that told of more room last, and
--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -11,7 +11,6 @@
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
 	"github.com/cranberrywind/cranberrywind/internal/dispatch"
-	"github.com/cranberrywind/cranberrywind/internal/dispatcher"
 	"github.com/cranberrywind/cranberrywind/internal/targethttp"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
@@ -104,21 +103,17 @@
 	reason         string        // why there is no answer yet
 	expected       time.Duration // expected time until the answer of the target that was chosen last
 	target         deployment.Target
-	admittedBy     string        // ID of the target whose rate limit counts the next attempt already
-	result         attemptResult // of the last attempt
-	sentAt         timer.Instant // of the last attempt
-	fence          uint64        // under which target owns the key
-	fingerprint    string        // of the kind of request
-	rangeID        string        // target and fence of the key's range
-	ownerRetryAt   time.Time     // earliest next attempt at the owner under rangeID
-	// slot is the granted slot of the attempt; nil if there is none. The reason is that of the
-	// last decision of a dispatcher.
-	slot              *dispatcher.Pending
-	granted           bool // the dispatcher of the target granted the attempt
-	dispatchReason    dispatch.Reason
-	withoutDispatcher bool            // the dispatcher of the key's owner is lost
-	exactRetryAfter   bool            // the time for the caller is a dispatcher's
-	bodyCtx           context.Context // ends when the caller disconnects, and bodyGrace after the deadline
+	granted        bool            // the dispatcher of the target granted the next attempt
+	admittedBy     string          // ID of the target whose rate limit counts the next attempt already
+	result         attemptResult   // of the last attempt
+	sentAt         timer.Instant   // of the last attempt
+	fence          uint64          // under which target owns the key
+	fingerprint    string          // of the kind of request
+	rangeID        string          // target and fence of the key's range
+	ownerRetryAt   time.Time       // earliest next attempt at the owner under rangeID
+	bodyCtx        context.Context // ends when the caller disconnects, and bodyGrace after the deadline
+
+	dispatchState
 }
 
 // handle returns the final response to a request.
@@ -186,7 +181,7 @@
 // sendWithRetries sends the request to targets until one answers, or no further
 // attempt is allowed or likely to help.
 func (s *Server) sendWithRetries(ctx context.Context, c *call) response {
-	// A slot of which nothing was made, for example because the retry budget is exhausted.
+	// Gives back a slot that was not used, for example because the retry budget is exhausted.
 	defer func() { s.releaseSlot(c, dispatch.NotSent, attemptResult{}) }()
 	for {
 		if s.mustRelay(c) {
@@ -281,20 +276,23 @@
 		}
 		return t, nil
 	}
-	var t deployment.Target
-	var retryAfter time.Duration
-	var reason string
-	if s.dispatching() {
-		t, retryAfter, reason = s.acquireUnkeyed(ctx, c)
-	} else {
-		t, retryAfter, reason = s.chooseUnkeyed(c, s.cfg.View.View().Usable(c.service.Name))
-	}
+	t, retryAfter, reason := s.findUnkeyed(ctx, c)
 	if reason != "" {
 		return reject(reason, retryAfter)
 	}
 	return t, nil
 }
 
+// findUnkeyed returns a target of a service without keys, from its dispatcher where the
+// configuration calls for that. If there is none, it returns why, and when the caller may try
+// again.
+func (s *Server) findUnkeyed(ctx context.Context, c *call) (deployment.Target, time.Duration, string) {
+	if s.dispatching() {
+		return s.acquireUnkeyed(ctx, c)
+	}
+	return s.chooseUnkeyed(c, s.cfg.View.View().Usable(c.service.Name))
+}
+
 // chooseUnkeyed chooses one of the candidates for a request to a service without keys. If
 // there is none, it returns why, and when the caller may try again.
 func (s *Server) chooseUnkeyed(c *call, candidates []deployment.Target) (deployment.Target, time.Duration, string) {
--- a/internal/forward/owner.go
+++ b/internal/forward/owner.go
@@ -105,7 +105,7 @@
 		}
 		c.admittedBy = t.ID
 	}
-	if s.dispatching() && !c.withoutDispatcher {
+	if s.asksDispatcher(c) {
 		c.target, c.expected, c.fence = t, 0, r.Fence
 		return 0, errAskDispatcher
 	}
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -21,6 +21,7 @@
 	inFlight := make(chan struct{}, maxReportsInFlight)
 	number := uint64(0)
 	var heldUp atomic.Bool // the last report was
+	dispatchAddress := ""  // in the last report
 	for {
 		select {
 		case <-ctx.Done():
@@ -33,11 +34,11 @@
 		now := s.cfg.Clock.Now()
 		req := s.report(now.Sub(last))
 		last = now
-		idle := len(req.Keys) == 0 && len(req.Targets) == 0 && len(req.CrashReports) == 0
+		idle := req.DispatchAddress == dispatchAddress && len(req.Keys) == 0 && len(req.Targets) == 0 && len(req.CrashReports) == 0
 		if idle && now.Sub(lastSent) < idleReportInterval {
 			continue
 		}
-		lastSent = now
+		lastSent, dispatchAddress = now, req.DispatchAddress
 		if heldUp.Load() {
 			req.Targets = withoutServiceTimes(req.Targets)
 		}
