--- a/internal/dispatcher/dispatcher_bench_test.go
+++ b/internal/dispatcher/dispatcher_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"runtime"
@@ -88,3 +89,20 @@
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// BenchmarkAssign measures a change of the list of dispatchers or of a target in a deployment
+// with as many entries and targets as the largest that is asked for has.
+func BenchmarkAssign(b *testing.B) {
+	var targets []deployment.Target
+	for i := range 280 {
+		service := []string{"lookups", "histories", "payments"}[i%3]
+		targets = append(targets, deployment.Target{ID: fmt.Sprintf("target-%d", i), Service: service, AvailabilityZone: fmt.Sprint("z", i%4)})
+	}
+	var entries []dispatch.Entry
+	for i := range 106 {
+		entries = append(entries, dispatch.Entry{ID: fmt.Sprint("10.0.0.", i, ":7001"), Address: fmt.Sprint("10.0.0.", i, ":7001"), Zone: fmt.Sprint("z", i%4)})
+	}
+	for b.Loop() {
+		dispatch.Assign(targets, entries, func(service string) bool { return service == "histories" })
+	}
+}
