--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -260,6 +260,21 @@
 	}
 }
 
+func TestCoordinated(t *testing.T) {
+	lookup, upload := deployment.Route{Kind: deployment.Lookup}, deployment.Route{Kind: deployment.Upload}
+	for _, c := range []struct {
+		cfg  deployment.Config
+		want bool
+	}{
+		{deployment.Config{}, false},
+		{deployment.Config{Routes: []deployment.Route{lookup}, Services: []deployment.Service{{ColdTime: time.Second}}}, false},
+		{deployment.Config{Routes: []deployment.Route{lookup, upload}}, true},
+		{deployment.Config{Routes: []deployment.Route{lookup}, Services: []deployment.Service{{}, {ColdRate: 1}}}, true},
+	} {
+		assert.Equal(t, c.cfg.Coordinated(), c.want, "%+v", c.cfg)
+	}
+}
+
 func TestKinds(t *testing.T) {
 	cases := []struct {
 		kind       deployment.Kind
--- a/internal/fleet/reports_test.go
+++ b/internal/fleet/reports_test.go
@@ -48,6 +48,31 @@
 	})
 }
 
+// TestCollectorKeepsDispatchers checks that a control instance passes the list of dispatchers
+// on, which the leader sends only once.
+func TestCollectorKeepsDispatchers(t *testing.T) {
+	const version = 7
+	var r reportCollector
+	list := []instance.DispatcherZone{{Zone: "a", Addresses: [][]byte{{1}}}}
+	report := func(known uint64) instance.ReportRequest {
+		return instance.ReportRequest{Instance: "e", Collect: true, DispatchersVersion: known}
+	}
+	assert.Equal(t, r.knownDispatchers([]instance.ReportRequest{report(0)}), uint64(0), "no entry needs the list")
+	assert.Equal(t, r.knownDispatchers([]instance.ReportRequest{report(version)}), uint64(instance.NoDispatchers))
+	r.setDelivered(&instance.ReportBatchResponse{Advice: instance.ReportResponse{DispatchersVersion: version, Dispatchers: list}}, 1)
+	r.setDelivered(&instance.ReportBatchResponse{Advice: instance.ReportResponse{DispatchersVersion: version}}, 2)
+	assert.Equal(t, r.knownDispatchers([]instance.ReportRequest{report(version)}), uint64(version))
+	for known, want := range map[uint64]int{0: 0, instance.NoDispatchers: 1, version - 1: 1, version: 0} {
+		res, ok := r.add(report(known), 2)
+		assert.Assert(t, ok)
+		assert.Equal(t, len(res.Dispatchers), want, "version %d", known)
+		assert.Equal(t, res.DispatchersVersion, uint64(version))
+	}
+	r.setDelivered(&instance.ReportBatchResponse{Advice: instance.ReportResponse{DispatchersVersion: version + 1}}, 3)
+	res, _ := r.add(report(version), 3)
+	assert.Equal(t, len(res.Dispatchers), 0, "an older list under the new version")
+}
+
 // TestEntriesSpreadOverCollectors checks that many entries report to all control instances
 // alike, and that one whose reports fail moves on.
 func TestEntriesSpreadOverCollectors(t *testing.T) {
