--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -41,14 +41,15 @@
 // slotsInPool is the number of slots of a pool with one target.
 const slotsInPool = 4
 
+func startPools() (*timer.Manual, *pools) {
+	clock := timer.NewManual()
+	clock.Advance(time.Second)
+	return clock, newTestPools(clock, 1, slotsInPool)
+}
+
 func TestPools(t *testing.T) {
-	start := func() (*timer.Manual, *pools) {
-		clock := timer.NewManual()
-		clock.Advance(time.Second)
-		return clock, newTestPools(clock, 1, slotsInPool)
-	}
 	t.Run("a request without a slot is told to wait, until one is free", func(t *testing.T) {
-		_, p := start()
+		_, p := startPools()
 		var e recorder
 		ask(p, "e", &e, 1, slotsInPool+1)
 		assert.Equal(t, e.count(instance.SlotGranted), slotsInPool)
@@ -58,7 +59,7 @@
 		assert.Equal(t, p.waiting(), 0)
 	})
 	t.Run("a request that waits on is announced before its time is up", func(t *testing.T) {
-		clock, p := start()
+		clock, p := startPools()
 		var e recorder
 		ask(p, "e", &e, 1, slotsInPool+1)
 		for e.count(instance.SlotRejected) == 0 {
@@ -72,14 +73,19 @@
 		}
 		assert.Assert(t, e.count(instance.SlotWaiting) < 10, "%d announcements", e.count(instance.SlotWaiting))
 	})
+}
+
+// TestPoolsMove guards against pools of two dispatchers, and entries of two starts, that harm
+// each other.
+func TestPoolsMove(t *testing.T) {
 	t.Run("a pool that it does not run", func(t *testing.T) {
-		_, p := start()
+		_, p := startPools()
 		var e recorder
 		p.handle("e", &e, &instance.DispatchMessage{Requests: []instance.SlotRequest{{Number: 1, Pool: "other"}}})
 		assert.Equal(t, e.count(instance.SlotNotMine), 1)
 	})
 	t.Run("a pool that it has lost serves entries with an older list, for a while", func(t *testing.T) {
-		clock, p := start()
+		clock, p := startPools()
 		p.assign(nil)
 		var e recorder
 		ask(p, "e", &e, 1, 1)
@@ -91,8 +97,8 @@
 		assert.Equal(t, p.running(), 0)
 	})
 	t.Run("two dispatchers of one target grant twice its slots at most", func(t *testing.T) {
-		_, p := start()
-		_, next := start()
+		_, p := startPools()
+		_, next := startPools()
 		p.assign(nil)
 		var old, current recorder
 		for n := uint(0); n < 5*slotsInPool; n += slotsInPool {
@@ -102,7 +108,7 @@
 		assert.Equal(t, old.count(instance.SlotGranted)+current.count(instance.SlotGranted), 2*slotsInPool)
 	})
 	t.Run("an entry that restarts keeps its requests when its old stream ends", func(t *testing.T) {
-		_, p := start()
+		_, p := startPools()
 		var before, after recorder
 		p.entryOpened("e/1")
 		ask(p, "e/1", &before, 1, slotsInPool+1)
@@ -114,7 +120,7 @@
 		assert.Equal(t, after.count(instance.SlotGranted), 0, "a granted request of the old stream may still run")
 	})
 	t.Run("a cancelled request gets no slot", func(t *testing.T) {
-		_, p := start()
+		_, p := startPools()
 		var e recorder
 		ask(p, "e", &e, 1, slotsInPool+1)
 		p.handle("e", &e, &instance.DispatchMessage{Cancels: []instance.SlotCancel{{Number: slotsInPool + 1, Pool: testPool}, {Number: 1, Pool: testPool}}})
@@ -205,6 +211,10 @@
 		}
 		assert.Equal(t, c.counts[brokenStream], uint64(1))
 	})
+}
+
+func TestPending(t *testing.T) {
+	ctx := context.Background()
 	t.Run("a request is withdrawn when its context ends", func(t *testing.T) {
 		p := newTestPools(timer.NewSystem(ctx), 1, 1)
 		address, _ := listen(t, p.serve)
--- a/internal/forward/dispatch_test.go
+++ b/internal/forward/dispatch_test.go
@@ -105,22 +105,34 @@
 
 // gate is a target that holds its requests until it is opened.
 type gate struct {
-	opened  chan struct{}
-	holding atomic.Int32
-	most    atomic.Int32 // requests held at once
+	opened chan struct{}
+
+	mu            sync.Mutex
+	holding, most int // requests held now, and at once
 }
 
 func newGate() *gate { return &gate{opened: make(chan struct{})} }
 
 func (g *gate) handle(w io.Writer, r *http.Request) {
-	n := g.holding.Add(1)
-	for most := g.most.Load(); n > most && !g.most.CompareAndSwap(most, n); most = g.most.Load() {
-	}
+	g.add(1)
 	<-g.opened
-	g.holding.Add(-1)
+	g.add(-1)
 	respondOK("x")(w, r)
 }
 
+func (g *gate) add(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.holding += n
+	g.most = max(g.most, g.holding)
+}
+
+func (g *gate) counts() (holding, most int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.holding, g.most
+}
+
 // await waits until the condition holds.
 func await(t *testing.T, what string, condition func() bool) {
 	t.Helper()
@@ -139,7 +151,7 @@
 	for n := range slots {
 		out = append(out, e.request("GET", fmt.Sprint(path, n)))
 	}
-	await(e.t, "the slots are not taken", func() bool { return g.holding.Load() == slots })
+	await(e.t, "the slots are not taken", func() bool { holding, _ := g.counts(); return holding == slots })
 	out = append(out, e.request("GET", path+"waiting"))
 	await(e.t, "no request waits", func() bool { _, waiting := d.Running(); return waiting == 1 })
 	return out
@@ -164,7 +176,8 @@
 			for _, c := range callers {
 				wantResponse(t, c, http.StatusOK, "x")
 			}
-			assert.Equal(t, g.most.Load(), int32(slots))
+			_, most := g.counts()
+			assert.Equal(t, most, slots)
 		})
 	}
 	t.Run("an entry is its own dispatcher without a network", func(t *testing.T) {
--- a/internal/instance/dispatch.go
+++ b/internal/instance/dispatch.go
@@ -136,7 +136,6 @@
 		grpc.MaxRecvMsgSize(maxDispatchMessageBytes),
 		grpc.ReadBufferSize(dispatchBufferBytes),
 		grpc.WriteBufferSize(dispatchBufferBytes),
-		grpc.SharedWriteBuffer(true),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: dispatchKeepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}),
 	)
@@ -156,7 +155,6 @@
 	c, err := p.conn(address,
 		grpc.WithReadBufferSize(dispatchBufferBytes),
 		grpc.WithWriteBufferSize(dispatchBufferBytes),
-		grpc.WithSharedWriteBuffer(true),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: dispatchKeepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.WithDefaultCallOptions(grpc.CallContentSubtype(wire.Name), grpc.MaxCallRecvMsgSize(maxDispatchMessageBytes)),
 	)
