Let an entry choose among four pools, and withdraw before deciding

A cancelled request got a decision when the check of waiting requests was due at the same event; TestPoolInvariants found that.

--- a/internal/dispatch/alternatives_test.go
+++ b/internal/dispatch/alternatives_test.go
@@ -282,39 +282,43 @@
 	l.startWaiting(entry)
 }
 
-// pooled asks the better of two pools of the zone, by the last reported status.
+// pooled asks the better of two of its preferred pools, by the last reported status.
 type pooled struct {
 	*fleetSim
-	pools  [][]*simPool // by zone
+	pools  [][]*simPool // by entry
 	status map[*simPool][]dispatch.Status
 	number map[string]int // of a target
 }
 
 func newPooled(f *fleetSim) option {
-	p := &pooled{fleetSim: f, pools: make([][]*simPool, 4), status: make(map[*simPool][]dispatch.Status), number: make(map[string]int)}
+	p := &pooled{fleetSim: f, pools: make([][]*simPool, f.entries), status: make(map[*simPool][]dispatch.Status), number: make(map[string]int)}
 	targets := make([]deployment.Target, len(f.targets))
 	for i, t := range f.targets {
 		targets[i] = t.info
 		p.number[t.info.ID] = i
 	}
 	assignment := dispatch.Assign(targets, nil, func(string) bool { return false })
-	for zone := range 4 {
-		for _, info := range assignment.PoolsIn("s", fmt.Sprint("z", zone)) {
-			var members []*simTarget
-			for _, id := range info.Targets {
-				members = append(members, f.targets[p.number[id]])
-			}
-			// 0.1 ms for the link, and half of the 2 ms within which messages are batched.
-			pool := newSimPool(f.world, members, 1100*time.Microsecond)
-			p.pools[zone] = append(p.pools[zone], pool)
-			p.status[pool] = make([]dispatch.Status, f.entries)
+	byID := make(map[string]*simPool)
+	for _, info := range assignment.Pools() {
+		var members []*simTarget
+		for _, id := range info.Targets {
+			members = append(members, f.targets[p.number[id]])
+		}
+		// 0.1 ms for the link, and half of the 2 ms within which messages are batched.
+		pool := newSimPool(f.world, members, 1100*time.Microsecond)
+		byID[info.ID] = pool
+		p.status[pool] = make([]dispatch.Status, f.entries)
+	}
+	for entry := range p.pools {
+		for _, info := range assignment.Preferred(fmt.Sprint("e", entry), "s", fmt.Sprint("z", entry%4)) {
+			p.pools[entry] = append(p.pools[entry], byID[info.ID])
 		}
 	}
 	return p
 }
 
 func (p *pooled) request(entry int, work time.Duration, done, reject func()) {
-	pools := p.pools[entry%4]
+	pools := p.pools[entry]
 	pool := p.draw(pools)
 	if other := p.draw(pools); better(p.status[other][entry], p.status[pool][entry]) {
 		pool = other
--- a/internal/dispatch/assign.go
+++ b/internal/dispatch/assign.go
@@ -15,6 +15,10 @@
 // poolSize is the number of unkeyed targets that a pool has on average.
 const poolSize = 8
 
+// preferredPools is the number of pools of a service in a zone among which an entry chooses.
+// With more, the requests of 500 entries of a zone would open a connection almost each.
+const preferredPools = 4
+
 // poolSpread is by how much the largest pool may exceed the mean size. Smaller values
 // move more targets when one comes or goes.
 const poolSpread = 1.25
@@ -69,6 +73,20 @@
 	return out
 }
 
+// Preferred returns the pools of a service in a zone among which an entry should choose: all
+// of a few, or those of the highest ranks for that entry.
+func (a Assignment) Preferred(entry, service, zone string) []PoolInfo {
+	pools := a.PoolsIn(service, zone)
+	if len(pools) <= preferredPools {
+		return pools
+	}
+	h := xxhash.Sum64String(entry)
+	slices.SortFunc(pools, func(x, y PoolInfo) int {
+		return cmp.Compare(rank(h, xxhash.Sum64String(y.ID)), rank(h, xxhash.Sum64String(x.ID)))
+	})
+	return pools[:preferredPools]
+}
+
 // Assign returns the pools of the targets and their dispatchers, the same for the same
 // arguments in any order. keyed tells whether a service has keys: each of its targets is
 // a pool of its own. The others of a service in a zone are divided into pools of about
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -79,16 +79,16 @@
 		p.advance(e.At)
 		p.requested(e)
 		return p.effects
-	case Cancelled:
-		p.advance(e.At)
+	case Cancelled: // first, so that no decision for it follows
 		p.cancelled(e.ID)
+		p.advance(e.At)
 	case Ended:
 		p.advance(e.At)
 		e.At = p.now
 		p.ended(e)
 	case EntryLost:
-		p.advance(e.At)
 		p.entryLost(e.Entry)
+		p.advance(e.At)
 	case Ticked:
 		p.advance(e.At)
 	}
