--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -26,6 +26,10 @@
 	maxTried = 32
 	// maxAnnouncedWait bounds the announced wait of a pool without room.
 	maxAnnouncedWait = 5 * time.Second
+	// While a pool has no target, callers return after noTargetWait at the earliest, at the
+	// rate that the pool last had, but not less than assumedRate a second.
+	noTargetWait = time.Second
+	assumedRate  = 10.0
 )
 
 // Config holds the settings of a pool. Zero values stand for the defaults.
@@ -51,6 +55,7 @@
 	// expected time of a request in seconds, both as of the last event.
 	rate, expected float64
 	meanRate       float64 // average of rate over meanRateTime
+	measuredSince  timer.Instant
 	effects        []Effect
 }
 
@@ -128,7 +133,7 @@
 		t.expire(p.now)
 	}
 	p.measure()
-	p.meanRate += (p.rate - p.meanRate) * min(1, elapsed.Seconds()/meanRateTime.Seconds())
+	p.updateMeanRate(elapsed)
 	p.queue.decay(elapsed, min(p.rate, p.meanRate))
 	if p.queue.len() > 0 {
 		p.queue.expireStarts(p.now)
@@ -137,6 +142,19 @@
 	}
 }
 
+// updateMeanRate averages the rate. Without a target, the rate before stays. A pool that has
+// just started forgets faster, since it begins with an assumed rate.
+func (p *Pool) updateMeanRate(elapsed time.Duration) {
+	switch {
+	case p.rate == 0:
+	case p.meanRate == 0:
+		p.meanRate, p.measuredSince = p.rate, p.now
+	default:
+		over := min(max(p.now.Sub(p.measuredSince), meanRateTime/10), meanRateTime)
+		p.meanRate += (p.rate - p.meanRate) * min(1, elapsed.Seconds()/over.Seconds())
+	}
+}
+
 // measure updates the rate and the mean expected time of the pool.
 func (p *Pool) measure() {
 	rate, slots, weighted := 0.0, 0.0, 0.0
@@ -188,6 +206,10 @@
 		return
 	}
 	w := p.newWaiter(e)
+	if p.now.Add(seconds(p.expected)) > w.deadline || !p.mayServe(w) {
+		p.reject(w, true)
+		return
+	}
 	p.queue.asked++
 	w.level.asked++
 	if p.queue.len() == 0 {
@@ -197,7 +219,7 @@
 		}
 	}
 	late := p.expectedStart(w, false) > w.latestStart
-	if !p.mayServe(w) || p.queue.servedTooOften(w.level) || w.limitStart < p.now || late && p.expectedStart(w, true) > w.limitStart {
+	if p.queue.servedTooOften(w.level) || w.limitStart < p.now || late && p.expectedStart(w, true) > w.limitStart {
 		p.reject(w, late)
 		return
 	}
@@ -270,9 +292,11 @@
 	return ready
 }
 
-// mayServe reports whether there is a target to which the request may go.
+// mayServe reports whether there is a target to which the request may go in time.
 func (p *Pool) mayServe(w *waiter) bool {
-	return slices.ContainsFunc(p.targets, func(t *target) bool { return !slices.Contains(w.excluded, t.ID) })
+	return slices.ContainsFunc(p.targets, func(t *target) bool {
+		return !slices.Contains(w.excluded, t.ID) && t.openUntil <= max(w.limitStart, p.now)
+	})
 }
 
 // choose returns the best target with a free slot for a request, or nil. Failing targets
@@ -352,12 +376,14 @@
 
 // reject rejects a request with the next place in the queue of returns.
 func (p *Pool) reject(w *waiter, late bool) {
-	room := min(p.rate, p.meanRate)
-	wait := min(maxAnnouncedWait, p.startAfter(p.queue.len(), 0).Sub(p.now))
+	room, wait := min(p.rate, p.meanRate), p.startAfter(p.queue.len(), 0).Sub(p.now)
+	if p.rate == 0 {
+		room, wait = max(p.meanRate, assumedRate), min(wait, noTargetWait)
+	}
 	p.effects = append(p.effects, Rejected{
 		ID:         w.id,
 		Reason:     p.rejectReason(w, late),
-		RetryAfter: p.returns.place(p.now, wait, room, max(room-p.queue.overtaking(w.level, false), minReturnShare*room)),
+		RetryAfter: p.returns.place(p.now, min(wait, maxAnnouncedWait), room, max(room-p.queue.overtaking(w.level, false), minReturnShare*room)),
 	})
 }
 
