--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -19,10 +19,17 @@
 	lateShare = 0.25
 	// checkPeriod is how often waiting requests and overdue grants are checked.
 	checkPeriod = 10 * time.Millisecond
+	// meanRateTime is the time over which the rate is averaged that returns are counted by.
+	// The rate of a moment is higher than what is served in a span.
+	meanRateTime = 5 * time.Second
 	// maxTried bounds the waiting requests for which a target is sought at an event.
 	maxTried = 32
 	// maxAnnouncedWait bounds the announced wait of a pool without room.
 	maxAnnouncedWait = 5 * time.Second
+	// While a pool has no target, callers return after noTargetWait at the earliest, at the
+	// rate that the pool last had, but not less than assumedRate a second.
+	noTargetWait = time.Second
+	assumedRate  = 10.0
 )
 
 // Config holds the settings of a pool. Zero values stand for the defaults.
@@ -41,11 +48,14 @@
 	queue       queue
 	returns     returns
 	serviceTime movingAverage // over all targets
+	heldTime    movingAverage // over all targets
 	now         timer.Instant // the latest of all events
 	checkedAt   timer.Instant
 	// rate is how many requests a second the targets can serve, and expected is the mean
 	// expected time of a request in seconds, both as of the last event.
 	rate, expected float64
+	meanRate       float64 // average of rate over meanRateTime
+	measuredSince  timer.Instant
 	effects        []Effect
 }
 
@@ -57,7 +67,8 @@
 	if cfg.ServiceTime <= 0 {
 		cfg.ServiceTime = initialServiceTime
 	}
-	return &Pool{cfg: cfg, queue: newQueue(), serviceTime: movingAverage{value: cfg.ServiceTime.Seconds()}}
+	assumed := movingAverage{value: cfg.ServiceTime.Seconds()}
+	return &Pool{cfg: cfg, queue: newQueue(), serviceTime: assumed, heldTime: assumed}
 }
 
 // Update applies an event and returns the decisions that follow from it. The slice is valid
@@ -73,16 +84,16 @@
 		p.advance(e.At)
 		p.requested(e)
 		return p.effects
-	case Cancelled:
-		p.advance(e.At)
+	case Cancelled: // first, so that no decision for it follows
 		p.cancelled(e.ID)
+		p.advance(e.At)
 	case Ended:
 		p.advance(e.At)
 		e.At = p.now
 		p.ended(e)
 	case EntryLost:
-		p.advance(e.At)
 		p.entryLost(e.Entry)
+		p.advance(e.At)
 	case Ticked:
 		p.advance(e.At)
 	}
@@ -116,12 +127,14 @@
 		p.measure()
 		return
 	}
+	elapsed := p.now.Sub(p.checkedAt)
 	p.checkedAt = p.now
 	for _, t := range p.targets {
 		t.expire(p.now)
 	}
-	p.queue.decay(p.now)
 	p.measure()
+	p.updateMeanRate(elapsed)
+	p.queue.decay(elapsed, min(p.rate, p.meanRate))
 	if p.queue.len() > 0 {
 		p.queue.expireStarts(p.now)
 		p.grantWaiters()
@@ -129,6 +142,19 @@
 	}
 }
 
+// updateMeanRate averages the rate. Without a target, the rate before stays. A pool that has
+// just started forgets faster, since it begins with an assumed rate.
+func (p *Pool) updateMeanRate(elapsed time.Duration) {
+	switch {
+	case p.rate == 0:
+	case p.meanRate == 0:
+		p.meanRate, p.measuredSince = p.rate, p.now
+	default:
+		over := min(max(p.now.Sub(p.measuredSince), meanRateTime/10), meanRateTime)
+		p.meanRate += (p.rate - p.meanRate) * min(1, elapsed.Seconds()/over.Seconds())
+	}
+}
+
 // measure updates the rate and the mean expected time of the pool.
 func (p *Pool) measure() {
 	rate, slots, weighted := 0.0, 0.0, 0.0
@@ -156,7 +182,7 @@
 		if i >= 0 {
 			t = old[i]
 		} else {
-			t = &target{Target: info.Target, serviceTime: movingAverage{value: p.serviceTime.value}}
+			t = &target{Target: info.Target, serviceTime: movingAverage{value: p.serviceTime.value}, heldTime: movingAverage{value: p.heldTime.value}}
 		}
 		t.update(info, p.now)
 		p.targets = append(p.targets, t)
@@ -180,19 +206,24 @@
 		return
 	}
 	w := p.newWaiter(e)
-	w.level.asked.count++
+	if p.now.Add(seconds(p.expected)) > w.deadline || !p.mayServe(w) {
+		p.reject(w, true)
+		return
+	}
+	p.queue.asked++
+	w.level.asked++
 	if p.queue.len() == 0 {
-		if t := p.choose(w, 0); t != nil {
+		if t := p.choose(w); t != nil {
 			p.grant(w, t, FreeSlot)
 			return
 		}
 	}
 	late := p.expectedStart(w, false) > w.latestStart
-	if !p.mayServe(w) || w.limitStart < p.now || late && p.expectedStart(w, true) > w.limitStart {
+	if p.queue.servedTooOften(w.level) || w.limitStart < p.now || late && p.expectedStart(w, true) > w.limitStart {
 		p.reject(w, late)
 		return
 	}
-	w.level.accepted.count++
+	w.level.accepted++
 	p.queue.add(w, late)
 	p.grantWaiters()
 }
@@ -239,8 +270,7 @@
 
 // expectedStart returns when a request that comes now is expected to get a slot.
 func (p *Pool) expectedStart(w *waiter, late bool) timer.Instant {
-	n, perSecond := p.queue.ahead(w, late)
-	return p.startAfter(n, perSecond)
+	return p.startAfter(p.queue.ahead(w, late), p.queue.overtaking(w.level, late))
 }
 
 // startAfter returns when a request is expected to get a slot that has n requests before
@@ -262,53 +292,38 @@
 	return ready
 }
 
-// mayServe reports whether there is a target to which the request may go.
+// mayServe reports whether there is a target to which the request may go in time.
 func (p *Pool) mayServe(w *waiter) bool {
-	return slices.ContainsFunc(p.targets, func(t *target) bool { return !slices.Contains(w.excluded, t.ID) })
+	return slices.ContainsFunc(p.targets, func(t *target) bool {
+		return !slices.Contains(w.excluded, t.ID) && t.openUntil <= max(w.limitStart, p.now)
+	})
 }
 
-// choose returns the best target with a free slot for a request that has n requests before
-// it, or nil. Failing targets come last.
-func (p *Pool) choose(w *waiter, n int) *target {
+// choose returns the best target with a free slot for a request, or nil. Failing targets
+// come last.
+func (p *Pool) choose(w *waiter) *target {
 	var best *target
-	bestCost, leastCost, bestFailing := 0.0, 0.0, false
+	bestCost, bestFailing := 0.0, false
 	for _, t := range p.targets {
 		if slices.Contains(w.excluded, t.ID) || t.circuitOpen(p.now) {
 			continue
 		}
-		cost := t.cost(w, p.now)
-		if leastCost == 0 || cost < leastCost {
-			leastCost = cost
-		}
 		if t.free(p.now) == 0 || !t.bodyFits(w.body, p.cfg.MaxTargetBodyBytes) {
 			continue
 		}
-		failing := t.failing()
+		cost, failing := t.cost(w, p.now), t.failing()
 		if best == nil || !failing && bestFailing || failing == bestFailing && cost < bestCost {
 			best, bestCost, bestFailing = t, cost, failing
 		}
 	}
-	if best != nil && p.betterWait(w, n, bestCost, leastCost) {
-		return nil
-	}
 	return best
 }
 
-// betterWait reports whether the request would miss its objective at the best target with
-// a free slot, while it is expected to meet it at another one whose slots are taken.
-func (p *Pool) betterWait(w *waiter, n int, bestCost, leastCost float64) bool {
-	if bestCost <= leastCost {
-		return false
-	}
-	objective := w.latestStart.Add(seconds(p.expected))
-	return p.now.Add(seconds(bestCost)) > objective && p.startAfter(n, 0).Add(seconds(leastCost)) <= objective
-}
-
 func (p *Pool) grant(w *waiter, t *target, reason Reason) {
 	t.take(w, p.now)
-	w.level.granted.count++
+	w.level.granted++
 	if reason == FreeSlot {
-		w.level.accepted.count++
+		w.level.accepted++
 	}
 	p.effects = append(p.effects, Granted{ID: w.id, Target: t.ID, Reason: reason})
 }
@@ -323,7 +338,7 @@
 		if free == 0 || tried == maxTried {
 			return false
 		}
-		t := p.choose(w, tried)
+		t := p.choose(w)
 		if t == nil {
 			tried++
 			return true
@@ -348,8 +363,8 @@
 func (p *Pool) checkWaiters() {
 	n := 0
 	p.queue.walk(func(w *waiter, late bool) bool {
-		perSecond := p.moreUrgent(w.level.priority)
-		if p.mayServe(w) && p.startAfter(n, perSecond) <= w.limitStart && p.now <= w.limitStart {
+		start := p.startAfter(n, p.queue.overtaking(w.level, late))
+		if p.mayServe(w) && start <= w.limitStart {
 			n++
 			return true
 		}
@@ -359,25 +374,16 @@
 	})
 }
 
-// moreUrgent returns the rate of accepted requests of higher priority.
-func (p *Pool) moreUrgent(priority int) float64 {
-	sum := 0.0
-	for _, l := range p.queue.levels {
-		if l.priority < priority {
-			sum += l.perSecond()
-		}
-	}
-	return sum
-}
-
 // reject rejects a request with the next place in the queue of returns.
 func (p *Pool) reject(w *waiter, late bool) {
-	room := max(p.rate-p.moreUrgent(w.level.priority), minReturnShare*p.rate) * returnShare
-	wait := min(maxAnnouncedWait, p.startAfter(p.queue.len(), 0).Sub(p.now))
+	room, wait := min(p.rate, p.meanRate), p.startAfter(p.queue.len(), 0).Sub(p.now)
+	if p.rate == 0 {
+		room, wait = max(p.meanRate, assumedRate), min(wait, noTargetWait)
+	}
 	p.effects = append(p.effects, Rejected{
 		ID:         w.id,
 		Reason:     p.rejectReason(w, late),
-		RetryAfter: p.returns.place(p.now, wait, room),
+		RetryAfter: p.returns.place(p.now, min(wait, maxAnnouncedWait), room, max(room-p.queue.overtaking(w.level, false), minReturnShare*room)),
 	})
 }
 
@@ -392,7 +398,7 @@
 		warm = warm || !t.cold(p.now)
 		fits = fits || t.bodyFits(w.body, p.cfg.MaxTargetBodyBytes)
 	}
-	n, _ := p.queue.ahead(w, late)
+	n := p.queue.ahead(w, late)
 	own := len(w.level.inTime) + len(w.level.late)
 	switch {
 	case !usable:
@@ -401,7 +407,7 @@
 		return ColdTargets
 	case !fits:
 		return BodyMemory
-	case n > own || p.moreUrgent(w.level.priority) > 0 && p.startAfter(own, 0) <= w.limitStart:
+	case n > own || p.queue.overtaking(w.level, false) > 0 && p.startAfter(own, 0) <= w.limitStart:
 		return LessUrgent
 	}
 	return TooLate
@@ -436,9 +442,12 @@
 	}
 	work := t.updateOutcome(e, t.grants[i])
 	t.updateLoad(e, len(t.grants))
-	t.release(i)
+	g := t.release(i)
 	if work > 0 {
 		p.serviceTime.add(work, poolTimeWeight)
+		held := p.now.Sub(g.at).Seconds()
+		t.heldTime.add(held, heldTimeWeight)
+		p.heldTime.add(held, poolTimeWeight)
 	}
 }
 
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -3,8 +3,10 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
@@ -196,8 +198,9 @@
 }
 
 type ask struct {
-	work     time.Duration
-	granted  func(target string)
+	work time.Duration
+	// sent sends the granted request and calls answered; nil stands for sending it.
+	sent     func(target string, answered func(waiting int, took time.Duration))
 	rejected func(dispatch.Rejected)
 	ended    func()
 }
@@ -207,18 +210,25 @@
 		w: w, pool: dispatch.NewPool(dispatch.Config{}), targets: make(map[string]*simTarget),
 		asks: make(map[dispatch.RequestID]ask), delay: delay,
 	}
-	infos := make([]dispatch.TargetInfo, len(targets))
-	for i, t := range targets {
+	for _, t := range targets {
 		p.targets[t.info.ID] = t
-		infos[i].Target = t.info
 	}
-	p.update(dispatch.TargetsChanged{At: p.at(), Targets: infos})
+	p.update(dispatch.TargetsChanged{At: p.at(), Targets: p.infos()})
 	w.every(10*time.Millisecond, func() { p.update(dispatch.Ticked{At: p.at()}) })
 	return p
 }
 
 func (p *simPool) at() timer.Instant { return timer.Instant(p.w.now + time.Second) }
 
+// infos returns the targets, sorted by ID.
+func (p *simPool) infos() []dispatch.TargetInfo {
+	var out []dispatch.TargetInfo
+	for _, id := range slices.Sorted(maps.Keys(p.targets)) {
+		out = append(out, dispatch.TargetInfo{Target: p.targets[id].info})
+	}
+	return out
+}
+
 // request sends a request through the pool.
 func (p *simPool) request(e dispatch.Requested, a ask) dispatch.RequestID {
 	p.next++
@@ -248,23 +258,27 @@
 }
 
 func (p *simPool) send(e dispatch.Granted, a ask) {
-	if a.granted != nil {
-		a.granted(e.Target)
+	t := p.targets[e.Target]
+	answered := func(waiting int, took time.Duration) {
+		delete(p.asks, e.ID)
+		if a.ended != nil {
+			a.ended()
+		}
+		ended := dispatch.Ended{
+			ID: e.ID, Target: e.Target, Outcome: dispatch.Succeeded, Took: took, LoadKnown: true,
+			Running: t.running, Waiting: waiting, Slowdown: t.slowdown(p.w.now),
+		}
+		p.w.after(p.delay, func() { ended.At = p.at(); p.update(ended) })
+	}
+	if a.sent != nil {
+		a.sent(e.Target, answered)
+		return
 	}
 	start := p.w.now
-	t := p.targets[e.Target]
 	p.w.after(network, func() {
 		t.serve(a.work, func() {
-			ended := dispatch.Ended{
-				ID: e.ID, Target: e.Target, Outcome: dispatch.Succeeded, LoadKnown: true,
-				Running: t.running, Waiting: len(t.queue), Slowdown: t.slowdown(p.w.now),
-			}
-			p.w.after(network, func() {
-				delete(p.asks, e.ID)
-				a.ended()
-				ended.Took = p.w.now - start
-				p.w.after(p.delay, func() { ended.At = p.at(); p.update(ended) })
-			})
+			waiting := len(t.queue)
+			p.w.after(network, func() { answered(waiting, p.w.now-start) })
 		})
 	})
 }
