Ask preferred pools, and skip those without a usable target

Change: pools are drawn by their number of targets among those that package dispatch prefers. A pool whose targets may all get no request is not asked, so that requests leave a zone without targets.

--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -156,7 +156,7 @@
 	// With the first request the status is taken to have room for one less, until the pool
 	// tells it anew. Otherwise requests that come together would all ask the same pool.
 	if s, ok := c.statuses[p.ID]; ok {
-		s.Free--
+		s.Free = max(0, s.Free-1)
 		c.statuses[p.ID] = s
 	}
 	m := slotRequest(out, r)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -349,13 +349,13 @@
 	return p, ok && p.Dispatcher.Address != ""
 }
 
-// PoolsIn returns the pools of a service in an availability zone.
+// PoolsIn returns the pools of a service in an availability zone among which this entry chooses.
 func (d *Dispatcher) PoolsIn(service, zone string) []dispatch.PoolInfo {
 	a := d.assignment.Load()
 	if a == nil {
 		return nil
 	}
-	return slices.DeleteFunc(a.PoolsIn(service, zone), func(p dispatch.PoolInfo) bool { return p.Dispatcher.Address == "" })
+	return slices.DeleteFunc(a.Preferred(d.cfg.Name, service, zone), func(p dispatch.PoolInfo) bool { return p.Dispatcher.Address == "" })
 }
 
 // Status returns the status that a pool told last, and false if it told none.
--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -18,11 +19,11 @@
 )
 
 const (
-	// maxPoolsAsked is the number of pools in the zone for a request that are asked for a slot,
-	// and maxOtherPools that in another zone. Where all pools are full, each further one delays
-	// the rejection and costs processor time at two instances.
-	maxPoolsAsked = 2
-	maxOtherPools = 1
+	// maxPoolsAsked is the number of pools that are asked for a slot for a request, and
+	// maxPoolsInZone that in one zone. Where all pools are full, each further one delays the
+	// rejection and costs processor time at two instances.
+	maxPoolsAsked  = 3
+	maxPoolsInZone = 2
 	// minRetryAfter is the shortest time after which a caller is told to return.
 	minRetryAfter = 10 * time.Millisecond
 )
@@ -76,15 +77,10 @@
 // target, it returns why, and when the caller may try again.
 func (s *Server) acquireUnkeyed(ctx context.Context, c *call) (deployment.Target, time.Duration, string) {
 	var first *rejected
-	for i, zone := range s.zonesFor(c.service.Name) {
-		pools, limit := s.cfg.Dispatcher.PoolsIn(c.service.Name, zone), maxPoolsAsked
-		if i > 0 {
-			limit = maxOtherPools
-		}
-		for range limit {
-			if len(pools) == 0 || time.Until(c.deadline) < minTimeLeft {
-				break
-			}
+	asked := 0
+	for _, zone := range s.zonesFor(c.service.Name) {
+		pools := s.cfg.Dispatcher.PoolsIn(c.service.Name, zone)
+		for last := min(maxPoolsAsked, asked+maxPoolsInZone); asked < last && len(pools) > 0 && time.Until(c.deadline) >= minTimeLeft; asked++ {
 			var p dispatch.PoolInfo
 			p, pools = s.takeBetter(pools)
 			t, err := s.acquireFrom(ctx, c, p, nil)
@@ -92,6 +88,8 @@
 			switch {
 			case err == nil:
 				return t, 0, ""
+			case errors.Is(err, errNoneLeft):
+				asked-- // it was not asked
 			case errors.As(err, &r):
 				if first == nil {
 					first = r
@@ -103,7 +101,6 @@
 				if t, _, reason := s.chooseUnkeyed(c, s.warmTargets(c, p.Targets)); reason == "" {
 					return t, 0, ""
 				}
-			case errors.Is(err, errNoneLeft):
 			default:
 				return t, defaultRetryAfter, err.Error()
 			}
@@ -124,31 +121,43 @@
 	return deployment.Target{}, retryAfter, r.Error()
 }
 
-// zonesFor returns the availability zones whose pools are asked for a request to a service:
-// that for its requests, if it has targets there, and another one.
+// zonesFor returns the availability zones with pools of a service, that for its requests
+// first and the others in random order.
 func (s *Server) zonesFor(service string) []string {
 	zones := slices.Clone(s.cfg.Dispatcher.Zones(service))
 	rand.Shuffle(len(zones), func(i, j int) { zones[i], zones[j] = zones[j], zones[i] })
 	if i := slices.Index(zones, s.zoneFor(service)); i > 0 {
 		zones[0], zones[i] = zones[i], zones[0]
 	}
-	return zones[:min(len(zones), 2)]
+	return zones
 }
 
 // takeBetter picks two pools at random and returns the one that told of more room last, and
 // the other pools.
 func (s *Server) takeBetter(pools []dispatch.PoolInfo) (dispatch.PoolInfo, []dispatch.PoolInfo) {
-	best := rand.IntN(len(pools))
-	if len(pools) > 1 {
-		other := (best + 1 + rand.IntN(len(pools)-1)) % len(pools)
-		if s.moreRoom(pools[other].ID, pools[best].ID) {
-			best = other
-		}
+	best := drawPool(pools)
+	if other := drawPool(pools); s.moreRoom(pools[other].ID, pools[best].ID) {
+		best = other
 	}
 	p := pools[best]
 	return p, slices.Delete(pools, best, best+1)
 }
 
+// drawPool returns the index of a pool, drawn at random by the number of targets.
+func drawPool(pools []dispatch.PoolInfo) int {
+	targets := 0
+	for _, p := range pools {
+		targets += len(p.Targets)
+	}
+	n := rand.IntN(max(targets, 1))
+	for i, p := range pools {
+		if n -= len(p.Targets); n < 0 {
+			return i
+		}
+	}
+	return len(pools) - 1
+}
+
 // moreRoom reports whether a pool told of more room than another one.
 func (s *Server) moreRoom(a, b string) bool {
 	x, knownX := s.cfg.Dispatcher.Status(a)
@@ -235,8 +244,12 @@
 		Left: c.deadline.Sub(now) - responseMargin, BodyBytes: len(c.body), Returning: s.returns.kept(c.fingerprint, c.start),
 	}
 	v := s.cfg.View.View()
+	usable := v.Usable(c.service.Name)
 	for _, id := range p.Targets {
 		t, known := v.Target(id)
+		if !c.service.Keyed {
+			_, known = slices.BinarySearchFunc(usable, id, func(t deployment.Target, id string) int { return cmp.Compare(t.ID, id) })
+		}
 		switch {
 		case !known || slices.Contains(refused, id) || c.service.Keyed && id != c.target.ID || !c.service.Keyed && (slices.Contains(c.excluded, id) || !s.targets.mayAsk(t)):
 			r.Excluded = append(r.Excluded, id)
