Fall back for one pool after a missing answer, and cancel requests that were never sent

Cause: a request that was withdrawn before it was sent arrived after its cancellation, and kept a slot until its time had passed.

Change: a message's cancellations come last. A missing answer begins a fallback for that pool only, a broken stream for all pools of its dispatcher. A caller counts as returning once.

--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -250,7 +250,7 @@
 		p.deadline = now.Add(lateGrace)
 		return
 	}
-	c.fallBack(fallback{address: p.address}, noAnswer)
+	c.fallBack(fallback{p.address, p.pool}, noAnswer)
 	c.withdraw(p)
 	p.decided, p.err = true, ErrLost
 	if l := c.links[p.address]; l != nil && now.Sub(l.heard) > fallbackTime && now.Sub(l.asked) > fallbackTime {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -64,6 +64,10 @@
 	draining bool
 	coldAt   map[string]coldSince // by target
 	seen     uint64               // fingerprint of the targets of the last assignment
+
+	// coordinated holds Coordinated of the configuration with the log index. Only run uses it.
+	coordinated bool
+	configIndex uint64
 }
 
 // coldSince tells when the announcement of a cold target was received.
@@ -190,7 +194,10 @@
 // refresh assigns targets and pools anew after a change.
 func (d *Dispatcher) refresh() {
 	v := d.cfg.View.View()
-	d.active.Store(v.Config.Coordinated())
+	if v.ConfigIndex != d.configIndex {
+		d.configIndex, d.coordinated = v.ConfigIndex, v.Config.Coordinated()
+	}
+	d.active.Store(d.coordinated)
 	if !d.Active() {
 		d.assignment.Store(nil)
 		d.pools.assign(nil)
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -127,6 +127,10 @@
 		assert.Equal(t, e.count(instance.SlotGranted), slotsInPool)
 		ask(p, "e", &e, 10, 1)
 		assert.Equal(t, e.count(instance.SlotGranted), slotsInPool+1, "the slot of the cancelled grant is free")
+		p.handle("e", &e, &instance.DispatchMessage{
+			Requests: []instance.SlotRequest{{Number: 11, Pool: testPool, Objective: 1000, Timeout: 2000, Left: 2000}}, Cancels: []instance.SlotCancel{{Number: 11, Pool: testPool}},
+		})
+		assert.Equal(t, p.waiting(), 0, "a request that was withdrawn before it was sent")
 	})
 }
 
--- a/internal/dispatcher/pools.go
+++ b/internal/dispatcher/pools.go
@@ -153,13 +153,6 @@
 			x.update(endedOf(entry, e, now), now)
 		}
 	}
-	for _, c := range m.Cancels {
-		if x, ok := p.byID[c.Pool]; ok {
-			id := dispatch.RequestID{Entry: entry, Number: uint64(c.Number)}
-			delete(x.waiting, id)
-			x.update(dispatch.Cancelled{At: now, ID: id}, now)
-		}
-	}
 	for _, r := range m.Requests {
 		x, ok := p.byID[r.Pool]
 		if !ok {
@@ -174,6 +167,14 @@
 			x.announce(id, w, x.reducer.Status(now).Wait, now)
 		}
 	}
+	// Last, because a request may be withdrawn before it was sent.
+	for _, c := range m.Cancels {
+		if x, ok := p.byID[c.Pool]; ok {
+			id := dispatch.RequestID{Entry: entry, Number: uint64(c.Number)}
+			delete(x.waiting, id)
+			x.update(dispatch.Cancelled{At: now, ID: id}, now)
+		}
+	}
 }
 
 // update applies an event and answers the requests that it decides.
--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -42,6 +42,7 @@
 	dispatchReason    dispatch.Reason     // of the last decision
 	exactRetryAfter   bool                // the caller is told a dispatcher's time to return
 	withoutDispatcher bool                // the dispatcher of the key's owner is lost
+	returning         *bool               // whether its caller returned when told; nil before it is known
 }
 
 // dispatching reports whether dispatchers decide which requests go to which targets.
@@ -239,9 +240,13 @@
 // slotRequest returns a request for a slot of the pool.
 func (s *Server) slotRequest(c *call, p dispatch.PoolInfo, refused []string) dispatch.Requested {
 	now := time.Now()
+	if c.returning == nil {
+		returning := s.returns.take(c.fingerprint, c.start)
+		c.returning = &returning
+	}
 	r := dispatch.Requested{
 		Priority: c.route.Priority, Age: now.Sub(c.start), Objective: c.route.Objective, Timeout: c.route.Timeout,
-		Left: c.deadline.Sub(now) - responseMargin, BodyBytes: len(c.body), Returning: s.returns.kept(c.fingerprint, c.start),
+		Left: c.deadline.Sub(now) - responseMargin, BodyBytes: len(c.body), Returning: *c.returning,
 	}
 	v := s.cfg.View.View()
 	usable := v.Usable(c.service.Name)
@@ -407,8 +412,9 @@
 	// maxReturns bounds the rejected requests whose return is awaited.
 	maxReturns = 4096
 	// returnSlack is how much earlier than told a caller may return, since its timer and the
-	// way to it are not exact.
-	returnSlack = 10 * time.Millisecond
+	// way to it are not exact, and returnMemory for how long that counts.
+	returnSlack  = 10 * time.Millisecond
+	returnMemory = 2 * time.Second
 )
 
 // returnTimes holds when callers of rejected requests were told to return. A request that is
@@ -429,11 +435,12 @@
 	r.at[fingerprint] = at
 }
 
-// kept reports whether the caller of a request that came at the given time was told when to
-// return, and kept to that.
-func (r *returnTimes) kept(fingerprint string, came time.Time) bool {
+// take reports whether the caller of a request that came at the given time was told when to
+// return, and kept to that. The time is forgotten: it counts for one request.
+func (r *returnTimes) take(fingerprint string, came time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	at, ok := r.at[fingerprint]
-	return ok && came.After(at.Add(-returnSlack))
+	delete(r.at, fingerprint)
+	return ok && came.After(at.Add(-returnSlack)) && came.Before(at.Add(returnMemory))
 }
