--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -64,12 +64,17 @@
 	draining bool
 	coldAt   map[string]coldSince // by target
 	seen     uint64               // fingerprint of the targets of the last assignment
+
+	// coordinated holds Coordinated of the configuration with the log index. Only run uses it.
+	coordinated bool
+	configIndex uint64
 }
 
-// coldSince tells when a record of a cold target was received.
+// coldSince tells when the announcement of a cold target was received.
 type coldSince struct {
-	record uint64
-	at     timer.Instant
+	startMillis int64
+	sequence    uint64
+	at          timer.Instant
 }
 
 // New returns the dispatcher of an entry, which follows its view until ctx ends.
@@ -189,7 +194,10 @@
 // refresh assigns targets and pools anew after a change.
 func (d *Dispatcher) refresh() {
 	v := d.cfg.View.View()
-	d.active.Store(v.Config.Coordinated())
+	if v.ConfigIndex != d.configIndex {
+		d.configIndex, d.coordinated = v.ConfigIndex, v.Config.Coordinated()
+	}
+	d.active.Store(d.coordinated)
 	if !d.Active() {
 		d.assignment.Store(nil)
 		d.pools.assign(nil)
@@ -279,8 +287,8 @@
 		info := dispatch.TargetInfo{Target: t, FailureShare: d.failing[t.ID]}
 		if s.ColdRate > 0 && t.WarmUpMillis > 0 {
 			since, ok := d.coldAt[t.ID]
-			if record := t.Changed + uint64(t.StartMillis); !ok || since.record != record {
-				since = coldSince{record: record, at: now}
+			if !ok || since.startMillis != t.StartMillis || since.sequence != t.Sequence {
+				since = coldSince{startMillis: t.StartMillis, sequence: t.Sequence, at: now}
 				d.coldAt[t.ID] = since
 			}
 			info.ColdRate = s.ColdRate
@@ -348,13 +356,13 @@
 	return p, ok && p.Dispatcher.Address != ""
 }
 
-// PoolsIn returns the pools of a service in an availability zone.
+// PoolsIn returns the pools of a service in an availability zone among which this entry chooses.
 func (d *Dispatcher) PoolsIn(service, zone string) []dispatch.PoolInfo {
 	a := d.assignment.Load()
 	if a == nil {
 		return nil
 	}
-	return slices.DeleteFunc(a.PoolsIn(service, zone), func(p dispatch.PoolInfo) bool { return p.Dispatcher.Address == "" })
+	return slices.DeleteFunc(a.Preferred(d.cfg.Name, service, zone), func(p dispatch.PoolInfo) bool { return p.Dispatcher.Address == "" })
 }
 
 // Status returns the status that a pool told last, and false if it told none.
--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -18,10 +19,13 @@
 )
 
 const (
-	// maxPoolsAsked is the number of pools of a zone that are asked for a slot before the
-	// request is rejected or goes to another zone, and maxOtherZones that of other zones.
-	maxPoolsAsked = 2
-	maxOtherZones = 2
+	// maxPoolsAsked is the number of pools that are asked for a slot for a request, and
+	// maxPoolsInZone that in one zone. Where all pools are full, each further one delays the
+	// rejection and costs processor time at two instances.
+	maxPoolsAsked  = 3
+	maxPoolsInZone = 2
+	// minRetryAfter is the shortest time after which a caller is told to return.
+	minRetryAfter = 10 * time.Millisecond
 )
 
 // Errors of acquiring a slot.
@@ -32,9 +36,21 @@
 	errColdOwner     = errors.New("the key's owner is cold and its dispatcher can't be asked")
 )
 
+// dispatchState is what dispatchers decided on a call.
+type dispatchState struct {
+	slot              *dispatcher.Pending // granted for the next attempt or the one in flight; nil for none
+	dispatchReason    dispatch.Reason     // of the last decision
+	exactRetryAfter   bool                // the caller is told a dispatcher's time to return
+	withoutDispatcher bool                // the dispatcher of the key's owner is lost
+	returning         *bool               // whether its caller returned when told; nil before it is known
+}
+
 // dispatching reports whether dispatchers decide which requests go to which targets.
 func (s *Server) dispatching() bool { return s.cfg.Dispatcher != nil && s.cfg.Dispatcher.Active() }
 
+// asksDispatcher reports whether the dispatcher of the owner of the request's key is asked.
+func (s *Server) asksDispatcher(c *call) bool { return s.dispatching() && !c.withoutDispatcher }
+
 // zoneFor returns the availability zone whose targets a request to the service goes to first.
 func (s *Server) zoneFor(string) string { return s.cfg.AvailabilityZone }
 
@@ -62,12 +78,10 @@
 // target, it returns why, and when the caller may try again.
 func (s *Server) acquireUnkeyed(ctx context.Context, c *call) (deployment.Target, time.Duration, string) {
 	var first *rejected
-	for i, zone := range s.zonesFor(c.service.Name) {
+	asked := 0
+	for _, zone := range s.zonesFor(c.service.Name) {
 		pools := s.cfg.Dispatcher.PoolsIn(c.service.Name, zone)
-		for range maxPoolsAsked {
-			if len(pools) == 0 || time.Until(c.deadline) < minTimeLeft {
-				break
-			}
+		for last := min(maxPoolsAsked, asked+maxPoolsInZone); asked < last && len(pools) > 0 && time.Until(c.deadline) >= minTimeLeft; asked++ {
 			var p dispatch.PoolInfo
 			p, pools = s.takeBetter(pools)
 			t, err := s.acquireFrom(ctx, c, p, nil)
@@ -75,6 +89,8 @@
 			switch {
 			case err == nil:
 				return t, 0, ""
+			case errors.Is(err, errNoneLeft):
+				asked-- // it was not asked
 			case errors.As(err, &r):
 				if first == nil {
 					first = r
@@ -86,14 +102,10 @@
 				if t, _, reason := s.chooseUnkeyed(c, s.warmTargets(c, p.Targets)); reason == "" {
 					return t, 0, ""
 				}
-			case errors.Is(err, errNoneLeft):
 			default:
 				return t, defaultRetryAfter, err.Error()
 			}
 		}
-		if i >= maxOtherZones {
-			break
-		}
 	}
 	if first != nil {
 		return s.rejectedBy(c, first)
@@ -105,11 +117,12 @@
 // that the dispatcher gave.
 func (s *Server) rejectedBy(c *call, r *rejected) (deployment.Target, time.Duration, string) {
 	c.dispatchReason, c.exactRetryAfter = r.reason, true
-	s.returns.told(c.fingerprint, time.Now().Add(r.retryAfter))
-	return deployment.Target{}, r.retryAfter, r.Error()
+	retryAfter := max(r.retryAfter, minRetryAfter)
+	s.returns.told(c.fingerprint, time.Now().Add(retryAfter))
+	return deployment.Target{}, retryAfter, r.Error()
 }
 
-// zonesFor returns the availability zones with targets of a service, that for its requests
+// zonesFor returns the availability zones with pools of a service, that for its requests
 // first and the others in random order.
 func (s *Server) zonesFor(service string) []string {
 	zones := slices.Clone(s.cfg.Dispatcher.Zones(service))
@@ -123,17 +136,29 @@
 // takeBetter picks two pools at random and returns the one that told of more room last, and
 // the other pools.
 func (s *Server) takeBetter(pools []dispatch.PoolInfo) (dispatch.PoolInfo, []dispatch.PoolInfo) {
-	best := rand.IntN(len(pools))
-	if len(pools) > 1 {
-		other := (best + 1 + rand.IntN(len(pools)-1)) % len(pools)
-		if s.moreRoom(pools[other].ID, pools[best].ID) {
-			best = other
-		}
+	best := drawPool(pools)
+	if other := drawPool(pools); s.moreRoom(pools[other].ID, pools[best].ID) {
+		best = other
 	}
 	p := pools[best]
 	return p, slices.Delete(pools, best, best+1)
 }
 
+// drawPool returns the index of a pool, drawn at random by the number of targets.
+func drawPool(pools []dispatch.PoolInfo) int {
+	targets := 0
+	for _, p := range pools {
+		targets += len(p.Targets)
+	}
+	n := rand.IntN(max(targets, 1))
+	for i, p := range pools {
+		if n -= len(p.Targets); n < 0 {
+			return i
+		}
+	}
+	return len(pools) - 1
+}
+
 // moreRoom reports whether a pool told of more room than another one.
 func (s *Server) moreRoom(a, b string) bool {
 	x, knownX := s.cfg.Dispatcher.Status(a)
@@ -215,13 +240,21 @@
 // slotRequest returns a request for a slot of the pool.
 func (s *Server) slotRequest(c *call, p dispatch.PoolInfo, refused []string) dispatch.Requested {
 	now := time.Now()
+	if c.returning == nil {
+		returning := s.returns.take(c.fingerprint, c.start)
+		c.returning = &returning
+	}
 	r := dispatch.Requested{
 		Priority: c.route.Priority, Age: now.Sub(c.start), Objective: c.route.Objective, Timeout: c.route.Timeout,
-		Left: c.deadline.Sub(now) - responseMargin, BodyBytes: len(c.body), Returning: s.returns.kept(c.fingerprint, c.start),
+		Left: c.deadline.Sub(now) - responseMargin, BodyBytes: len(c.body), Returning: *c.returning,
 	}
 	v := s.cfg.View.View()
+	usable := v.Usable(c.service.Name)
 	for _, id := range p.Targets {
 		t, known := v.Target(id)
+		if !c.service.Keyed {
+			_, known = slices.BinarySearchFunc(usable, id, func(t deployment.Target, id string) int { return cmp.Compare(t.ID, id) })
+		}
 		switch {
 		case !known || slices.Contains(refused, id) || c.service.Keyed && id != c.target.ID || !c.service.Keyed && (slices.Contains(c.excluded, id) || !s.targets.mayAsk(t)):
 			r.Excluded = append(r.Excluded, id)
@@ -379,8 +412,9 @@
 	// maxReturns bounds the rejected requests whose return is awaited.
 	maxReturns = 4096
 	// returnSlack is how much earlier than told a caller may return, since its timer and the
-	// way to it are not exact.
-	returnSlack = 10 * time.Millisecond
+	// way to it are not exact, and returnMemory for how long that counts.
+	returnSlack  = 10 * time.Millisecond
+	returnMemory = 2 * time.Second
 )
 
 // returnTimes holds when callers of rejected requests were told to return. A request that is
@@ -401,11 +435,12 @@
 	r.at[fingerprint] = at
 }
 
-// kept reports whether the caller of a request that came at the given time was told when to
-// return, and kept to that.
-func (r *returnTimes) kept(fingerprint string, came time.Time) bool {
+// take reports whether the caller of a request that came at the given time was told when to
+// return, and kept to that. The time is forgotten: it counts for one request.
+func (r *returnTimes) take(fingerprint string, came time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	at, ok := r.at[fingerprint]
-	return ok && came.After(at.Add(-returnSlack))
+	delete(r.at, fingerprint)
+	return ok && came.After(at.Add(-returnSlack)) && came.Before(at.Add(returnMemory))
 }
