Spread the places for returns evenly, and measure the room more exactly

The places of a frame that got more of them later were all at its end: 7 more callers than room returned in a span of 4 s. A pool without targets or one that has just started counted no room and told callers to return up to 256 s later. All tests of the package pass.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -26,6 +26,9 @@
 	maxTried = 32
 	// maxAnnouncedWait bounds the announced wait of a pool without room.
 	maxAnnouncedWait = 5 * time.Second
+	// startShare is the share of its room that a pool counts on for returns during the first
+	// meanRateTime: only short requests have ended, so that it overestimates its rate.
+	startShare = 0.6
 	// While a pool has no target, callers return after noTargetWait at the earliest, at the
 	// rate that the pool last had, but not less than assumedRate a second.
 	noTargetWait = time.Second
@@ -108,7 +111,7 @@
 	rate := 0.0
 	for _, t := range p.targets {
 		s.Free += t.free(now)
-		rate += t.rate(now)
+		rate += t.rate(p.heldTime.value, now)
 	}
 	s.Free = max(0, s.Free-s.Waiting)
 	if s.Free == 0 {
@@ -150,7 +153,7 @@
 	case p.meanRate == 0:
 		p.meanRate, p.measuredSince = p.rate, p.now
 	default:
-		over := min(max(p.now.Sub(p.measuredSince), meanRateTime/10), meanRateTime)
+		over := min(max(p.now.Sub(p.measuredSince)/4, meanRateTime/10), meanRateTime)
 		p.meanRate += (p.rate - p.meanRate) * min(1, elapsed.Seconds()/over.Seconds())
 	}
 }
@@ -159,7 +162,7 @@
 func (p *Pool) measure() {
 	rate, slots, weighted := 0.0, 0.0, 0.0
 	for _, t := range p.targets {
-		rate += t.rate(p.now)
+		rate += t.rate(p.heldTime.value, p.now)
 		n := float64(max(t.Slots, 1))
 		slots += n
 		weighted += n / t.expected(p.now)
@@ -182,7 +185,7 @@
 		if i >= 0 {
 			t = old[i]
 		} else {
-			t = &target{Target: info.Target, serviceTime: movingAverage{value: p.serviceTime.value}, heldTime: movingAverage{value: p.heldTime.value}}
+			t = &target{Target: info.Target, serviceTime: movingAverage{value: p.serviceTime.value}}
 		}
 		t.update(info, p.now)
 		p.targets = append(p.targets, t)
@@ -380,6 +383,9 @@
 	if p.rate == 0 {
 		room, wait = max(p.meanRate, assumedRate), min(wait, noTargetWait)
 	}
+	if p.now.Sub(p.measuredSince) < meanRateTime {
+		room *= startShare
+	}
 	p.effects = append(p.effects, Rejected{
 		ID:         w.id,
 		Reason:     p.rejectReason(w, late),
@@ -444,10 +450,10 @@
 	t.updateLoad(e, len(t.grants))
 	g := t.release(i)
 	if work > 0 {
-		p.serviceTime.add(work, poolTimeWeight)
+		p.serviceTime.add(work, poolTimeWeight, assumedSamples)
 		held := p.now.Sub(g.at).Seconds()
-		t.heldTime.add(held, heldTimeWeight)
-		p.heldTime.add(held, poolTimeWeight)
+		t.heldTime.add(held, heldTimeWeight, 0)
+		p.heldTime.add(held, poolHeldWeight, 0)
 	}
 }
 
--- a/internal/dispatch/returns.go
+++ b/internal/dispatch/returns.go
@@ -20,6 +20,8 @@
 	// minReturnShare is the least share of the room that a kind of requests gets for its
 	// returns, however much more urgent ones take.
 	minReturnShare = 0.05
+	// goldenRatio spreads the places of a frame evenly, however many are taken.
+	goldenRatio = math.Phi
 	// minRetryAfter is the shortest time after which a caller may return.
 	minRetryAfter = 50 * time.Millisecond
 )
@@ -39,26 +41,25 @@
 	for r.first = max(r.first, current-returnFrames); r.first < current; r.first++ {
 		r.counts[r.first%returnFrames] = 0
 	}
-	earliest, gap := now.Add(max(wait, minRetryAfter)), returnGap(left)
+	earliest, places := now.Add(max(wait, minRetryAfter)), framePlaces(left)
 	for f := int64(earliest) / int64(returnFrame); f < current+returnFrames; f++ {
 		start := timer.Instant(f * int64(returnFrame))
 		if start.Sub(now) > returnSwing {
-			gap = returnGap(room)
+			places = framePlaces(room)
 		}
 		count := &r.counts[f%returnFrames]
-		if earliest > start {
-			*count = max(*count, int(math.Ceil(earliest.Sub(start).Seconds()/gap))) // earlier places stay empty
-		}
-		at := start.Add(seconds(float64(*count) * gap))
-		if at < start.Add(returnFrame) {
+		for *count < places {
+			_, part := math.Modf(float64(*count) * goldenRatio)
 			*count++
-			return at.Sub(now)
+			if at := start.Add(time.Duration(part * float64(returnFrame))); at >= earliest {
+				return at.Sub(now)
+			}
 		}
 	}
 	return returnFrame * returnFrames
 }
 
-// returnGap returns the seconds between two places in a frame.
-func returnGap(perSecond float64) float64 {
-	return returnFrame.Seconds() / max(1, math.Floor(returnShare*perSecond*returnFrame.Seconds()))
+// framePlaces returns the number of places in a frame, at least one.
+func framePlaces(perSecond float64) int {
+	return max(1, int(returnShare*perSecond*returnFrame.Seconds()))
 }
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -16,8 +16,12 @@
 	// service time, and poolTimeWeight that in the average of its pool.
 	serviceTimeWeight = 0.1
 	poolTimeWeight    = 0.02
-	// heldTimeWeight is that in the average time for which a target's slots are held.
-	heldTimeWeight = 0.02
+	// heldTimeWeight and poolHeldWeight are those in the averages of the time for which
+	// slots are held. The average of the pool counts as heldSamples answers of a target:
+	// the mean of few answers overestimates the rate.
+	heldTimeWeight = 0.01
+	poolHeldWeight = 0.002
+	heldSamples    = 30
 	// assumedSamples is the number of answers that an assumed service time counts as.
 	assumedSamples = 3
 	// slowdownLife is how long a reported slowdown counts. Targets change theirs about
@@ -56,9 +60,10 @@
 	samples int
 }
 
-func (m *movingAverage) add(value, weight float64) {
+// add adds a sample. The value before the first one counts as assumed samples.
+func (m *movingAverage) add(value, weight float64, assumed int) {
 	m.samples++
-	m.value += max(weight, 1/float64(assumedSamples+m.samples)) * (value - m.value)
+	m.value += max(weight, 1/float64(assumed+m.samples)) * (value - m.value)
 }
 
 // target is what the pool knows of one incarnation of a target.
@@ -147,8 +152,9 @@
 
 // rate returns how many requests a second the target can serve. The mean of the times that
 // slots were held tells that more exactly than the service time and the last slowdown.
-func (t *target) rate(now timer.Instant) float64 {
-	rate := float64(t.slotCount(now)) / t.heldTime.value
+func (t *target) rate(poolHeld float64, now timer.Instant) float64 {
+	n := float64(t.heldTime.samples)
+	rate := float64(t.slotCount(now)) * (n + heldSamples) / (n*t.heldTime.value + heldSamples*poolHeld)
 	if t.cold(now) {
 		rate = min(rate, t.coldRate)
 	}
@@ -245,7 +251,7 @@
 			}
 		}
 		if work > 0 {
-			t.serviceTime.add(work, serviceTimeWeight)
+			t.serviceTime.add(work, serviceTimeWeight, assumedSamples)
 		}
 		return work
 	}
@@ -274,7 +280,7 @@
 			t.recordFailure(now, false)
 		}
 		if now >= g.until {
-			t.heldTime.add(now.Sub(g.at).Seconds(), heldTimeWeight)
+			t.heldTime.add(now.Sub(g.at).Seconds(), heldTimeWeight, 0)
 			t.release(i)
 		}
 	}
