--- a/internal/dispatch/alternatives_test.go
+++ b/internal/dispatch/alternatives_test.go
@@ -188,11 +188,7 @@
 	busy          bool
 }
 
-type leaderWait struct {
-	until time.Duration
-	start func(*leasedSlot)
-	gone  bool
-}
+type leaderWait struct{ start func(*leasedSlot) }
 
 func newLeaderSlots(f *fleetSim) option {
 	l := &leaderSlots{fleetSim: f, slots: make([][]*leasedSlot, f.entries), demand: make([]float64, f.entries), waiting: make([][]*leaderWait, f.entries)}
@@ -254,9 +250,7 @@
 		for !s.busy && len(l.waiting[e]) > 0 {
 			w := l.waiting[e][0]
 			l.waiting[e] = l.waiting[e][1:]
-			if !w.gone {
-				w.start(s)
-			}
+			w.start(s)
 		}
 	}
 }
--- a/internal/dispatch/assign_test.go
+++ b/internal/dispatch/assign_test.go
@@ -84,6 +84,22 @@
 			assert.Assert(t, p.Dispatcher.ID != "" && (p.Dispatcher.Zone == p.Zone) == (p.Zone != "z1"))
 		}
 	})
+	t.Run("an entry chooses among a few pools", func(t *testing.T) {
+		var many []deployment.Target
+		for i := range 400 {
+			many = append(many, deployment.Target{ID: fmt.Sprint("t", i), Service: "plain"})
+		}
+		a, chosen := dispatch.Assign(many, entries, keyed), make(map[string]int)
+		for _, e := range entries {
+			preferred := a.Preferred(e.ID, "plain", "")
+			assert.Equal(t, len(preferred), 4)
+			for _, p := range preferred {
+				chosen[p.ID]++
+			}
+		}
+		assert.Assert(t, len(chosen) > 45, "%d of 50 pools are chosen", len(chosen))
+		assert.Equal(t, len(before.Preferred("e1", "plain", "z1")), 2)
+	})
 	t.Run("no entry", func(t *testing.T) {
 		p, ok := dispatch.Assign(targets, nil, keyed).PoolOf("t0")
 		assert.Assert(t, ok && p.Dispatcher.ID == "")
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -43,8 +43,9 @@
 	ServiceTime time.Duration
 }
 
-// Pool decides which requests get the free slots of a group of targets. It is a reducer
-// and is not safe for concurrent use.
+// Pool decides which requests get the free slots of a group of targets. It answers the load
+// of many entries that each see a few requests, at targets whose speed changes within a
+// second, and demand beyond their room. It is a reducer and is not safe for concurrent use.
 type Pool struct {
 	cfg         Config
 	targets     []*target // by ID
