--- a/internal/dispatch/alternatives_test.go
+++ b/internal/dispatch/alternatives_test.go
@@ -30,12 +30,26 @@
 	entries   int
 	targets   []*simTarget
 	idle      [][]time.Duration // since when each idle connection of a pair is idle
+	slow      []reported        // the slowdown that a pair's last answer reported
 	opened    int
 	sent      int
 	latencies []time.Duration
 	rejected  int
 }
 
+type reported struct {
+	slowdown float64
+	at       time.Duration
+}
+
+// reportedSlowdown returns the slowdown of a target that the entry knows of.
+func (f *fleetSim) reportedSlowdown(entry, target int) float64 {
+	if r := f.slow[f.pair(entry, target)]; r.slowdown > 0 && f.now-r.at < slowPhase {
+		return r.slowdown
+	}
+	return 1
+}
+
 func (f *fleetSim) pair(entry, target int) int { return entry*len(f.targets) + target }
 
 func (f *fleetSim) connected(entry, target int) bool {
@@ -61,9 +75,10 @@
 	start, t := f.now, f.targets[target]
 	f.after(network, func() {
 		t.serve(work, func() {
-			waiting := len(t.queue)
+			waiting, slowdown := len(t.queue), t.slowdown(f.now)
 			f.after(network, func() {
 				*idle = append(*idle, f.now)
+				f.slow[f.pair(entry, target)] = reported{slowdown, f.now}
 				done(waiting, f.now-start)
 			})
 		})
@@ -102,6 +117,9 @@
 func (l *local) cost(entry, target int) float64 {
 	s := &l.states[l.pair(entry, target)]
 	service := l.service(entry, s)
+	if l.subset { // today's choice does not use it
+		service *= l.reportedSlowdown(entry, target)
+	}
 	slots := float64(l.targets[target].info.Slots)
 	ahead := max(0, float64(max(s.since, s.inFlight))+1-slots)
 	cost := service*(1+ahead/slots) + max(0, s.queueDelay-0.7*(l.now-s.at).Seconds())
@@ -245,13 +263,23 @@
 	}
 }
 
+// startWaiting gives free slots to waiting requests, those of the fastest targets first. The
+// usual speed of a target is taken as known.
 func (l *leaderSlots) startWaiting(e int) {
-	for _, s := range l.slots[e] {
-		for !s.busy && len(l.waiting[e]) > 0 {
-			w := l.waiting[e][0]
-			l.waiting[e] = l.waiting[e][1:]
-			w.start(s)
+	for len(l.waiting[e]) > 0 {
+		var best *leasedSlot
+		bestTime := 0.0
+		for _, s := range l.slots[e] {
+			if t := l.reportedSlowdown(e, s.target) / l.targets[s.target].speed; !s.busy && (best == nil || t < bestTime) {
+				best, bestTime = s, t
+			}
+		}
+		if best == nil {
+			return
 		}
+		w := l.waiting[e][0]
+		l.waiting[e] = l.waiting[e][1:]
+		w.start(best)
 	}
 }
 
@@ -366,6 +394,7 @@
 	f := &fleetSim{world: newWorld(uint64(entries)), entries: entries}
 	f.targets = f.newTargets(entries*71/62/4*4, 3, 0.6, 1, 1.6, 1, 1.6, 0.6, 1)
 	f.idle = make([][]time.Duration, entries*len(f.targets))
+	f.slow = make([]reported, entries*len(f.targets))
 	o := create(f)
 	f.arrivals(steady(load*capacity(f.targets, simWork)), func() {
 		start, counted := f.now, f.measured()
