Return keys to a zone after its evacuation is withdrawn, also under little load

A target without keys got a slice only where that lowers the highest utilization by 0.1, so that with few requests the zone stayed without keys. Only targets of zones that were evacuated before are concerned. The new case fails without the change and passes with it.

--- a/internal/deployment/evacuation.go
+++ b/internal/deployment/evacuation.go
@@ -68,6 +68,17 @@
 	return ok
 }
 
+// WasEvacuated reports whether the availability zone was evacuated and that was withdrawn, as
+// far as the state remembers.
+func (s State) WasEvacuated(zone string) bool {
+	i, ok := s.zoneIndex(zone)
+	return ok && s.zones[i].Withdrawn && s.zones[i].Index > 0
+}
+
+func (s State) zoneIndex(zone string) (int, bool) {
+	return slices.BinarySearchFunc(s.zones, zone, func(z zoneRecord, zone string) int { return cmp.Compare(z.Zone, zone) })
+}
+
 // evacuate applies an operator's call. A call for the state that the zone is in is
 // accepted without effect, and one that is older than the last opposite call is not
 // accepted.
@@ -75,7 +86,7 @@
 	if err := ValidateZone(c.Zone); err != nil {
 		return s, Result{Outcome: Invalid, Reason: err.Error()}
 	}
-	i, known := slices.BinarySearchFunc(s.zones, c.Zone, func(z zoneRecord, zone string) int { return cmp.Compare(z.Zone, zone) })
+	i, known := s.zoneIndex(c.Zone)
 	record := zoneRecord{Zone: c.Zone, Withdrawn: true, Called: s.forgottenCalls}
 	if known {
 		record = s.zones[i]
--- a/internal/leader/evacuation_test.go
+++ b/internal/leader/evacuation_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/internal/instance"
 )
 
 // newZonesSim starts a leader with two targets in each of the zones a, b and c: 1 and 2 in a,
@@ -125,6 +127,28 @@
 		s.settle(all...)
 		assert.Assert(t, s.keysIn("a") > 0)
 	})
+	t.Run("gets keys again also under little load", func(t *testing.T) {
+		s := newZonesSim(t)
+		s.evacuate("a")
+		s.settle(all...)
+		s.withdraw("a")
+		for i := range 40 {
+			r := instance.ReportRequest{Instance: "entry"}
+			for bucket := 0; bucket <= int(deployment.MaxKey); bucket += 4096 {
+				r.Keys = append(r.Keys, instance.KeyLoad{Service: testService, Bucket: deployment.Key(bucket), Count: 1})
+			}
+			if i%8 == 0 {
+				s.send(Reported{At: s.now, Report: r})
+			}
+			for _, n := range all {
+				s.heartbeat(n)
+			}
+			s.answer(s.tick(250 * time.Millisecond))
+		}
+		for n := 1; n <= 2; n++ {
+			assert.Assert(t, slices.ContainsFunc(s.ranges(), func(r deployment.Range) bool { return r.Target == incarnation(n).ID }), "target %d", n)
+		}
+	})
 	t.Run("withdrawn while its keys are being released", func(t *testing.T) {
 		s := newZonesSim(t)
 		s.evacuate("a")
@@ -224,9 +248,12 @@
 		}
 	}
 	w.commit(deployment.Command{Evacuate: &deployment.Evacuate{Zone: "b", Withdraw: true, Base: w.index}})
-	w.run(20 * time.Second)
+	holdKeys := func(x *worldTarget) bool { return len(x.held) > 0 }
+	for end := w.now.Add(time.Minute); w.now < end && slices.ContainsFunc(w.targets, func(x *worldTarget) bool { return !holdKeys(x) }); {
+		w.step()
+	}
 	w.awaitAllHeld()
 	for _, x := range w.targets {
-		assert.Assert(t, len(x.held) > 0, "target %d holds no keys", x.n)
+		assert.Assert(t, holdKeys(x), "target %d holds no keys", x.n)
 	}
 }
--- a/internal/leader/rebalance.go
+++ b/internal/leader/rebalance.go
@@ -51,6 +51,7 @@
 	rate          float64            // requests a second
 	width         int                // keys owned
 	movableRanges []deployment.Range // owned ranges that may be moved
+	returned      bool               // its zone was evacuated before
 }
 
 // utilization returns the busy part of the target's slots; above 1 the target is
@@ -77,7 +78,8 @@
 			serviceTime = stats.meanServiceTime()
 		}
 		limit, _ := m.limitOf(incarnationOf(t))
-		out = append(out, targetUsage{target: t, serviceTime: serviceTime, limit: limit, resting: m.resting(incarnationOf(t))})
+		out = append(out, targetUsage{target: t, serviceTime: serviceTime, limit: limit, resting: m.resting(incarnationOf(t)),
+			returned: m.state.WasEvacuated(t.AvailabilityZone)})
 	}
 	index := make(map[deployment.Incarnation]int, len(out))
 	for i, u := range out {
@@ -263,6 +265,10 @@
 // of the range, the keys and their rate, and false if no move lowers the higher
 // utilization enough. An idle range is halved, for a target that owns nothing.
 func (s *serviceStats) selectSlice(service string, high, low targetUsage) (int, deployment.RangeRef, float64, bool) {
+	minGain := minUtilizationGain
+	if low.returned && low.width == 0 {
+		minGain = 0 // a target that lost its keys to an evacuation gets some again also under little load
+	}
 	perRequest := high.perRequest() + low.perRequest()
 	wantRate := (high.utilization() - low.utilization()) / perRequest
 	order := make([]int, len(high.movableRanges))
@@ -285,7 +291,7 @@
 			return i, ref, 0, r.Width() > 1 && low.width == 0
 		}
 		part, rate, ok := s.selectByRate(ref, wantRate)
-		if ok && low.utilization()+rate*low.perRequest() < high.utilization()-minUtilizationGain {
+		if ok && low.utilization()+rate*low.perRequest() < high.utilization()-minGain {
 			return i, part, rate, true
 		}
 	}
