--- a/internal/forward/bodies.go
+++ b/internal/forward/bodies.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/internal/targethttp"
 )
 
 const (
@@ -237,7 +238,7 @@
 // records the time that it takes there.
 func (s *Server) countBody(c *call) {
 	c.bodyTime = s.bodyTime(c)
-	if c.route.Kind == deployment.Upload {
+	if c.route.Kind == deployment.Upload && len(c.body) <= targethttp.LongBodyBytes { // longer ones are counted as they are paced
 		s.cfg.Link.Count(len(c.body))
 	}
 }
--- a/internal/targethttp/sending.go
+++ b/internal/targethttp/sending.go
@@ -10,9 +10,9 @@
 	"github.com/cranberrywind/cranberrywind/pkg/limit"
 )
 
-// longBodyBytes is the length above which a body is written while the response is awaited.
-// Shorter ones fit into the connection's send buffer.
-const longBodyBytes = 16 << 10
+// LongBodyBytes is the length above which a body is written while the response is awaited,
+// and paced. Shorter ones fit into the connection's send buffer.
+const LongBodyBytes = 16 << 10
 
 // restTime is how long the rest of a body may take after its response was read. The target
 // may have answered without reading it, and may not read on.
@@ -49,7 +49,7 @@
 func (c *conn) write(r Request) *sending {
 	out := &sending{done: make(chan struct{})}
 	head := r.Head()
-	if len(r.Body) <= longBodyBytes {
+	if len(r.Body) <= LongBodyBytes {
 		buf := make([]byte, 0, len(head)+len(r.Body))
 		out.n, out.err = c.Write(append(append(buf, head...), r.Body...))
 		close(out.done)
