--- a/internal/forward/dispatch_test.go
+++ b/internal/forward/dispatch_test.go
@@ -24,16 +24,13 @@
 
 func (h streamHandler) Dispatch(s instance.DispatchStream) error { return h(s) }
 
-// coldRate is the cold rate of the service catalog in these tests.
-const coldRate = 2.0
-
 // coordinate makes the entry's configuration call for dispatch, with the dispatchers at the
 // addresses. The targets are changed by f first.
 func (e *testEntry) coordinate(f func(*deployment.Target), dispatchers ...string) {
 	e.t.Helper()
 	v := e.server.cfg.View.View()
 	u := &instance.ViewUpdate{Version: v.Version + 1, ConfigIndex: v.ConfigIndex + 1, Current: true, ConfigBase: v.ConfigIndex, ConfigChange: &deployment.ConfigChange{
-		Version: 2, Base: 1, Services: []deployment.Service{{Name: "catalog", Connections: 100, ColdRate: coldRate, ColdTime: time.Minute}},
+		Version: 2, Base: 1, Services: []deployment.Service{{Name: "catalog", Connections: 100, ColdRate: 2, ColdTime: time.Minute}},
 	}}
 	for t := range v.All() {
 		if f != nil {
