Tell callers when cold targets are warm, and decide on coldness by the target's record

Cause: the time for which a target is cold was looked up by its ID, so that a new record counted only after the dispatcher had seen it.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -52,9 +53,9 @@
 	wake   chan struct{}
 
 	active     atomic.Bool
-	assignment atomic.Pointer[dispatch.Assignment] // nil while no dispatcher is known
-	zones      atomic.Pointer[map[string][]string] // with pools, by service
-	coldUntil  atomic.Pointer[map[string]timer.Instant]
+	assignment atomic.Pointer[dispatch.Assignment]  // nil while no dispatcher is known
+	zones      atomic.Pointer[map[string][]string]  // with pools, by service
+	coldSince  atomic.Pointer[map[string]coldSince] // a copy of coldAt
 
 	mu       sync.Mutex
 	list     []dispatch.Entry
@@ -245,7 +246,8 @@
 		}
 	}
 	infos := d.targetInfos(v, targets, keyed)
-	d.setColdUntil(infos)
+	coldSince := maps.Clone(d.coldAt)
+	d.coldSince.Store(&coldSince)
 	if len(d.list) == 0 {
 		d.assignment.Store(nil)
 		d.pools.assign(nil)
@@ -316,26 +318,19 @@
 	return out
 }
 
-// setColdUntil records until when targets are cold, for entries without a dispatcher.
-func (d *Dispatcher) setColdUntil(infos map[string]dispatch.TargetInfo) {
-	now := d.cfg.Clock.Now()
-	out := make(map[string]timer.Instant)
-	for id, info := range infos {
-		if info.ColdRate > 0 && info.ColdLeft > 0 {
-			out[id] = now.Add(info.ColdLeft)
-		}
-	}
-	d.coldUntil.Store(&out)
-}
-
 // ColdLeft returns for how long a target stays cold, if its service limits the requests to
-// cold targets.
+// cold targets. An announcement counts from when it was received.
 func (d *Dispatcher) ColdLeft(t deployment.Target) time.Duration {
-	until := d.coldUntil.Load()
-	if until == nil {
+	if s, _ := d.cfg.View.View().Config.Service(t.Service); t.WarmUpMillis <= 0 || s.ColdRate <= 0 {
 		return 0
 	}
-	return max(0, (*until)[t.ID].Sub(d.cfg.Clock.Now()))
+	left := time.Duration(t.WarmUpMillis) * time.Millisecond
+	if known := d.coldSince.Load(); known != nil {
+		if since, ok := (*known)[t.ID]; ok && since.startMillis == t.StartMillis && since.sequence == t.Sequence {
+			left -= d.cfg.Clock.Now().Sub(since.at)
+		}
+	}
+	return max(0, left)
 }
 
 // Zones returns the availability zones with pools of a service.
--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -34,6 +34,7 @@
 	// owner of its key.
 	errAskDispatcher = errors.New("the dispatcher of the key's owner decides")
 	errColdOwner     = errors.New("the key's owner is cold and its dispatcher can't be asked")
+	errColdTargets   = errors.New("all targets are cold and their dispatchers can't be asked")
 )
 
 // dispatchState is what dispatchers decided on a call.
@@ -110,7 +111,11 @@
 	if first != nil {
 		return s.rejectedBy(c, first)
 	}
-	return s.chooseUnkeyed(c, s.warmTargets(c, nil))
+	warm := s.warmTargets(c, nil)
+	if left := s.untilFirstWarm(c); len(warm) == 0 && left > 0 {
+		return deployment.Target{}, min(left, maxReturnDelay), errColdTargets.Error()
+	}
+	return s.chooseUnkeyed(c, warm)
 }
 
 // rejectedBy returns what a dispatcher's rejection means for the caller, who is told the time
@@ -306,6 +311,18 @@
 	return defaultRetryAfter, err
 }
 
+// untilFirstWarm returns the time until the first of the service's cold targets is warm, or 0
+// if none is cold.
+func (s *Server) untilFirstWarm(c *call) time.Duration {
+	first := time.Duration(0)
+	for _, t := range s.cfg.View.View().Usable(c.service.Name) {
+		if left := s.cfg.Dispatcher.ColdLeft(t); left > 0 && (first == 0 || left < first) {
+			first = left
+		}
+	}
+	return first
+}
+
 // acquireOwner gets a slot of the owner of the request's key. The request is withdrawn when
 // the range changes meanwhile: then it returns ErrInterrupted. ErrLost reports that this
 // entry decides by itself.
--- a/internal/forward/owner.go
+++ b/internal/forward/owner.go
@@ -113,7 +113,7 @@
 	c.target, c.expected, c.fence = t, expected, r.Fence
 	switch {
 	case s.dispatching() && s.cfg.Dispatcher.ColdLeft(t) > 0:
-		return defaultRetryAfter, errColdOwner
+		return min(s.cfg.Dispatcher.ColdLeft(t), maxReturnDelay), errColdOwner
 	case s.rejectOverload(c.service.Name, c.key, t):
 		return overloadRetryAfter, errKeyOverloaded
 	case expected > c.maxExpected():
