--- a/internal/leader/dispatchers.go
+++ b/internal/leader/dispatchers.go
@@ -9,9 +9,10 @@
 	"github.com/cranberrywind/cranberrywind/internal/instance"
 )
 
-// dispatcherListDelay is the time after which a new leader has heard from all entries, also
-// from those that report only each second, and hands out the list of dispatchers.
-const dispatcherListDelay = 1500 * time.Millisecond
+// dispatcherListDelay is the time after which a new leader has heard from all entries, and
+// hands out the list of dispatchers. An entry reports at least each second, and a report that
+// was on its way to the earlier leader takes up to another second to fail.
+const dispatcherListDelay = 2 * time.Second
 
 // dispatchers holds the entries that dispatch, by their names.
 type dispatchers map[string]dispatcher
