--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -40,14 +40,14 @@
 		k.priority, k.callers, k.asked, k.served(), k.reached(), float64(k.inTime)/float64(max(k.answered, 1)), k.rejected, k.rejectedAfter, k.reasons)
 }
 
-const callersUntil = 40 * time.Second
-
-// play lets callers of the kinds use the pool.
-func play(w *world, p *simPool, kinds ...*kind) {
-	playUntil(callersUntil+10*time.Second, w, p, kinds...)
-}
+const (
+	callersUntil = 40 * time.Second
+	playEnd      = callersUntil + 10*time.Second
+)
 
-func playUntil(end time.Duration, w *world, p *simPool, kinds ...*kind) {
+// play lets callers of the kinds use the pool until the end.
+func play(t *testing.T, end time.Duration, w *world, p *simPool, kinds ...*kind) {
+	t.Helper()
 	for _, k := range kinds {
 		k.reasons = make(map[dispatch.Reason]int)
 		w.arrivals(k.perSecond, func() {
@@ -58,6 +58,9 @@
 		})
 	}
 	w.run(end)
+	for _, k := range kinds {
+		k.report(t)
+	}
 }
 
 func (k *kind) ask(w *world, p *simPool, repeated, returned int, returning bool) {
@@ -143,10 +146,9 @@
 		t.Run(fmt.Sprint(load, " times the room"), func(t *testing.T) {
 			w, p, room := newLoad(1)
 			kinds := threeKinds(load * room)
-			play(w, p, kinds...)
+			play(t, playEnd, w, p, kinds...)
 			answered := 0
 			for _, k := range kinds {
-				k.report(t)
 				answered += k.answered
 				assert.Assert(t, load > 1 || k.rejected == 0)
 			}
@@ -169,10 +171,7 @@
 	for i, share := range []float64{0.4, 0.3, 0.3} {
 		kinds[i].perSecond = swing(share)
 	}
-	play(w, p, kinds...)
-	for _, k := range kinds {
-		k.report(t)
-	}
+	play(t, playEnd, w, p, kinds...)
 	checkOrder(t, kinds)
 	checkReturns(t, room, kinds)
 	checkPrompt(t, kinds)
@@ -186,9 +185,7 @@
 	patient, hasty := threeKinds(0.75 * room * 2)[0], threeKinds(0.75 * room * 2)[0]
 	patient.perSecond, hasty.perSecond = steady(0.75*room), steady(0.75*room)
 	hasty.repeats = 3
-	playUntil(callersUntil+5*time.Minute, w, p, patient, hasty) // all places are due
-	patient.report(t)
-	hasty.report(t)
+	play(t, callersUntil+5*time.Minute, w, p, patient, hasty) // all places are due
 	assert.Assert(t, patient.reached() >= hasty.reached())
 	assert.Assert(t, patient.served() >= hasty.served())
 	checkReturns(t, room, []*kind{patient, hasty})
@@ -204,7 +201,7 @@
 				w := newWorld(seed)
 				targets := w.newTargets(1, 3, 1)
 				kinds := threeKinds(load * capacity(targets, simWork))
-				play(w, newSimPool(w, targets, time.Millisecond), kinds...)
+				play(t, playEnd, w, newSimPool(w, targets, time.Millisecond), kinds...)
 				for i, k := range kinds {
 					sum[i].add(k)
 				}
@@ -241,9 +238,8 @@
 		p.pool = dispatch.NewPool(dispatch.Config{})
 		p.update(dispatch.TargetsChanged{At: p.at(), Targets: p.infos()})
 	})
-	play(w, p, kinds...)
+	play(t, playEnd, w, p, kinds...)
 	for _, k := range kinds {
-		k.report(t)
 		assert.Equal(t, k.rejected, 0)
 		assert.Assert(t, k.served() > 0.99)
 	}
@@ -256,9 +252,8 @@
 	silent := p.targets["t0002"]
 	silent.silent = true
 	kinds := threeKinds(0.5 * room)
-	play(w, p, kinds...)
+	play(t, playEnd, w, p, kinds...)
 	for _, k := range kinds {
-		k.report(t)
 		assert.Equal(t, k.rejected, 0)
 	}
 	probes := int((callersUntil + 10*time.Second) / kinds[0].timeout)
@@ -291,7 +286,7 @@
 					}
 				})
 			}
-			play(w, p, kinds...)
+			play(t, playEnd, w, p, kinds...)
 			for _, info := range p.infos()[:cold] {
 				target := p.targets[info.Target.ID]
 				target.asked = slices.DeleteFunc(target.asked, func(at time.Duration) bool { return at > 30*time.Second })
