Agree on a feature level, and stop at records that are not known

Cause: a replica that did not know a field of a command took it for an empty command and went on, so that its state differed from that of newer builds.

Change: replicas and entries announce their feature level, and the leader raises the agreed one once all support it. Commands that need more are rejected with ErrFeatureLevel. Replicas and entries below the agreed level are refused. cranberrywind features and the gauge feature_level show the state.

--- a/cmd/cranberrywind/main.go
+++ b/cmd/cranberrywind/main.go
@@ -63,7 +63,7 @@
 	}
 	root.AddCommand(
 		newServe(), newRoute(), newDev(), newStandin(), newCheck(), newConfig(),
-		newKeys(), newTargets(), newReport(), newLoad(), newCapacity(), newExplain(), newVersion(),
+		newKeys(), newTargets(), newReport(), newLoad(), newCapacity(), newExplain(), newFeatures(), newVersion(),
 	)
 	return root
 }
--- a/internal/deployment/commands.go
+++ b/internal/deployment/commands.go
@@ -20,6 +20,7 @@
 	Move          []RangeRef    `msgpack:"move,omitempty"`
 	CrashReport   *CrashReport  `msgpack:"blame,omitempty"`
 	ClearSuspects []string      `msgpack:"pardon,omitempty"` // fingerprints
+	RaiseLevel    *RaiseLevel   `msgpack:"raise_level,omitempty"`
 }
 
 // Incarnation identifies one start of a target's process.
@@ -79,15 +80,31 @@
 	Reason  string        `msgpack:"reason"`
 }
 
-// Apply returns the state after the encoded command at a log index, and the
-// encoded Result.
+// Apply is TryApply for callers that have no use for the error.
 func (s State) Apply(index uint64, data []byte) (State, []byte) {
-	var c Command
-	if err := wire.Decode(data, &c); err != nil {
+	next, value, err := s.TryApply(index, data)
+	if err != nil {
 		return s, wire.Encode(Result{Outcome: Invalid, Reason: err.Error()})
 	}
+	return next, value
+}
+
+// TryApply returns the state after the encoded command at a log index, and the encoded
+// Result. The error matches ErrUnknownRecord if the command has a field that this build
+// does not know, also within another field, or a value of another type, or if it raises
+// the feature level above that of this build. Unknown values of known types, such as a
+// route's kind, are not detected: they need a level that was raised before.
+func (s State) TryApply(index uint64, data []byte) (State, []byte, error) {
+	var c Command
+	if err := wire.DecodeStrict(data, &c); err != nil {
+		return s, nil, fmt.Errorf("%w: %w", ErrUnknownRecord, err)
+	}
+	if c.RaiseLevel != nil {
+		next, err := s.raiseLevel(index, *c.RaiseLevel)
+		return next, wire.Encode(Result{}), err
+	}
 	s, result := s.apply(index, c)
-	return s, wire.Encode(result)
+	return s, wire.Encode(result), nil
 }
 
 func (s State) apply(index uint64, c Command) (State, Result) {
--- a/internal/deployment/state.go
+++ b/internal/deployment/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"github.com/cranberrywind/cranberrywind/internal/suspect"
@@ -51,6 +52,7 @@
 	tables        []KeyTable
 	suspects      []Suspect
 	suspectsIndex uint64 // log index of the last change of the suspects
+	featureLevel  uint64 // agreed level; 0 if it was never raised
 	// earlierConfigs are the configurations before the one in force, oldest first.
 	// They are not part of a snapshot.
 	earlierConfigs []indexedConfig
@@ -171,6 +173,7 @@
 	Tables        []KeyTable `msgpack:"tables"`
 	Suspects      []Suspect  `msgpack:"suspects"`
 	SuspectsIndex uint64     `msgpack:"blamed"`
+	FeatureLevel  uint64     `msgpack:"feature_level,omitempty"`
 }
 
 // Encode returns the state as a snapshot for Decode.
@@ -184,14 +187,19 @@
 		Tables:        s.tables,
 		Suspects:      s.suspects,
 		SuspectsIndex: s.suspectsIndex,
+		FeatureLevel:  s.featureLevel,
 	})
 }
 
-// Decode returns the state of a snapshot by Encode.
+// Decode returns the state of a snapshot by Encode. The error matches ErrUnknownRecord if
+// the snapshot has a field that this build does not know, or a higher feature level.
 func Decode(data []byte) (State, error) {
 	var in snapshot
-	if err := wire.Decode(data, &in); err != nil {
-		return State{}, err
+	if err := wire.DecodeStrict(data, &in); err != nil {
+		return State{}, fmt.Errorf("%w: %w", ErrUnknownRecord, err)
+	}
+	if in.FeatureLevel > FeatureLevel {
+		return State{}, fmt.Errorf("%w: the snapshot has level %d, and this build supports %d", ErrUnknownRecord, in.FeatureLevel, FeatureLevel)
 	}
 	return State{
 		version:       in.Version,
@@ -202,5 +210,6 @@
 		tables:        in.Tables,
 		suspects:      in.Suspects,
 		suspectsIndex: in.SuspectsIndex,
+		featureLevel:  in.FeatureLevel,
 	}, nil
 }
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -38,6 +38,7 @@
 	openReplica    atomic.Pointer[openReplica]
 	fs             disk.FS // nil for the operating system's file system
 	seeds          atomic.Pointer[[]string]
+	refusals       refusals
 
 	invalidKeyReports atomic.Uint64
 	invalidKeysOf     sync.Map // targets whose invalid reports were logged
@@ -56,8 +57,8 @@
 	_ view.Source                = (*Control)(nil)
 )
 
-// ErrUnavailable is returned with every error of a call to the leader, for example
-// when the control group did not decide in time. The request may still take effect
+// ErrUnavailable is returned with every error of a call to the leader but
+// deployment.ErrFeatureLevel, for example when the control group did not decide in time. The request may still take effect
 // later.
 var ErrUnavailable = errors.New("control group is not available")
 
@@ -74,6 +75,10 @@
 // SubmitChange sends an operator's configuration change to the leader and returns
 // the decision. It may be called at any control instance.
 func (c *Control) SubmitChange(ctx context.Context, change deployment.ConfigChange) (deployment.Result, error) {
+	// The leader may be of an earlier build, which does not check the level.
+	if err := c.State().Admit(deployment.Command{ConfigChange: &change}); err != nil {
+		return deployment.Result{}, err
+	}
 	res, err := callLeader[instance.ConfigChangeRequest, instance.ConfigChangeResponse](ctx, c, "Change", &instance.ConfigChangeRequest{Change: change}, c.ChangeConfig)
 	if err != nil {
 		return deployment.Result{}, err
@@ -128,10 +133,11 @@
 	}
 }
 
-// wrapUnavailable adds ErrUnavailable to an error.
+// wrapUnavailable adds ErrUnavailable to an error, but not to deployment.ErrFeatureLevel,
+// which the leader returns.
 func wrapUnavailable(err error) error {
-	if err == nil {
-		return nil
+	if err == nil || errors.Is(err, deployment.ErrFeatureLevel) {
+		return err
 	}
 	return fmt.Errorf("%w: %w", ErrUnavailable, err)
 }
@@ -184,8 +190,12 @@
 	return &instance.ConfigChangeResponse{Result: result}, nil
 }
 
-// propose commits a command and returns its result.
+// propose commits a command and returns its result, or an error that matches
+// deployment.ErrFeatureLevel if the command needs a higher level than the agreed one.
 func (c *Control) propose(ctx context.Context, command deployment.Command) (deployment.Result, error) {
+	if err := c.State().Admit(command); err != nil {
+		return deployment.Result{}, err
+	}
 	committed, err := c.lastReplica().group.Propose(ctx, wire.Encode(command))
 	if err != nil {
 		return deployment.Result{}, err
@@ -243,8 +253,17 @@
 
 // Watch streams updates of the view to an entry.
 func (c *Control) Watch(ctx context.Context, req *instance.WatchRequest, send func(*instance.ViewUpdate) error) error {
+	if err := c.checkLevel("entry", req.Instance, req.Level); err != nil {
+		return err
+	}
 	c.log.Info("entry subscribed to the view", "entry", req.Instance, "view_version", req.Version)
-	return c.publisher.Publish(ctx, req, send)
+	return c.publisher.Publish(ctx, req, func(u *instance.ViewUpdate) error {
+		// The level may have been raised since the entry subscribed.
+		if err := c.checkLevel("entry", req.Instance, req.Level); err != nil {
+			return err
+		}
+		return send(u)
+	})
 }
 
 // State returns the state that this replica has applied.
@@ -272,16 +291,11 @@
 	return out
 }
 
-// Deliver passes a message of the group to the replica.
-func (c *Control) Deliver(e group.Envelope) {
-	if e.Group == groupName {
-		c.lastReplica().group.Receive(e)
-	}
-}
-
 // Probe returns the replica's identity and whether it has a membership.
 func (c *Control) Probe(context.Context, *instance.ProbeRequest) (*instance.ProbeResponse, error) {
-	return &instance.ProbeResponse{Self: c.lastReplica().group.Self(), Formed: c.lastReplica().group.Formed()}, nil
+	return &instance.ProbeResponse{
+		Self: c.lastReplica().group.Self(), Formed: c.lastReplica().group.Formed(), Level: deployment.FeatureLevel,
+	}, nil
 }
 
 // Form sets the group's first membership on the replica.
@@ -294,6 +308,11 @@
 	if !c.isLeader() {
 		return nil, c.notLeaderError()
 	}
+	if err := c.checkLevel("replica", string(req.Member.ID), req.Level); err != nil {
+		return nil, err
+	}
+	c.lastReplica().group.NoteLevel(req.Member.ID, req.Level)
+	c.lastReplica().leader.LevelHeard(string(req.Member.ID), req.Level)
 	c.lastReplica().members.Join(req.Member)
 	return &instance.Empty{}, nil
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -122,7 +122,7 @@
 	}
 	i.addGauges()
 	if i.cfg.MetricsAddress != "" {
-		_, err := i.listenHTTP(i.cfg.MetricsAddress, i.metrics)
+		_, err := i.listenHTTP(i.cfg.MetricsAddress, i.adminHandler())
 		return err
 	}
 	return nil
@@ -138,6 +138,7 @@
 		i.metrics.addGauge("applied_index", func() any { return c.lastReplica().group.State().Index })
 		i.metrics.addGauge("config_version", func() any { cfg, _ := c.State().Config(); return cfg.Version })
 		i.metrics.addGauge("invalid_key_reports", func() any { return c.invalidKeyReports.Load() })
+		i.metrics.addGauge("feature_level", c.featureGauge)
 		i.metrics.addGauge("targets", func() any { return countTargets(c.State().Targets()) })
 	}
 	if v := i.follower; v != nil {
@@ -203,7 +204,7 @@
 }
 
 func (i *Instance) startEntry(ctx context.Context) error {
-	i.follower = view.Follow(ctx, view.FollowerConfig{Name: i.cfg.Name, Seeds: i.cfg.Seeds, Pool: i.pool, Log: i.log})
+	i.follower = view.Follow(ctx, view.FollowerConfig{Name: i.cfg.Name, Seeds: i.cfg.Seeds, Pool: i.pool, Log: i.log, Level: deployment.FeatureLevel})
 	targets, closeTargets := targethttp.NewPool(i.clock)
 	i.cleanups.Add(closeTargets)
 	l, err := net.Listen("tcp", i.cfg.CallerAddress)
@@ -271,6 +272,7 @@
 func (i *Instance) sendReport(ctx context.Context, leaderClient *instance.LeaderClient, r instance.ReportRequest) *instance.ReportResponse {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
+	r.Level = deployment.FeatureLevel
 	control := i.follower.View().Control
 	if r.Collect && len(control) > 0 {
 		res, err := instance.Call[instance.ReportRequest, instance.ReportResponse](ctx, i.pool, i.collectors.choose(i.cfg.Name, control), "Report", &r)
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -40,7 +40,8 @@
 }
 
 // start opens the replica and starts forwarding heartbeats. It reopens the replica
-// after disk failures, until the returned function is called.
+// after disk failures, until the returned function is called. A replica that finds a record
+// which this build does not know stays stopped.
 func (c *Control) start(ctx context.Context) (func(), error) {
 	c.seeds.Store(&c.cfg.Seeds)
 	stop, err := c.open(ctx)
@@ -71,11 +72,20 @@
 			return
 		case <-c.lastReplica().group.Done():
 		}
-		c.log.Error("replica stopped after a disk failure", "error", c.lastReplica().group.Err())
+		err := c.lastReplica().group.Err()
 		stop()
 		stop = func() {}
+		if unknownRecord(err) {
+			c.stayStopped(ctx, err)
+			return
+		}
+		c.log.Error("replica stopped after a disk failure", "error", err)
 		for retry := true; retry && timer.Sleep(ctx, reopenDelay); {
 			next, err := c.open(ctx)
+			if unknownRecord(err) {
+				c.stayStopped(ctx, err)
+				return
+			}
 			if err != nil {
 				c.log.Warn("replica not reopened yet; retrying", "error", err)
 				continue
@@ -100,6 +110,7 @@
 		Clock:     c.clock,
 		Timing:    groupTiming(),
 		FS:        c.fs,
+		Level:     deployment.FeatureLevel,
 	})
 	if err != nil {
 		cancel()
@@ -107,7 +118,8 @@
 	}
 	lead, stopLead := leader.Start(ctx, g, c.targets, c.clock, newModel(c.cfg), c.log)
 	m := membership.New(g, c.pool, c.clock, c.log, nil).
-		WithSeeds(membership.Seeds{Peers: seedPeers(*c.seeds.Load()), Bootstrap: c.cfg.Bootstrap})
+		WithSeeds(membership.Seeds{Peers: seedPeers(*c.seeds.Load()), Bootstrap: c.cfg.Bootstrap}).
+		WithLevel(deployment.FeatureLevel)
 	go m.Run(ctx)
 	c.openReplica.Store(&openReplica{group: g, leader: lead, members: m})
 	return func() {
--- a/internal/group/effects.go
+++ b/internal/group/effects.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"slices"
 
-	"github.com/cranberrywind/cranberrywind/internal/wire"
 	"github.com/cranberrywind/cranberrywind/pkg/replica"
 )
 
@@ -37,8 +36,7 @@
 	case replica.Send:
 		g.send(e.Message)
 	case replica.Apply:
-		g.apply(e.Entries)
-		return true, nil
+		return true, g.apply(e.Entries)
 	case replica.Restore:
 		return true, g.restore(e.Snapshot)
 	case replica.Appended:
@@ -77,9 +75,9 @@
 		return nil
 	}
 	if newSnapshot {
-		return g.store.Replace(wire.Encode(g.fullRecord()))
+		return g.store.Replace(g.frame(g.fullRecord()))
 	}
-	return g.store.Append(wire.Encode(record{Persist: batch}))
+	return g.store.Append(g.frame(record{Persist: batch}))
 }
 
 // fullRecord returns the first record of a new log file, with everything stored.
@@ -95,20 +93,33 @@
 	if address == "" {
 		return
 	}
-	g.cfg.Transport.Send(address, Envelope{Group: g.cfg.Name, FromAddress: g.cfg.Address, Message: m})
+	g.cfg.Transport.Send(address, Envelope{Group: g.wireName(), FromAddress: g.cfg.Address, Message: m, Level: g.cfg.Level})
 }
 
-func (g *Group[S]) apply(entries []replica.Entry) {
+func (g *Group[S]) apply(entries []replica.Entry) error {
 	state := g.State().State
 	for _, e := range entries {
 		var value []byte
 		if e.Kind == replica.EntryCommand {
-			state, value = state.Apply(e.Index, e.Data)
+			var err error
+			if state, value, err = applyCommand(state, e); err != nil {
+				return fmt.Errorf("apply record %d: %w", e.Index, err)
+			}
 		}
 		g.applied.Store(&Applied[S]{Index: e.Index, State: state})
 		g.resolveProposal(e, value)
 	}
 	g.compactIfLong()
+	return g.raiseFileLevel()
+}
+
+// applyCommand applies one committed command.
+func applyCommand[S Machine[S]](state S, e replica.Entry) (S, []byte, error) {
+	if strict, ok := any(state).(Strict[S]); ok {
+		return strict.TryApply(e.Index, e.Data)
+	}
+	next, value := state.Apply(e.Index, e.Data)
+	return next, value, nil
 }
 
 // resolveProposal resolves the waiter of the proposal at e's index, if any. An
@@ -140,7 +151,7 @@
 			g.waiters.resolve(p.token, outcome{err: ErrOutcomeUnknown})
 		}
 	}
-	return nil
+	return g.raiseFileLevel()
 }
 
 // resolveReads resolves the barriers whose index is applied.
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -14,7 +14,6 @@
 
 	"github.com/google/uuid"
 
-	"github.com/cranberrywind/cranberrywind/internal/wire"
 	"github.com/cranberrywind/cranberrywind/pkg/disk"
 	"github.com/cranberrywind/cranberrywind/pkg/loop"
 	"github.com/cranberrywind/cranberrywind/pkg/replica"
@@ -49,6 +48,8 @@
 	Group       string          `msgpack:"group"`
 	FromAddress string          `msgpack:"from_address"`
 	Message     replica.Message `msgpack:"message"`
+	// Level is the feature level that the sender supports; 0 if it announces none.
+	Level uint64 `msgpack:"level,omitempty"`
 }
 
 // Config configures a group's replica.
@@ -63,6 +64,8 @@
 	Clock     timer.Clock
 	Timing    Timing
 	FS        disk.FS // nil for the operating system's
+	// Level is the feature level that this build supports and announces; 0 for none.
+	Level uint64
 }
 
 // Timing holds a replica's tick and its timeouts in ticks.
@@ -105,7 +108,9 @@
 	members   replica.Members
 	addresses map[replica.ID]string
 	role      replica.RoleChanged
+	levels    map[replica.ID]announcedLevel // from the last message of each replica
 
+	fileLevel    uint64 // feature level of the log file's frames
 	compacting   atomic.Bool
 	proposals    map[uint64]proposal // appended and not yet applied, by index
 	pendingReads []replica.ReadReady // barriers whose index is not yet applied
@@ -128,6 +133,7 @@
 		waiters:   newWaiters(),
 		notifier:  newNotifier(),
 		addresses: make(map[replica.ID]string),
+		levels:    make(map[replica.ID]announcedLevel),
 		proposals: make(map[uint64]proposal),
 	}
 	closeStore, err := g.recover()
@@ -185,7 +191,7 @@
 	}
 	if g.self.ID == "" {
 		g.self.ID = replica.ID(g.cfg.Instance + "#" + uuid.NewString()[:8])
-		if err := store.Append(wire.Encode(record{ID: g.self.ID})); err != nil {
+		if err := store.Append(g.frame(record{ID: g.self.ID})); err != nil {
 			return nil, errors.Join(err, closeStore())
 		}
 	}
@@ -195,8 +201,8 @@
 // replay restores the replica's ID, its stored log and the state of its snapshot.
 func (g *Group[S]) replay(frames [][]byte) error {
 	for _, frame := range frames {
-		var rec record
-		if err := wire.Decode(frame, &rec); err != nil {
+		rec, err := g.readFrame(frame)
+		if err != nil {
 			return err
 		}
 		if rec.ID != "" {
@@ -296,6 +302,7 @@
 	g.mu.Lock()
 	g.addresses[e.Message.From] = e.FromAddress
 	g.mu.Unlock()
+	g.NoteLevel(e.Message.From, e.Level)
 	_ = g.loop.Send(replica.Received{Message: e.Message})
 }
 
--- a/internal/instance/deployment_messages.go
+++ b/internal/instance/deployment_messages.go
@@ -66,6 +66,8 @@
 	// RelayAddress is where other entries can pass requests on to this one; empty while
 	// they can't.
 	RelayAddress string `msgpack:"relay_address,omitempty"`
+	// Level is the feature level that the entry supports; 0 if it announces none.
+	Level uint64 `msgpack:"level,omitempty"`
 }
 
 // ReportBatchRequest passes reports of several entries on to the leader.
@@ -179,6 +181,19 @@
 	Incarnations []deployment.Incarnation `msgpack:"lives"`
 }
 
+// FeaturesRequest asks the leader for the feature level.
+type FeaturesRequest struct{}
+
+// FeaturesResponse holds the feature levels of a deployment.
+type FeaturesResponse struct {
+	Agreed    uint64 `msgpack:"agreed" json:"agreed"`
+	Supported uint64 `msgpack:"supported" json:"supported"` // by the build of the instance that was asked
+	Leader    string `msgpack:"leader" json:"leader"`       // address of the leader; empty if none is known
+	// HeldBackBy names the instances because of which the leader does not raise the level,
+	// with the reason of each.
+	HeldBackBy []string `msgpack:"held_back_by" json:"held_back_by"`
+}
+
 // WatchRequest asks for an entry's view and all later changes of it.
 type WatchRequest struct {
 	Instance string `msgpack:"instance"`
@@ -187,6 +202,8 @@
 	ConfigIndex uint64 `msgpack:"doc_index"`
 	// Parts reports that the entry can assemble an update from parts.
 	Parts bool `msgpack:"parts"`
+	// Level is the feature level that the entry supports; 0 if it announces none.
+	Level uint64 `msgpack:"level,omitempty"`
 }
 
 // ViewUpdate holds changes of an entry's view. The first update of a stream holds
--- a/internal/instance/messages.go
+++ b/internal/instance/messages.go
@@ -135,12 +135,16 @@
 type BookingResponse struct{ Result booking.Result }
 
 // ProbeRequest asks an instance about its replica of a group.
-type ProbeRequest struct{ Group string }
+type ProbeRequest struct {
+	Group string
+	Level uint64 `msgpack:"level,omitempty"` // feature level that the sender supports
+}
 
 // ProbeResponse describes the replica.
 type ProbeResponse struct {
 	Self   replica.Member `msgpack:"self"`
-	Formed bool           `msgpack:"formed"` // the replica has a membership
+	Formed bool           `msgpack:"formed"`          // the replica has a membership
+	Level  uint64         `msgpack:"level,omitempty"` // feature level that the instance supports
 }
 
 // FormRequest sets the group's first membership on a replica without state.
@@ -153,4 +157,5 @@
 type JoinRequest struct {
 	Group  string         `msgpack:"group"`
 	Member replica.Member `msgpack:"member"`
+	Level  uint64         `msgpack:"level,omitempty"` // feature level that the replica supports
 }
--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc/mem"
 	"google.golang.org/grpc/status"
 
+	"github.com/cranberrywind/cranberrywind/internal/deployment"
 	"github.com/cranberrywind/cranberrywind/internal/group"
 	"github.com/cranberrywind/cranberrywind/internal/wire"
 	"github.com/cranberrywind/cranberrywind/pkg/replica"
@@ -51,6 +52,7 @@
 	ReportBatch(ctx context.Context, req *ReportBatchRequest) (*ReportBatchResponse, error)
 	ReportHeartbeats(ctx context.Context, req *HeartbeatsRequest) (*Empty, error)
 	KeyHeartbeat(ctx context.Context, req *KeyHeartbeatRequest) (*KeyHeartbeatResponse, error)
+	Features(ctx context.Context, req *FeaturesRequest) (*FeaturesResponse, error)
 	// Watch sends updates until send fails or ctx ends, and returns the error.
 	Watch(ctx context.Context, req *WatchRequest, send func(*ViewUpdate) error) error
 }
@@ -132,6 +134,7 @@
 			unary("ReportBatch", DeploymentHandler.ReportBatch),
 			unary("Heard", DeploymentHandler.ReportHeartbeats),
 			unary("KeyHeartbeat", DeploymentHandler.KeyHeartbeat),
+			unary("Features", DeploymentHandler.Features),
 		),
 		Streams: []grpc.StreamDesc{deliverStream(), {StreamName: "Watch", Handler: handleWatch, ServerStreams: true}},
 	}
@@ -220,6 +223,8 @@
 		return status.Error(codes.FailedPrecondition, notLeader.Leader)
 	case errors.Is(err, group.ErrOutcomeUnknown):
 		return status.Error(codes.Unknown, err.Error())
+	case errors.Is(err, deployment.ErrFeatureLevel):
+		return status.Error(codes.Unimplemented, err.Error())
 	case errors.Is(err, ErrRejected):
 		return status.Error(codes.PermissionDenied, err.Error())
 	case errors.Is(err, group.ErrNotCommitted), errors.Is(err, replica.ErrTransferring), errors.Is(err, replica.ErrNotLeader):
@@ -239,6 +244,9 @@
 	switch s, _ := status.FromError(err); s.Code() {
 	case codes.FailedPrecondition:
 		return &NotLeaderError{Leader: s.Message()}
+	case codes.Unimplemented:
+		// gRPC also returns this code for a method that an earlier build does not have.
+		return fmt.Errorf("%s: %w", s.Message(), deployment.ErrFeatureLevel)
 	case codes.PermissionDenied:
 		return fmt.Errorf("%s: %w", s.Message(), ErrRejected)
 	case codes.Aborted:
--- a/internal/leader/events.go
+++ b/internal/leader/events.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/internal/group"
 	"github.com/cranberrywind/cranberrywind/internal/instance"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
@@ -88,10 +89,12 @@
 // LeadershipLost reports that this instance no longer leads.
 type LeadershipLost struct{}
 
-// Ticked carries the time and the committed state.
+// Ticked carries the time, the committed state and the feature levels that the members of
+// the control group announce.
 type Ticked struct {
-	At    timer.Instant
-	State deployment.State
+	At      timer.Instant
+	State   deployment.State
+	Members []group.MemberLevel // nil if they were not read
 }
 
 // HeartbeatReceived reports a heartbeat of a target.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -66,6 +66,7 @@
 	loop        *loop.Loop[*Model, Event, Effect]
 	ctx         context.Context
 	advice      atomic.Pointer[Advise]
+	levels      atomic.Pointer[LevelReport]
 	confirmedAt atomic.Int64 // boot-clock time at which the last successful barrier began
 	heartbeatID atomic.Uint64
 	answers     sync.Map // channels for answers to heartbeats, by their ID
@@ -137,6 +138,21 @@
 	}
 }
 
+// LevelHeard records the feature level that an instance announces.
+func (l *Leader) LevelHeard(name string, level uint64) {
+	l.loop.TrySend(LevelHeard{At: l.clock.Now(), Name: name, Level: level})
+}
+
+// LevelReport returns the last report on the feature level of this term, or false if there
+// is none.
+func (l *Leader) LevelReport() (LevelReport, bool) {
+	r := l.levels.Load()
+	if r == nil {
+		return LevelReport{}, false
+	}
+	return *r, true
+}
+
 // Report records an entry's measurements and returns the current advice, which is
 // derived from the reports of all entries.
 func (l *Leader) Report(r instance.ReportRequest) instance.ReportResponse {
@@ -182,7 +198,7 @@
 			l.log.Info("control leadership lost", "term", role.Term, "leader", role.Leader)
 		}
 		if term != 0 && l.leadershipConfirmed() {
-			_ = l.loop.Send(Ticked{At: l.clock.Now(), State: l.group.State().State})
+			_ = l.loop.Send(Ticked{At: l.clock.Now(), State: l.group.State().State, Members: l.group.MemberLevels()})
 		}
 		select {
 		case <-ctx.Done():
@@ -216,6 +232,7 @@
 	}
 	l.confirmedAt.Store(int64(start))
 	l.advice.Store(nil) // that of an earlier term
+	l.levels.Store(nil)
 	_ = l.loop.Send(LeadershipTaken{At: l.clock.Now(), Index: applied.Index, State: l.group.State().State})
 	l.log.Info("control leadership taken", "term", term, "applied", applied.Index)
 	return term
@@ -255,6 +272,9 @@
 			l.answerKeyHeartbeat(e)
 		case Advise:
 			l.advice.Store(&e)
+		case LevelReport:
+			l.levels.Store(&e)
+			l.log.Info("feature level", "agreed", e.Agreed, "held_back_by", e.HeldBackBy)
 		case LogLoad:
 			l.log.Info("load of keyed service", "service", e.Service, "targets", e.Targets, "pieces", e.Ranges,
 				"utilization", e.Utilization, "shares", e.BusiestTargets, "hot", e.BusiestBuckets)
@@ -299,7 +319,11 @@
 func (l *Leader) propose(e Propose) {
 	ctx, cancel := context.WithTimeout(l.ctx, proposeTimeout)
 	defer cancel()
-	result, err := l.group.Propose(ctx, wire.Encode(e.Command))
+	var result group.Result
+	err := l.group.State().State.Admit(e.Command)
+	if err == nil {
+		result, err = l.group.Propose(ctx, wire.Encode(e.Command))
+	}
 	l.log.Info("control command", "reason", e.Reason, "index", result.Index, "change", commandDetails(e.Command), "error", err)
 	_ = l.loop.Send(ProposeEnded{Err: err})
 	if err == nil {
@@ -336,6 +360,8 @@
 		return c.ClearSuspects
 	case c.MarkSilent != nil:
 		return *c.MarkSilent
+	case c.RaiseLevel != nil:
+		return *c.RaiseLevel
 	default:
 		return c.Forget
 	}
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -67,6 +67,7 @@
 func (m *Model) handleReport(e Reported) {
 	m.now = max(m.now, e.At)
 	m.lastReports[e.Report.Instance] = e.At
+	m.handleLevelHeard(LevelHeard{At: e.At, Name: e.Report.Instance, Level: e.Report.Level})
 	delete(m.peers, e.Report.Instance)
 	if address := e.Report.RelayAddress; address != "" {
 		m.peers[e.Report.Instance] = instance.Peer{Address: address, AvailabilityZone: e.Report.Zone}
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -52,6 +52,7 @@
 	entryLoads       map[string]*entryLoad // by entry
 	notices          map[deployment.Incarnation]*targetNotice
 	drainingSince    map[deployment.Incarnation]timer.Instant // when this leader first saw that a target drains or has left
+	levels           levelState
 }
 
 // serviceArrivals records when targets of a service arrived before its keys were first
@@ -127,6 +128,8 @@
 		}
 	case Reported:
 		m.handleReport(e)
+	case LevelHeard:
+		m.handleLevelHeard(e)
 	case GrantEnded:
 		m.handleGrantEnded(e)
 	case ReleaseEnded:
@@ -140,6 +143,9 @@
 	case Ticked:
 		m.now = e.At
 		m.adoptState(e.State)
+		if e.Members != nil {
+			m.levels.members = e.Members
+		}
 		return m, append(m.answerHeartbeats(), m.plan()...)
 	}
 	return m, nil
@@ -240,7 +246,7 @@
 	m.planCount++
 	m.indexAddresses()
 	m.timing = m.granter.timing(m.base, m.countRanges())
-	effects := m.planTargetStatus()
+	effects := append(m.planLevel(), m.planTargetStatus()...)
 	var reassignable []deployment.Assignment
 	var moves []deployment.RangeRef
 	var due []dueGrant
--- a/internal/membership/manager.go
+++ b/internal/membership/manager.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -43,10 +44,15 @@
 	log       *log.Logger
 	listPeers func() []settings.Peer
 
+	level        uint64 // feature level to announce; 0 for none
 	seeds        *Seeds // nil if listPeers names the instances
 	silentSince  map[replica.ID]timer.Instant
 	leaderSeenAt timer.Instant // when the replica last had a leader
 
+	// When logRefusal last wrote a line. Only the goroutine of Run uses them.
+	refusalLogged   bool
+	refusalLoggedAt timer.Instant
+
 	mu      sync.Mutex
 	joining map[string]joinRequest // by name of the instance
 }
@@ -63,6 +69,32 @@
 	return &Manager{replica: r, pool: pool, clock: clock, log: logger, listPeers: listPeers, joining: make(map[string]joinRequest)}
 }
 
+// WithLevel sets the feature level to announce when probing and joining, and returns the
+// manager. Call it before Run.
+func (m *Manager) WithLevel(level uint64) *Manager {
+	m.level = level
+	return m
+}
+
+// levelNoter is a replica that keeps the feature levels that others announce.
+type levelNoter interface {
+	NoteLevel(id replica.ID, level uint64)
+}
+
+// refusalLogPeriod is the time between two log lines about a refused request to join, which
+// is sent every tickPeriod.
+const refusalLogPeriod = 10 * time.Second
+
+// logRefusal logs that the leader refuses this replica.
+func (m *Manager) logRefusal(err error) {
+	now := m.clock.Now()
+	if m.refusalLogged && now.Sub(m.refusalLoggedAt) < refusalLogPeriod {
+		return
+	}
+	m.refusalLogged, m.refusalLoggedAt = true, now
+	m.log.Error("group refuses this replica", "group", m.replica.Name(), "replica", m.replica.Self().ID, "level", m.level, "error", err)
+}
+
 // Run manages the group until ctx ends.
 func (m *Manager) Run(ctx context.Context) {
 	timer.Every(ctx, m.clock, tickPeriod, func() { m.tick(ctx) })
@@ -165,8 +197,12 @@
 func (m *Manager) probe(ctx context.Context, address string) (*instance.ProbeResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	req := &instance.ProbeRequest{Group: m.replica.Name()}
-	return instance.Call[instance.ProbeRequest, instance.ProbeResponse](ctx, m.pool, address, "Probe", req)
+	req := &instance.ProbeRequest{Group: m.replica.Name(), Level: m.level}
+	res, err := instance.Call[instance.ProbeRequest, instance.ProbeResponse](ctx, m.pool, address, "Probe", req)
+	if l, ok := m.replica.(levelNoter); ok && err == nil && res.Self.ID != m.replica.Self().ID {
+		l.NoteLevel(res.Self.ID, res.Level)
+	}
+	return res, err
 }
 
 func (m *Manager) isFirst(peers []settings.Peer) bool {
@@ -207,9 +243,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	req := &instance.JoinRequest{Group: m.replica.Name(), Member: m.replica.Self()}
+	req := &instance.JoinRequest{Group: m.replica.Name(), Member: m.replica.Self(), Level: m.level}
 	leader := instance.NewLeaderClient(m.pool, addresses, callTimeout)
-	if _, err := instance.CallLeader[instance.JoinRequest, instance.Empty](ctx, leader, "Join", req); err != nil {
+	if _, err := instance.CallLeader[instance.JoinRequest, instance.Empty](ctx, leader, "Join", req); errors.Is(err, instance.ErrRejected) {
+		m.logRefusal(err)
+	} else if err != nil {
 		m.log.Debug("not added to the group yet", "group", m.replica.Name(), "error", err)
 	}
 }
--- a/internal/view/follow.go
+++ b/internal/view/follow.go
@@ -34,6 +34,7 @@
 	Seeds []string // addresses of control instances
 	Pool  *instance.Pool
 	Log   *log.Logger
+	Level uint64 // feature level to announce
 }
 
 const (
@@ -53,6 +54,9 @@
 	// maxOpening limits the control instances that are asked in parallel.
 	maxOpening = 3
 	retryDelay = 50 * time.Millisecond
+	// refusedDelay is the time before a control instance that has refused the entry is
+	// asked again.
+	refusedDelay = time.Second
 )
 
 // errStalled ends a stream after openTimeout or silenceTimeout.
@@ -218,7 +222,7 @@
 	messages := 0
 	opened, bytesBefore := time.Now(), f.cfg.Pool.BytesReceived(s.address)
 	view := f.View()
-	req := &instance.WatchRequest{Instance: f.cfg.Name, Version: view.Version, ConfigIndex: view.ConfigIndex, Parts: true}
+	req := &instance.WatchRequest{Instance: f.cfg.Name, Version: view.Version, ConfigIndex: view.ConfigIndex, Parts: true, Level: f.cfg.Level}
 	var parts assembler
 	err := f.cfg.Pool.Watch(s.ctx, s.address, req, func(u *instance.ViewUpdate) error {
 		if messages++; messages == 1 {
@@ -252,6 +256,14 @@
 		f.cfg.Log.Warn("view stream lost; asking another control instance", "control", s.address, "version", f.View().Version,
 			"open_ms", time.Since(opened).Milliseconds(), "messages", messages, "received_bytes", f.cfg.Pool.BytesReceived(s.address)-bytesBefore, "error", err)
 	}
+	if errors.Is(err, instance.ErrRejected) {
+		f.cfg.Log.Error("control instance refuses this entry", "control", s.address, "level", f.cfg.Level, "error", err)
+		select { // the answer does not change soon
+		case <-time.After(refusedDelay):
+		case <-f.done:
+			return
+		}
+	}
 	select {
 	case ended <- s:
 	case <-f.done:
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -3,6 +3,7 @@
 package wire
 
 import (
+	"bytes"
 	"fmt"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -28,3 +29,18 @@
 	}
 	return nil
 }
+
+// DecodeStrict is like Decode. It also returns an error for a field that the type of v, or
+// a type in it, does not have, and for bytes after the value.
+func DecodeStrict(data []byte, v any) error {
+	r := bytes.NewReader(data)
+	d := msgpack.NewDecoder(r)
+	d.DisallowUnknownFields(true)
+	if err := d.Decode(v); err != nil {
+		return fmt.Errorf("decode %T: %w", v, err)
+	}
+	if n := r.Len(); n > 0 {
+		return fmt.Errorf("decode %T: %d bytes after the value", v, n)
+	}
+	return nil
+}
