--- a/internal/fleet/replica_test.go
+++ b/internal/fleet/replica_test.go
@@ -17,6 +17,7 @@
 	"github.com/cranberrywind/cranberrywind/internal/instance"
 	"github.com/cranberrywind/cranberrywind/internal/leader"
 	"github.com/cranberrywind/cranberrywind/internal/settings"
+	"github.com/cranberrywind/cranberrywind/internal/view"
 	"github.com/cranberrywind/cranberrywind/pkg/disk"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
@@ -79,6 +80,7 @@
 		log:     log.New(io.Discard),
 		fs:      fs,
 	}
+	c.publisher = view.NewPublisher(c, c.clock)
 	stop, err := c.start(ctx)
 	assert.NilError(t, err)
 	t.Cleanup(stop)
