--- a/internal/deployment/state.go
+++ b/internal/deployment/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"github.com/cranberrywind/cranberrywind/internal/suspect"
@@ -57,6 +58,7 @@
 	evacuated      []Evacuation // of zones
 	evacuatedIndex uint64       // log index of the last change of the evacuated zones
 
+	featureLevel uint64 // agreed level; 0 if it was never raised
 	// earlierConfigs are the configurations before the one in force, oldest first.
 	// They are not part of a snapshot.
 	earlierConfigs []indexedConfig
@@ -181,6 +183,7 @@
 	Zones          []zoneRecord `msgpack:"zones,omitempty"`
 	ForgottenCalls uint64       `msgpack:"forgotten_calls,omitempty"`
 	EvacuatedIndex uint64       `msgpack:"evacuated_index,omitempty"`
+	FeatureLevel   uint64       `msgpack:"feature_level,omitempty"`
 }
 
 // Encode returns the state as a snapshot for Decode.
@@ -198,14 +201,19 @@
 		Zones:          s.zones,
 		ForgottenCalls: s.forgottenCalls,
 		EvacuatedIndex: s.evacuatedIndex,
+		FeatureLevel:   s.featureLevel,
 	})
 }
 
-// Decode returns the state of a snapshot by Encode.
+// Decode returns the state of a snapshot by Encode. The error matches ErrUnknownRecord if
+// the snapshot has a field that this build does not know, or a higher feature level.
 func Decode(data []byte) (State, error) {
 	var in snapshot
-	if err := wire.Decode(data, &in); err != nil {
-		return State{}, err
+	if err := wire.DecodeStrict(data, &in); err != nil {
+		return State{}, fmt.Errorf("%w: %w", ErrUnknownRecord, err)
+	}
+	if in.FeatureLevel > FeatureLevel {
+		return State{}, fmt.Errorf("%w: the snapshot has level %d, and this build supports %d", ErrUnknownRecord, in.FeatureLevel, FeatureLevel)
 	}
 	return State{
 		version:       in.Version,
@@ -221,5 +229,6 @@
 		forgottenCalls: in.ForgottenCalls,
 		evacuated:      evacuationsOf(in.Zones),
 		evacuatedIndex: in.EvacuatedIndex,
+		featureLevel:   in.FeatureLevel,
 	}, nil
 }
--- a/internal/fleet/admin.go
+++ b/internal/fleet/admin.go
@@ -28,28 +28,33 @@
 	Keys      int    `json:"keys"`            // that targets of the zone own, over all services
 }
 
-// errNoControl is the reason for which an entry reports no zones.
+// errNoControl is the reason for which an entry has no reports on the deployment.
 var errNoControl = errors.New("this instance is not a control instance; ask one")
 
 // newAdmin returns the handler of an instance's metrics address. All paths but those of the
 // reports serve the metrics. The control instance is nil for an entry.
 func newAdmin(c *Control, metrics http.Handler) http.Handler {
 	r := chi.NewRouter()
-	r.Get("/zones", func(w http.ResponseWriter, _ *http.Request) {
+	r.Get("/zones", controlReport(c, func(*http.Request) any { return zoneReport(c.State(), c.Current()) }))
+	r.Get("/features", controlReport(c, func(r *http.Request) any { return c.FeatureLevels(r.Context()) }))
+	r.NotFound(metrics.ServeHTTP)
+	r.MethodNotAllowed(metrics.ServeHTTP)
+	return r
+}
+
+// controlReport returns the handler of a report that only control instances have.
+func controlReport(c *Control, report func(r *http.Request) any) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
-		var body any
+		var body any = map[string]string{"error": errNoControl.Error()}
 		if c == nil {
 			w.WriteHeader(http.StatusNotFound)
-			body = map[string]string{"error": errNoControl.Error()}
 		} else {
-			body = zoneReport(c.State(), c.Current())
+			body = report(r)
 		}
 		// A client that has disconnected can ask again.
 		_ = json.NewEncoder(w).Encode(body)
-	})
-	r.NotFound(metrics.ServeHTTP)
-	r.MethodNotAllowed(metrics.ServeHTTP)
-	return r
+	}
 }
 
 func zoneReport(state deployment.State, current bool) ZoneReport {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -142,6 +142,7 @@
 		i.metrics.addGauge("applied_index", func() any { return c.lastReplica().group.State().Index })
 		i.metrics.addGauge("config_version", func() any { cfg, _ := c.State().Config(); return cfg.Version })
 		i.metrics.addGauge("invalid_key_reports", func() any { return c.invalidKeyReports.Load() })
+		i.metrics.addGauge("feature_level", c.featureGauge)
 		i.metrics.addGauge("targets", func() any { return countTargets(c.State().Targets()) })
 		i.metrics.addGauge("evacuated_zones", func() any { return len(c.State().Evacuated()) })
 	}
@@ -227,7 +228,7 @@
 	if i.cfg.PreferZone {
 		i.collectors.nearby = instance.NewNearby(i.cfg.AvailabilityZone, i.clock)
 	}
-	i.follower = view.Follow(ctx, view.FollowerConfig{Name: i.cfg.Name, Seeds: i.cfg.Seeds, Pool: i.pool, Log: i.log, Nearby: i.collectors.nearby})
+	i.follower = view.Follow(ctx, view.FollowerConfig{Name: i.cfg.Name, Seeds: i.cfg.Seeds, Pool: i.pool, Log: i.log, Nearby: i.collectors.nearby, Level: deployment.FeatureLevel})
 	targets, closeTargets := targethttp.NewPool(i.clock)
 	i.cleanups.Add(closeTargets)
 	l, err := net.Listen("tcp", i.cfg.CallerAddress)
@@ -319,6 +320,7 @@
 func (i *Instance) sendReport(ctx context.Context, leaderClient *instance.LeaderClient, r instance.ReportRequest) *instance.ReportResponse {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
+	r.Level = deployment.FeatureLevel
 	control := i.follower.View().Control
 	if r.Collect && len(control) > 0 {
 		address := i.collectors.choose(i.cfg.Name, control)
--- a/internal/instance/deployment_messages.go
+++ b/internal/instance/deployment_messages.go
@@ -83,6 +83,8 @@
 	// DispatchersVersion is the version of the list of dispatchers that the entry has, and
 	// NoDispatchers if it has none. It is 0 if the entry needs no list.
 	DispatchersVersion uint64 `msgpack:"dispatchers_version,omitempty"`
+	// Level is the feature level that the entry supports; 0 if it announces none.
+	Level uint64 `msgpack:"level,omitempty"`
 }
 
 // ReportBatchRequest passes reports of several entries on to the leader.
@@ -204,6 +206,19 @@
 	Incarnations []deployment.Incarnation `msgpack:"lives"`
 }
 
+// FeaturesRequest asks the leader for the feature level.
+type FeaturesRequest struct{}
+
+// FeaturesResponse holds the feature levels of a deployment.
+type FeaturesResponse struct {
+	Agreed    uint64 `msgpack:"agreed" json:"agreed"`
+	Supported uint64 `msgpack:"supported" json:"supported"` // by the build of the instance that was asked
+	Leader    string `msgpack:"leader" json:"leader"`       // address of the leader; empty if none is known
+	// HeldBackBy names the instances because of which the leader does not raise the level,
+	// with the reason of each.
+	HeldBackBy []string `msgpack:"held_back_by" json:"held_back_by"`
+}
+
 // WatchRequest asks for an entry's view and all later changes of it.
 type WatchRequest struct {
 	Instance string `msgpack:"instance"`
@@ -212,6 +227,8 @@
 	ConfigIndex uint64 `msgpack:"doc_index"`
 	// Parts reports that the entry can assemble an update from parts.
 	Parts bool `msgpack:"parts"`
+	// Level is the feature level that the entry supports; 0 if it announces none.
+	Level uint64 `msgpack:"level,omitempty"`
 }
 
 // ViewUpdate holds changes of an entry's view. The first update of a stream holds
--- a/internal/view/follow.go
+++ b/internal/view/follow.go
@@ -39,6 +39,7 @@
 	// Nearby makes the follower prefer control instances of its own availability zone. It
 	// may be nil.
 	Nearby *instance.Nearby
+	Level  uint64 // feature level to announce
 }
 
 const (
@@ -61,6 +62,9 @@
 	// nearPeriod is how often a follower of a farther control instance looks for one in
 	// its own availability zone.
 	nearPeriod = time.Second
+	// refusedDelay is the time before a control instance that has refused the entry is
+	// asked again.
+	refusedDelay = time.Second
 )
 
 // errStalled ends a stream after openTimeout or silenceTimeout.
@@ -248,7 +252,7 @@
 	messages := 0
 	opened, bytesBefore := time.Now(), f.cfg.Pool.BytesReceived(s.address)
 	view := f.View()
-	req := &instance.WatchRequest{Instance: f.cfg.Name, Version: view.Version, ConfigIndex: view.ConfigIndex, Parts: true}
+	req := &instance.WatchRequest{Instance: f.cfg.Name, Version: view.Version, ConfigIndex: view.ConfigIndex, Parts: true, Level: f.cfg.Level}
 	var parts assembler
 	err := f.cfg.Pool.Watch(s.ctx, s.address, req, func(u *instance.ViewUpdate) error {
 		if messages++; messages == 1 {
@@ -285,6 +289,14 @@
 		f.cfg.Log.Warn("view stream lost; asking another control instance", "control", s.address, "version", f.View().Version,
 			"open_ms", time.Since(opened).Milliseconds(), "messages", messages, "received_bytes", f.cfg.Pool.BytesReceived(s.address)-bytesBefore, "error", err)
 	}
+	if errors.Is(err, instance.ErrRejected) {
+		f.cfg.Log.Error("control instance refuses this entry", "control", s.address, "level", f.cfg.Level, "error", err)
+		select { // the answer does not change soon
+		case <-time.After(refusedDelay):
+		case <-f.done:
+			return
+		}
+	}
 	select {
 	case ended <- s:
 	case <-f.done:
