Bind requests for slots to their stream, and replace a stream that brings no answers

Cause: a request that was queued on a stream which was being closed failed, and began a fallback.

Change: each request knows its stream, and a stream that ends takes no more requests.

--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -54,6 +54,7 @@
 type Pending struct {
 	client  *client
 	address string // of the dispatcher
+	link    *link  // to the dispatcher; nil if that is this entry
 	pool    string
 	number  uint
 	changed chan struct{} // signals a change of the fields below
@@ -126,11 +127,19 @@
 	}
 	for address, l := range c.links {
 		if !c.known[address] && l.open <= 0 {
-			l.cancel()
+			c.drop(l)
 		}
 	}
 }
 
+// drop ends a link. Requests from now on get a new one. The caller holds the mutex.
+func (c *client) drop(l *link) {
+	l.cancel()
+	if c.links[l.address] == l {
+		delete(c.links, l.address)
+	}
+}
+
 // status returns the status that a pool told last.
 func (c *client) status(pool string) (dispatch.Status, bool) {
 	c.mu.Lock()
@@ -162,6 +171,7 @@
 	m := slotRequest(out, r)
 	if address != c.cfg.Address {
 		l := c.linkTo(address)
+		out.link = l
 		l.open++
 		l.out.Requests = append(l.out.Requests, m)
 		notify(l.ready)
@@ -253,9 +263,9 @@
 	c.fallBack(fallback{p.address, p.pool}, noAnswer)
 	c.withdraw(p)
 	p.decided, p.err = true, ErrLost
-	if l := c.links[p.address]; l != nil && now.Sub(l.heard) > fallbackTime && now.Sub(l.asked) > fallbackTime {
+	if l := p.link; now.Sub(l.heard) > fallbackTime && now.Sub(l.asked) > fallbackTime {
 		// It has not answered the requests before either. Its connection may lose messages.
-		l.cancel()
+		c.drop(l)
 	}
 }
 
@@ -304,14 +314,12 @@
 // returns true and leaves the cancellation to the caller, which holds the mutex.
 func (c *client) withdraw(p *Pending) bool {
 	delete(c.pending, p.number)
-	if p.address == c.cfg.Address {
+	if p.link == nil {
 		return true
 	}
-	if l := c.links[p.address]; l != nil {
-		l.open--
-		l.out.Cancels = append(l.out.Cancels, instance.SlotCancel{Number: p.number, Pool: p.pool})
-		notify(l.ready)
-	}
+	p.link.open--
+	p.link.out.Cancels = append(p.link.out.Cancels, instance.SlotCancel{Number: p.number, Pool: p.pool})
+	notify(p.link.ready)
 	return false
 }
 
@@ -326,25 +334,25 @@
 	p.ended = true
 	c.mu.Unlock()
 	m := instance.SlotEnd{
-		Number: p.number, Pool: p.pool, Target: p.decision.Target, Outcome: int(e.Outcome), Took: int(e.Took / time.Millisecond),
+		Number: p.number, Pool: p.pool, Target: p.decision.Target, Outcome: int(e.Outcome), Took: ceilMillis(e.Took),
 	}
 	if e.LoadKnown {
 		m.Load = []int{e.Running, e.Waiting, int(e.Slowdown*usualPercent + 0.5)}
 	}
-	c.sendEnd(p.address, m)
+	c.sendEnd(p, m)
 }
 
-// sendEnd sends the end of a granted request. If the stream has broken meanwhile, the
-// dispatcher frees the slot once the request's time has passed.
-func (c *client) sendEnd(address string, e instance.SlotEnd) {
-	if address == c.cfg.Address {
+// sendEnd sends the end of a granted request, on a later stream if that of the grant has
+// broken. If there is none, the dispatcher frees the slot once the request's time has passed.
+func (c *client) sendEnd(p *Pending, e instance.SlotEnd) {
+	if p.link == nil {
 		c.local.handle(c.id, localAsker{c}, &instance.DispatchMessage{Ends: []instance.SlotEnd{e}})
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if l := c.links[address]; l != nil {
-		l.open--
+	p.link.open--
+	if l := c.links[p.address]; l != nil {
 		l.out.Ends = append(l.out.Ends, e)
 		notify(l.ready)
 	}
@@ -383,8 +391,8 @@
 	}
 	if p.decided {
 		delete(c.pending, a.Number)
-		if l := c.links[p.address]; l != nil && !p.decision.Granted {
-			l.open--
+		if p.link != nil && !p.decision.Granted {
+			p.link.open--
 		}
 	}
 	notify(p.changed)
@@ -459,10 +467,10 @@
 func (c *client) closeLink(l *link, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.links, l.address)
+	c.drop(l)
 	lost := 0
 	for number, p := range c.pending {
-		if p.address == l.address {
+		if p.link == l {
 			delete(c.pending, number)
 			p.decided, p.err = true, ErrLost
 			notify(p.changed)
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -158,7 +159,11 @@
 		return nil
 	}
 	t.Run("a frozen dispatcher is lost for a second", func(t *testing.T) {
-		address, _ := listen(t, frozen)
+		var streams atomic.Int32
+		address, _ := listen(t, func(s instance.DispatchStream) error {
+			streams.Add(1)
+			return frozen(s)
+		})
 		c := newTestClient(t, "", nil)
 		began := time.Now()
 		_, err := c.ask(poolAt(address), testRequest()).Await(ctx, nil)
@@ -171,6 +176,12 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 		assert.Equal(t, c.counts[noAnswer], uint64(1))
+		for streams.Load() < 2 {
+			assert.Assert(t, time.Since(began) < 4*fallbackTime, "its stream, which may have lost the messages, is not replaced")
+			_, err = c.ask(poolAt(address), testRequest()).Await(ctx, nil)
+			assert.Assert(t, errors.Is(err, ErrLost))
+			time.Sleep(50 * time.Millisecond)
+		}
 	})
 	t.Run("a waiting request is lost when its dispatcher freezes", func(t *testing.T) {
 		const announced = 50 * time.Millisecond
