Ask by a new list of dispatchers only once the others have it

Cause: TestDispatch failed in one of eight runs, on the loaded machine: an entry asked by the new list a dispatcher that had not received it, was told not_mine and chose by itself for a second.

Change: an entry decides by a new list at once and asks by it 600 ms later; entries get it with the answers to reports that they send each 250 ms.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -26,6 +26,11 @@
 // tickInterval is how often the pools are told the time while they dispatch.
 const tickInterval = 10 * time.Millisecond
 
+// listDelay is for how long an entry still asks by its last list after a new one has come, while
+// it decides by the new one at once. Entries get a list with the answers to their reports, which
+// they send each 250 ms, so that by then the next dispatchers know of their pools.
+const listDelay = 600 * time.Millisecond
+
 // View is the entry's view, which *view.Follower implements.
 type View interface {
 	View() *view.View
@@ -60,6 +65,8 @@
 	mu       sync.Mutex
 	list     []dispatch.Entry
 	version  uint64             // of the list; 0 if none is known
+	asked    []dispatch.Entry   // the list by which this entry asks
+	switchAt timer.Instant      // when it asks by the new list; 0 if it does
 	failing  map[string]float64 // failed shares, by target
 	changed  bool               // the list or failing has changed
 	draining bool
@@ -119,6 +126,9 @@
 	defer d.mu.Unlock()
 	if len(r.Dispatchers) > 0 && r.DispatchersVersion != d.version {
 		d.list, d.version, d.changed = nil, r.DispatchersVersion, true
+		if d.switchAt == 0 {
+			d.switchAt = d.cfg.Clock.Now().Add(listDelay)
+		}
 		for _, z := range r.Dispatchers {
 			for _, packed := range z.Addresses {
 				if address, ok := instance.UnpackAddress(packed); ok {
@@ -179,6 +189,9 @@
 				return
 			case <-ticks:
 				d.pools.tick()
+				if d.switchDue() {
+					break wait
+				}
 			case <-changed:
 				break wait
 			case <-d.wake:
@@ -192,6 +205,13 @@
 	}
 }
 
+// switchDue reports whether this entry is to ask by the new list from now on.
+func (d *Dispatcher) switchDue() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.switchAt > 0 && d.cfg.Clock.Now() >= d.switchAt
+}
+
 // refresh assigns targets and pools anew after a change.
 func (d *Dispatcher) refresh() {
 	v := d.cfg.View.View()
@@ -206,6 +226,10 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := d.cfg.Clock.Now()
+	if d.switchAt > 0 && (now >= d.switchAt || len(d.asked) == 0) {
+		d.asked, d.switchAt, d.changed = d.list, 0, true
+	}
 	if seen := fingerprintOf(v); seen != d.seen || d.changed {
 		d.seen, d.changed = seen, false
 		d.reassign(v)
@@ -253,7 +277,11 @@
 		d.pools.assign(nil)
 		return
 	}
-	a := dispatch.Assign(targets, d.list, keyed)
+	next := dispatch.Assign(targets, d.list, keyed)
+	a := next
+	if d.switchAt > 0 {
+		a = dispatch.Assign(targets, d.asked, keyed)
+	}
 	d.assignment.Store(&a)
 	zones := make(map[string][]string)
 	for _, p := range a.Pools() {
@@ -262,9 +290,9 @@
 		}
 	}
 	d.zones.Store(&zones)
-	d.client.setList(d.list)
+	d.client.setList(d.asked)
 	own := make(map[string][]dispatch.TargetInfo)
-	for _, p := range a.Pools() {
+	for _, p := range next.Pools() {
 		if d.cfg.Address == "" || p.Dispatcher.Address != d.cfg.Address {
 			continue
 		}
--- a/internal/forward/dispatch_test.go
+++ b/internal/forward/dispatch_test.go
@@ -47,6 +47,14 @@
 
 // adopt tells a dispatcher the list and waits until it is in use.
 func (e *testEntry) adopt(d *dispatcher.Dispatcher, addresses ...string) {
+	e.tell(d, addresses...)
+	for p, ok := d.PoolOf("t0"); !ok || p.Dispatcher.Address != addresses[0]; p, ok = d.PoolOf("t0") {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// tell tells a dispatcher the list.
+func (e *testEntry) tell(d *dispatcher.Dispatcher, addresses ...string) {
 	zone := instance.DispatcherZone{Zone: "a"}
 	for _, address := range addresses {
 		packed, ok := instance.PackAddress(address)
@@ -55,9 +63,6 @@
 	}
 	list := []instance.DispatcherZone{zone}
 	d.Adopt(&instance.ReportResponse{Dispatchers: list, DispatchersVersion: instance.DispatchersVersion(list)})
-	for p, ok := d.PoolOf("t0"); !ok || p.Dispatcher.Address != addresses[0]; p, ok = d.PoolOf("t0") {
-		time.Sleep(time.Millisecond)
-	}
 }
 
 // startDispatcher starts another entry's dispatcher, which has the view of this entry. It
@@ -287,20 +292,20 @@
 		d.Drain()
 		assert.Equal(t, d.Address(), "")
 		next, address, _ := e.startDispatcher()
-		e.adopt(next, address)
-		e.adopt(d, address)
-		e.adopt(e.server.cfg.Dispatcher, address)
-		idle := make(chan struct{})
-		go func() {
-			d.AwaitIdle(context.Background())
-			stop()
-			close(idle)
-		}()
+		for _, x := range []*dispatcher.Dispatcher{next, d, e.server.cfg.Dispatcher} {
+			e.tell(x, address)
+		}
+		short, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		d.AwaitIdle(short)
+		assert.Assert(t, short.Err() != nil, "a dispatcher with a waiting request counts as idle")
 		close(g.opened)
 		for _, c := range callers {
 			wantResponse(t, c, http.StatusOK, "x")
 		}
-		<-idle
+		e.adopt(e.server.cfg.Dispatcher, address)
+		d.AwaitIdle(context.Background())
+		stop()
 		wantResponse(t, e.request("GET", "/book/next"), http.StatusOK, "x")
 		assert.Equal(t, e.grants(), uint64(slots+2))
 		assert.Equal(t, e.fallbacks(), uint64(0))
