--- a/internal/forward/owner.go
+++ b/internal/forward/owner.go
@@ -38,7 +38,7 @@
 			}
 		case r.Phase == deployment.Owned && c.rangeID == rangeID(r) && time.Until(c.ownerRetryAt) > 0:
 			// Wait for the owner to learn of the key.
-		case r.Phase != deployment.Owned && !c.granted && s.targets.coldLimited(t):
+		case r.Phase != deployment.Owned && !c.granted && !s.asksDispatcher(c) && s.targets.coldLimited(t):
 			// Wait for the next owner: the old one may take no request from this entry.
 		case (r.Phase == deployment.Owned || askOldOwner && t.Usable()) && !c.excludesRange(r):
 			retryAfter, err := s.checkOwner(c, t, r)
@@ -109,7 +109,7 @@
 	if retryAfter, ok := s.targets.maySendToOwner(t, s.cfg.TargetDrain); !ok {
 		return max(retryAfter, defaultRetryAfter), errOwnerNotice
 	}
-	if left := s.targets.coldLeft(t); left > 0 && !c.granted {
+	if left := s.targets.coldLeft(t); left > 0 && !c.granted && !s.asksDispatcher(c) {
 		return min(left, maxReturnDelay), errOwnerCold
 	}
 	if retryAfter, ok := s.targets.available(t); !ok {
