--- a/internal/fleet/levels.go
+++ b/internal/fleet/levels.go
@@ -80,7 +80,7 @@
 	}
 	res := c.localFeatures()
 	if report, ok := c.lastReplica().leader.LevelReport(); ok {
-		res.HeldBackBy = report.HeldBackBy
+		res.HeldBackBy = append(res.HeldBackBy, report.HeldBackBy...)
 	}
 	return &res, nil
 }
@@ -91,6 +91,8 @@
 		Agreed:    c.State().FeatureLevel(),
 		Supported: deployment.FeatureLevel,
 		Leader:    c.lastReplica().group.LeaderAddress(),
+
+		HeldBackBy: []string{},
 	}
 }
 
@@ -101,7 +103,7 @@
 	res, err := callLeader[instance.FeaturesRequest, instance.FeaturesResponse](ctx, c, "Features", &instance.FeaturesRequest{}, c.Features)
 	switch {
 	case err == nil:
-		out.Agreed, out.HeldBackBy = res.Agreed, res.HeldBackBy
+		out.Agreed, out.HeldBackBy = res.Agreed, append(out.HeldBackBy, res.HeldBackBy...)
 	case errors.Is(err, deployment.ErrFeatureLevel):
 		out.HeldBackBy = []string{fmt.Sprintf("leader %s: announces no feature level", out.Leader)}
 	default:
@@ -115,7 +117,7 @@
 func (c *Control) featureGauge() any {
 	out := c.localFeatures()
 	if report, ok := c.lastReplica().leader.LevelReport(); ok && c.isLeader() {
-		out.HeldBackBy = report.HeldBackBy
+		out.HeldBackBy = append(out.HeldBackBy, report.HeldBackBy...)
 	}
 	return out
 }
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -301,8 +301,8 @@
 	}
 	g.mu.Lock()
 	g.addresses[e.Message.From] = e.FromAddress
+	g.levels[e.Message.From] = announcedLevel{level: e.Level, at: g.cfg.Clock.Now()}
 	g.mu.Unlock()
-	g.NoteLevel(e.Message.From, e.Level)
 	_ = g.loop.Send(replica.Received{Message: e.Message})
 }
 
--- a/internal/instance/level_test.go
+++ b/internal/instance/level_test.go
@@ -1,12 +1,16 @@
 package instance_test
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
+	"net"
 	"os"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cranberrywind/cranberrywind/internal/deployment"
 	"github.com/cranberrywind/cranberrywind/internal/group"
 	"github.com/cranberrywind/cranberrywind/internal/instance"
 	"github.com/cranberrywind/cranberrywind/internal/wire"
@@ -47,3 +51,24 @@
 	assert.Assert(t, advice.Entries == 3 && len(advice.Peers) == 1 && advice.LimitsKnown)
 	assert.Assert(t, update.Whole && update.Current && len(update.Targets) == 2 && len(update.Tables) == 1 && update.ConfigChange.Version == 6)
 }
+
+// lowLevel is a leader at a feature level that is too low.
+type lowLevel struct{ instance.DeploymentHandler }
+
+func (lowLevel) ChangeConfig(context.Context, *instance.ConfigChangeRequest) (*instance.ConfigChangeResponse, error) {
+	return nil, deployment.ErrFeatureLevel
+}
+
+// TestFeatureLevelError guards against a caller at another instance that can't tell that the
+// command needs a higher feature level, also if the leader's build does not have the method.
+func TestFeatureLevelError(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(instance.ServeDeployment(l, lowLevel{}, instance.Security{}, &instance.Traffic{}))
+	pool, closePool := instance.NewPool(t.Context(), instance.Security{}, &instance.Traffic{})
+	t.Cleanup(closePool)
+	for _, method := range []string{"Change", "MethodOfLaterBuild"} {
+		_, err := instance.Call[instance.ConfigChangeRequest, instance.ConfigChangeResponse](t.Context(), pool, l.Addr().String(), method, &instance.ConfigChangeRequest{})
+		assert.Assert(t, errors.Is(err, deployment.ErrFeatureLevel), "%s: %v", method, err)
+	}
+}
--- a/internal/leader/levels.go
+++ b/internal/leader/levels.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -45,6 +46,7 @@
 type levelState struct {
 	members  []group.MemberLevel
 	heard    map[string]LevelHeard // entries, and replicas that ask to join, by name
+	dropped  timer.Instant         // when those not heard for long were dropped last
 	reported *LevelReport
 }
 
@@ -53,6 +55,10 @@
 		m.levels.heard = make(map[string]LevelHeard)
 	}
 	m.levels.heard[e.Name] = e
+	if e.At.Sub(m.levels.dropped) > levelWindow {
+		m.levels.dropped = e.At
+		maps.DeleteFunc(m.levels.heard, func(_ string, x LevelHeard) bool { return e.At.Sub(x.At) > levelWindow })
+	}
 }
 
 // planLevel raises the feature level to the highest one that all members of the group and
@@ -97,11 +103,9 @@
 		hold("replica", x.Member.Instance, x.Level)
 	}
 	for name, x := range m.levels.heard {
-		if m.now.Sub(x.At) > levelWindow {
-			delete(m.levels.heard, name)
-			continue
+		if m.now.Sub(x.At) <= levelWindow {
+			hold("instance", name, x.Level)
 		}
-		hold("instance", name, x.Level)
 	}
 	delay := levelWindow
 	if _, index := m.state.Config(); index == 0 {
