Let requests leave their availability zone by shares that the leader advises

Entries sent requests to another zone only when their own pools rejected them, and did not know what other entries sent there. Entries now report the demand for services without keys, the leader computes shares by zone from demand and capacity, and entries draw the zone of each request by them.

--- a/internal/dispatch/assign.go
+++ b/internal/dispatch/assign.go
@@ -12,8 +12,8 @@
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
 )
 
-// poolSize is the number of unkeyed targets that a pool has on average.
-const poolSize = 8
+// PoolSize is the number of unkeyed targets that a pool has on average.
+const PoolSize = 8
 
 // preferredPools is the number of pools of a service in a zone among which an entry chooses.
 // With more, the requests of 500 entries of a zone would open a connection almost each.
@@ -90,7 +90,7 @@
 // Assign returns the pools of the targets and their dispatchers, the same for the same
 // arguments in any order. keyed tells whether a service has keys: each of its targets is
 // a pool of its own. The others of a service in a zone are divided into pools of about
-// poolSize. A change of one target or entry moves little, except that a change of the
+// PoolSize. A change of one target or entry moves little, except that a change of the
 // number of pools of a service moves the share of one pool. The targets should include
 // those that may get no requests now, so that a target that comes back moves nothing.
 func Assign(targets []deployment.Target, entries []Entry, keyed func(service string) bool) Assignment {
@@ -127,7 +127,7 @@
 // pool of the highest rank among those that are not full.
 func divide(g serviceZone, ids []string) []PoolInfo {
 	slices.Sort(ids)
-	count := max(1, (len(ids)+poolSize/2)/poolSize)
+	count := max(1, (len(ids)+PoolSize/2)/PoolSize)
 	pools := make([]PoolInfo, count)
 	hashes := make([]uint64, count)
 	for i := range pools {
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -269,6 +269,15 @@
 	return nil, c.notLeaderError()
 }
 
+// zoneShares returns the shares of requests that leave their availability zone, by zone and
+// service; nil if this instance does not lead, or if none leave.
+func (c *Control) zoneShares() map[string]instance.ZoneShares {
+	if !c.isLeader() {
+		return nil
+	}
+	return c.lastReplica().leader.ZoneShares()
+}
+
 // ReportBatch records the reports that another control instance collected.
 func (c *Control) ReportBatch(_ context.Context, req *instance.ReportBatchRequest) (*instance.ReportBatchResponse, error) {
 	if !c.isLeader() {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -144,6 +144,7 @@
 		i.metrics.addGauge("invalid_key_reports", func() any { return c.invalidKeyReports.Load() })
 		i.metrics.addGauge("targets", func() any { return countTargets(c.State().Targets()) })
 		i.metrics.addGauge("evacuated_zones", func() any { return len(c.State().Evacuated()) })
+		i.metrics.addGauge("zone_shares", func() any { return c.zoneShares() })
 	}
 	if v := i.follower; v != nil {
 		i.metrics.addGauge("view_version", func() any { return v.View().Version })
@@ -164,6 +165,10 @@
 		i.metrics.addGauge("request_body_bytes", func() any { return i.entry.HeldBodyBytes() })
 		i.metrics.addGauge("rate_limits", func() any { return i.entry.RateLimits() })
 		i.metrics.addGauge("dispatch", func() any { return i.dispatchGauge() })
+		i.metrics.addGauge("zone_requests", func() any {
+			stayed, left := i.entry.ZoneRequests()
+			return map[string]map[string]uint64{"stayed": stayed, "left": left}
+		})
 	}
 }
 
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -12,6 +12,7 @@
 	"github.com/cranberrywind/cranberrywind/internal/instance"
 	"github.com/cranberrywind/cranberrywind/internal/leader"
 	"github.com/cranberrywind/cranberrywind/internal/membership"
+	"github.com/cranberrywind/cranberrywind/internal/overflow"
 	"github.com/cranberrywind/cranberrywind/internal/settings"
 	"github.com/cranberrywind/cranberrywind/internal/view"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
@@ -120,11 +121,12 @@
 // newModel returns the leader's model for the way in which targets are granted keys.
 func newModel(cfg settings.Routed) *leader.Model {
 	timing := leader.DefaultTiming()
+	costs := overflow.Costs{Delay: cfg.ZoneDelay, LatePerMegabyte: cfg.ZoneLatePerMB}
 	if cfg.Grants == settings.GrantByHeartbeat {
-		return leader.NewHeartbeatModel(timing.WithHeartbeat(cfg.Heartbeat, cfg.MaxLease))
+		return leader.NewHeartbeatModel(timing.WithHeartbeat(cfg.Heartbeat, cfg.MaxLease)).WithZoneCosts(costs)
 	}
 	timing.LeaseDuration, timing.MaxLease = min(timing.LeaseDuration, cfg.MaxLease), cfg.MaxLease
-	return leader.NewModel(timing)
+	return leader.NewModel(timing).WithZoneCosts(costs)
 }
 
 // SetSeeds replaces the addresses at which the replica looks for its group.
--- a/internal/fleet/reports.go
+++ b/internal/fleet/reports.go
@@ -34,6 +34,13 @@
 	// only when it changes.
 	dispatchers        []instance.DispatcherZone
 	dispatchersVersion uint64
+	zoneShares         map[string]advisedShares // by zone of entries
+}
+
+// advisedShares are the last shares that the leader sent for the entries of a zone.
+type advisedShares struct {
+	shares instance.ZoneShares
+	at     timer.Instant
 }
 
 // add collects a report and returns the advice for its entry. It returns false and drops
@@ -55,6 +62,10 @@
 	}
 	out = out.WithoutKnownDispatchers(report.DispatchersVersion)
 	out.Parts = r.advice.Parts[report.Instance]
+	out.ZoneSharesKnown = false
+	if s, ok := r.zoneShares[report.Zone]; ok && now.Sub(s.at) <= maxAdviceAge && r.advice.Advice.ZoneSharesKnown {
+		out.ZoneSharesKnown, out.ZoneShares = true, s.shares
+	}
 	return &out, true
 }
 
@@ -67,10 +78,18 @@
 	return out
 }
 
-// setDelivered records the leader's advice to the last batch.
-func (r *reportCollector) setDelivered(a *instance.ReportBatchResponse, now timer.Instant) {
+// setDelivered records the leader's advice to the batch of reports.
+func (r *reportCollector) setDelivered(reports []instance.ReportRequest, a *instance.ReportBatchResponse, now timer.Instant) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if a.Advice.ZoneSharesKnown {
+		if r.zoneShares == nil {
+			r.zoneShares = make(map[string]advisedShares)
+		}
+		for _, x := range reports {
+			r.zoneShares[x.Zone] = advisedShares{shares: a.ZoneShares[x.Zone], at: now}
+		}
+	}
 	r.advice, r.advisedAt, r.failed = a, now, false
 	if len(a.Advice.Dispatchers) > 0 {
 		r.dispatchers, r.dispatchersVersion = a.Advice.Dispatchers, a.Advice.DispatchersVersion
@@ -119,7 +138,7 @@
 			c.collector.setFailed()
 			return
 		}
-		c.collector.setDelivered(advice, c.clock.Now())
+		c.collector.setDelivered(reports, advice, c.clock.Now())
 	})
 }
 
--- a/internal/fleet/reports_test.go
+++ b/internal/fleet/reports_test.go
@@ -26,7 +26,7 @@
 	})
 	t.Run("passes on the advice for the entry", func(t *testing.T) {
 		var r reportCollector
-		r.setDelivered(advice, start)
+		r.setDelivered(nil, advice, start)
 		res, ok := r.add(report("a"), start)
 		assert.Assert(t, ok && res.Entries == 3 && res.Parts["shelf"] == 0.4)
 		res, ok = r.add(report("b"), start)
@@ -34,7 +34,7 @@
 	})
 	t.Run("takes no reports while they can't be delivered and the advice is old", func(t *testing.T) {
 		var r reportCollector
-		r.setDelivered(advice, start)
+		r.setDelivered(nil, advice, start)
 		r.setFailed()
 		_, ok := r.add(report("a"), start.Add(maxAdviceAge/2))
 		assert.Assert(t, ok)
@@ -42,7 +42,7 @@
 		_, ok = r.add(report("a"), start.Add(2*maxAdviceAge))
 		assert.Assert(t, !ok)
 		assert.Equal(t, len(r.take()), 0, "a rejected report is sent elsewhere and must not count twice")
-		r.setDelivered(advice, start.Add(2*maxAdviceAge))
+		r.setDelivered(nil, advice, start.Add(2*maxAdviceAge))
 		_, ok = r.add(report("a"), start.Add(2*maxAdviceAge))
 		assert.Assert(t, ok)
 	})
@@ -59,8 +59,8 @@
 	}
 	assert.Equal(t, r.knownDispatchers([]instance.ReportRequest{report(0)}), uint64(0), "no entry needs the list")
 	assert.Equal(t, r.knownDispatchers([]instance.ReportRequest{report(version)}), uint64(instance.NoDispatchers))
-	r.setDelivered(&instance.ReportBatchResponse{Advice: instance.ReportResponse{DispatchersVersion: version, Dispatchers: list}}, 1)
-	r.setDelivered(&instance.ReportBatchResponse{Advice: instance.ReportResponse{DispatchersVersion: version}}, 2)
+	r.setDelivered(nil, &instance.ReportBatchResponse{Advice: instance.ReportResponse{DispatchersVersion: version, Dispatchers: list}}, 1)
+	r.setDelivered(nil, &instance.ReportBatchResponse{Advice: instance.ReportResponse{DispatchersVersion: version}}, 2)
 	assert.Equal(t, r.knownDispatchers([]instance.ReportRequest{report(version)}), uint64(version))
 	for known, want := range map[uint64]int{0: 0, instance.NoDispatchers: 1, version - 1: 1, version: 0} {
 		res, ok := r.add(report(known), 2)
@@ -68,7 +68,7 @@
 		assert.Equal(t, len(res.Dispatchers), want, "version %d", known)
 		assert.Equal(t, res.DispatchersVersion, uint64(version))
 	}
-	r.setDelivered(&instance.ReportBatchResponse{Advice: instance.ReportResponse{DispatchersVersion: version + 1}}, 3)
+	r.setDelivered(nil, &instance.ReportBatchResponse{Advice: instance.ReportResponse{DispatchersVersion: version + 1}}, 3)
 	res, _ := r.add(report(version), 3)
 	assert.Equal(t, len(res.Dispatchers), 0, "an older list under the new version")
 }
@@ -92,3 +92,38 @@
 		assert.Assert(t, counts[address] > entries/len(control)/2, "%v", counts)
 	}
 }
+
+// TestCollectorKeepsZoneShares guards against entries that get the shares of another zone, or
+// old ones as if they were new.
+func TestCollectorKeepsZoneShares(t *testing.T) {
+	report := func(zone string) instance.ReportRequest {
+		return instance.ReportRequest{Instance: zone, Zone: zone, Collect: true}
+	}
+	batch := func(known bool, zones ...string) *instance.ReportBatchResponse {
+		res := &instance.ReportBatchResponse{Advice: instance.ReportResponse{ZoneSharesKnown: known}, ZoneShares: make(map[string]instance.ZoneShares)}
+		for _, zone := range zones {
+			res.ZoneShares[zone] = instance.ZoneShares{"readings": {"to-" + zone: 0.5}}
+		}
+		return res
+	}
+	var r reportCollector
+	start := timer.Instant(time.Minute)
+	want := func(at timer.Instant, zone string, known bool, shares int) {
+		t.Helper()
+		res, ok := r.add(report(zone), at)
+		assert.Assert(t, ok)
+		assert.Equal(t, res.ZoneSharesKnown, known)
+		assert.Equal(t, len(res.ZoneShares), shares)
+		assert.Assert(t, shares == 0 || res.ZoneShares["readings"]["to-"+zone] == 0.5, "%v", res.ZoneShares)
+	}
+	r.setDelivered([]instance.ReportRequest{report("a"), report("b")}, batch(true, "a"), start)
+	want(start, "a", true, 1)
+	want(start, "b", true, 0)
+	want(start, "c", false, 0)
+	r.setDelivered([]instance.ReportRequest{report("b")}, batch(true, "b"), start.Add(maxAdviceAge))
+	want(start.Add(maxAdviceAge), "a", true, 1)
+	want(start.Add(maxAdviceAge), "b", true, 1)
+	want(start.Add(maxAdviceAge+1), "a", false, 0)
+	r.setDelivered([]instance.ReportRequest{report("b")}, batch(false), start.Add(maxAdviceAge))
+	want(start.Add(maxAdviceAge), "b", false, 0)
+}
--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -52,9 +52,6 @@
 // asksDispatcher reports whether the dispatcher of the owner of the request's key is asked.
 func (s *Server) asksDispatcher(c *call) bool { return s.dispatching() && !c.withoutDispatcher }
 
-// zoneFor returns the availability zone whose targets a request to the service goes to first.
-func (s *Server) zoneFor(string) string { return s.cfg.AvailabilityZone }
-
 // rejected is a dispatcher's rejection of a request. It is returned as an error to choose
 // among several of them.
 type rejected struct {
@@ -74,13 +71,13 @@
 }
 
 // acquireUnkeyed gets a slot of a target of a service without keys. It asks the pools of the
-// zone for the request first, and those of other zones only if those have no room. If a
+// zones that zonesFor returns, each zone only if those before have no room. If a
 // dispatcher is lost, it chooses a target of its pool as without dispatch. If there is no
 // target, it returns why, and when the caller may try again.
 func (s *Server) acquireUnkeyed(ctx context.Context, c *call) (deployment.Target, time.Duration, string) {
 	var first *rejected
 	asked := 0
-	for _, zone := range s.zonesFor(c.service.Name) {
+	for _, zone := range s.zonesFor(c) {
 		pools := s.cfg.Dispatcher.PoolsIn(c.service.Name, zone)
 		for last := min(maxPoolsAsked, asked+maxPoolsInZone); asked < last && len(pools) > 0 && time.Until(c.deadline) >= minTimeLeft; asked++ {
 			var p dispatch.PoolInfo
@@ -127,17 +124,6 @@
 	return deployment.Target{}, retryAfter, r.Error()
 }
 
-// zonesFor returns the availability zones with pools of a service, that for its requests
-// first and the others in random order.
-func (s *Server) zonesFor(service string) []string {
-	zones := slices.Clone(s.cfg.Dispatcher.Zones(service))
-	rand.Shuffle(len(zones), func(i, j int) { zones[i], zones[j] = zones[j], zones[i] })
-	if i := slices.Index(zones, s.zoneFor(service)); i > 0 {
-		zones[0], zones[i] = zones[i], zones[0]
-	}
-	return zones
-}
-
 // takeBetter picks two pools at random and returns the one that told of more room last, and
 // the other pools.
 func (s *Server) takeBetter(pools []dispatch.PoolInfo) (dispatch.PoolInfo, []dispatch.PoolInfo) {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -117,7 +117,8 @@
 	further     chan *instance.ViewUpdate // from the control instance
 
 	mu       sync.Mutex
-	received []string // IDs of the targets that received a request, in order
+	received []string                 // IDs of the targets that received a request, in order
+	demand   []instance.ServiceDemand // reported
 }
 
 // startEntry starts an entry and a target for each handler. All targets serve the
@@ -187,7 +188,7 @@
 	e.dispatch = dispatch.Addr().String()
 	server, stop := Serve(ctx, l, Config{
 		Name: "entry", AvailabilityZone: "a", Headers: testHeaderNames(), View: follower, Pool: targetPool, Clock: clock, Log: quiet, RoutineLog: quiet,
-		Observer: nopObserver{}, Report: func(instance.ReportRequest) *instance.ReportResponse { return nil },
+		Observer: nopObserver{}, Report: e.recordReport,
 		RetryRatio: 1, RetrySlack: 10, RetryShare: 1, MaxConfigLag: maxConfigLag, TargetDrain: testDrain, Link: link, RelayAddress: peers.Addr().String(),
 		Dispatcher: d,
 	})
--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -123,6 +123,7 @@
 	if rejection != nil {
 		return s.finish(r, c, *rejection)
 	}
+	s.countDemand(c)
 	ctx, cancel := context.WithDeadline(s.ctx, c.deadline)
 	defer cancel()
 	if c.route.Kind.Idempotent() {
@@ -166,6 +167,7 @@
 	}
 	out.isHead = r.method == http.MethodHead
 	out.closeConn = out.closeConn || r.closeConn
+	s.countAnswered(c, out)
 	if r.relayed {
 		out = s.finishRelayed(c, out)
 	}
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -35,7 +35,7 @@
 		now := s.cfg.Clock.Now()
 		req := s.report(now.Sub(last))
 		last = now
-		idle := req.DispatchAddress == dispatchAddress && len(req.Keys) == 0 && len(req.Targets) == 0 && len(req.CrashReports) == 0
+		idle := req.DispatchAddress == dispatchAddress && len(req.Keys) == 0 && len(req.Targets) == 0 && len(req.Demand) == 0 && len(req.CrashReports) == 0
 		if idle && now.Sub(lastSent) < idleReportInterval {
 			continue
 		}
@@ -66,6 +66,7 @@
 		Interval:     interval,
 		Keys:         s.keys.take(),
 		CrashReports: s.crashes.take(),
+		Demand:       s.demand.take(),
 		Collect:      s.entryCount() > maxDirectEntries,
 		Targets:      s.targets.report(func(id string) bool { _, ok := v.Target(id); return ok }),
 	}
@@ -125,6 +126,7 @@
 		a.Entries = before.Entries
 	}
 	s.advice.Store(a)
+	s.adoptZoneShares(a)
 	s.peers.Advise(a.Peers)
 	if s.cfg.Dispatcher != nil {
 		s.cfg.Dispatcher.Adopt(a)
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -75,6 +75,8 @@
 	relays  relayCounts
 
 	dispatched *dispatchCounts
+	demand     *demandCounts
+	zoneAdvice atomic.Pointer[zoneAdvice] // nil until the leader advises it
 	returns    *returnTimes
 
 	bodies *bodyBudget
@@ -119,6 +121,7 @@
 		conns:        make(map[*callerConn]bool),
 		retryBudgets: make(map[string]limit.Budget),
 		dispatched:   newDispatchCounts(),
+		demand:       newDemandCounts(),
 		returns:      newReturnTimes(),
 	}
 	s.targets.coldRate = func(service string) float64 { return cfg.View.View().Config.ColdRateOf(service) }
--- a/internal/instance/deployment_messages.go
+++ b/internal/instance/deployment_messages.go
@@ -83,8 +83,23 @@
 	// DispatchersVersion is the version of the list of dispatchers that the entry has, and
 	// NoDispatchers if it has none. It is 0 if the entry needs no list.
 	DispatchersVersion uint64 `msgpack:"dispatchers_version,omitempty"`
+	// Demand holds the demand for services without keys, while dispatchers decide.
+	Demand []ServiceDemand `msgpack:"demand,omitempty"`
 }
 
+// ServiceDemand counts what callers of an entry asked of a service without keys.
+type ServiceDemand struct {
+	Service  string `msgpack:"service"`
+	Requests uint32 `msgpack:"requests"`       // admitted, also if they were rejected later
+	Sent     uint32 `msgpack:"sent,omitempty"` // of these, sent to a target
+	// Bytes is the size of the requests that were sent and of their responses.
+	Bytes uint64 `msgpack:"bytes,omitempty"`
+}
+
+// ZoneShares holds, by service and other availability zone, the share of the requests of one
+// availability zone that goes there.
+type ZoneShares map[string]map[string]float32
+
 // ReportBatchRequest passes reports of several entries on to the leader.
 type ReportBatchRequest struct {
 	Reports []ReportRequest `msgpack:"reports"`
@@ -97,6 +112,9 @@
 	Advice ReportResponse `msgpack:"advice"` // without Parts
 	// Parts holds the parts that each entry is advised of, by entry and service.
 	Parts map[string]map[string]float64 `msgpack:"parts,omitempty"`
+	// ZoneShares holds the shares by the availability zone of entries. A zone is left out if
+	// it has no shares, or if no report of the batch is from it.
+	ZoneShares map[string]ZoneShares `msgpack:"zone_shares,omitempty"`
 }
 
 // KeyLoad counts the requests for one bucket of a service's keys.
@@ -157,6 +175,10 @@
 	// none. Dispatchers holds the list only if the version in the report is another one.
 	DispatchersVersion uint64           `msgpack:"dispatchers_version,omitempty"`
 	Dispatchers        []DispatcherZone `msgpack:"dispatchers,omitempty"`
+	// ZoneSharesKnown reports that the leader decides which requests leave their availability
+	// zone. ZoneShares holds the shares of the entry's own zone; a request without one stays.
+	ZoneSharesKnown bool       `msgpack:"zones_known,omitempty"`
+	ZoneShares      ZoneShares `msgpack:"zone_shares,omitempty"`
 }
 
 // Peer is an entry to which others can pass requests on.
--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -59,7 +59,8 @@
 		}
 	}
 	parts := m.adviseLimits(&advice)
-	return []Effect{Advise{Advice: advice, Parts: parts}}
+	shares, effects := m.adviseZoneShares(&advice)
+	return append(effects, Advise{Advice: advice, Parts: parts, ZoneShares: shares})
 }
 
 // nextPeers returns the next entries, in the order of their names, that take requests from
--- a/internal/leader/events.go
+++ b/internal/leader/events.go
@@ -5,6 +5,7 @@
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
 	"github.com/cranberrywind/cranberrywind/internal/instance"
+	"github.com/cranberrywind/cranberrywind/internal/overflow"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
@@ -216,11 +217,22 @@
 	Advice instance.ReportResponse // the same for all entries
 	// Parts holds the parts that each entry is advised of, by entry and service.
 	Parts map[string]map[string]float64
+	// ZoneShares holds the shares of requests that leave their zone, by the zone of entries.
+	ZoneShares map[string]instance.ZoneShares
+}
+
+// LogZoneShares logs which zones began or stopped to give away requests to a service.
+type LogZoneShares struct {
+	Service        string
+	Began, Stopped []string
+	Shares         overflow.Shares
+	Zones          []overflow.Zone
 }
 
 func (AnswerKeyHeartbeat) isEffect() {}
 func (Advise) isEffect()             {}
 func (LogLoad) isEffect()            {}
+func (LogZoneShares) isEffect()      {}
 func (SendGrant) isEffect()          {}
 func (SendRelease) isEffect()        {}
 func (Propose) isEffect()            {}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -147,6 +147,7 @@
 	}
 	out := a.Advice.WithoutKnownDispatchers(r.DispatchersVersion)
 	out.Parts = a.Parts[r.Instance]
+	out.ZoneShares = a.ZoneShares[r.Zone]
 	return out
 }
 
@@ -162,7 +163,9 @@
 	if a == nil {
 		return instance.ReportBatchResponse{}
 	}
-	return instance.ReportBatchResponse{Advice: a.Advice.WithoutKnownDispatchers(req.DispatchersVersion), Parts: a.Parts}
+	return instance.ReportBatchResponse{
+		Advice: a.Advice.WithoutKnownDispatchers(req.DispatchersVersion), Parts: a.Parts, ZoneShares: a.sharesFor(req.Reports),
+	}
 }
 
 // feedModel sends changes of leadership, ticks and the committed state to the model.
@@ -255,6 +258,9 @@
 			l.answerKeyHeartbeat(e)
 		case Advise:
 			l.advice.Store(&e)
+		case LogZoneShares:
+			l.log.Info("requests that leave their zone", "service", e.Service, "began", e.Began, "stopped", e.Stopped,
+				"shares", e.Shares, "zones", e.Zones)
 		case LogLoad:
 			l.log.Info("load of keyed service", "service", e.Service, "targets", e.Targets, "pieces", e.Ranges,
 				"utilization", e.Utilization, "shares", e.BusiestTargets, "hot", e.BusiestBuckets)
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -84,6 +84,7 @@
 		stats.fastRate[b] += float64(k.Count) * fastWeight
 		stats.sumsStale = true
 	}
+	m.recordDemand(e.Report)
 	for _, tl := range e.Report.Targets {
 		t, ok := m.state.Target(tl.ID)
 		if !ok {
@@ -100,6 +101,7 @@
 		if tl.Successes == 0 || tl.ServiceTime == 0 {
 			continue
 		}
+		m.recordWork(t, tl)
 		stats := m.statsOf(t.Service)
 		old, ok := stats.serviceTime[tl.ID]
 		if !ok {
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -9,6 +9,7 @@
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
 	"github.com/cranberrywind/cranberrywind/internal/instance"
+	"github.com/cranberrywind/cranberrywind/internal/overflow"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
@@ -54,6 +55,8 @@
 	notices          map[deployment.Incarnation]*targetNotice
 	drainingSince    map[deployment.Incarnation]timer.Instant // when this leader first saw that a target drains or has left
 	refuges          refuges
+	zoneCosts        overflow.Costs          // set by WithZoneCosts
+	zoneLoads        map[string]*serviceLoad // by service without keys
 }
 
 // serviceArrivals records when targets of a service arrived before its keys were first
@@ -179,6 +182,8 @@
 		base:           m.base,
 		timing:         m.base,
 		granter:        m.granter.forTerm(),
+		zoneCosts:      m.zoneCosts,
+		zoneLoads:      make(map[string]*serviceLoad),
 		leading:        true,
 		leadingSince:   e.At,
 		now:            e.At,
--- a/internal/leader/model_test.go
+++ b/internal/leader/model_test.go
@@ -23,6 +23,8 @@
 	index  uint64
 	now    timer.Instant
 	advice instance.ReportResponse
+
+	zoneShares map[string]instance.ZoneShares // advised
 }
 
 const testService = "catalog"
@@ -87,7 +89,7 @@
 		case SendGrant, SendRelease:
 			calls = append(calls, e)
 		case Advise:
-			s.advice = c.Advice
+			s.advice, s.zoneShares = c.Advice, c.ZoneShares
 		case Propose:
 			s.commit(c.Command)
 			s.send(ProposeEnded{})
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -45,7 +45,11 @@
 	// A cold target may get ColdExcess times the cold rate of its service plus ColdSlack
 	// requests in any second, from all entries together.
 	ColdExcess, ColdSlack float64
-	Unknown               []string // names of the platform's settings that are ignored
+	// ZoneDelay is the round trip between availability zones, and ZoneLatePerMB how many late
+	// answers are as bad as a megabyte between them. They decide when requests leave a zone.
+	ZoneDelay     time.Duration
+	ZoneLatePerMB float64
+	Unknown       []string // names of the platform's settings that are ignored
 }
 
 // GrantMode is the way in which targets are granted keys.
@@ -69,6 +73,9 @@
 	defaultHeartbeat   = time.Second
 	defaultColdExcess  = 1.5
 	defaultColdSlack   = 8
+	defaultZoneDelay   = 3 * time.Millisecond
+	maxZoneDelay       = 10 * time.Second
+	defaultZoneLate    = 20
 	maxPlatformTime    = 10 * time.Minute
 )
 
@@ -103,6 +110,8 @@
 		PreferZone:       s.Bool("prefer_zone", false),
 		ColdExcess:       defaultColdExcess,
 		ColdSlack:        defaultColdSlack,
+		ZoneDelay:        s.Duration("zone_delay", defaultZoneDelay, 0, maxZoneDelay),
+		ZoneLatePerMB:    s.Float("zone_late_per_mb", defaultZoneLate, 0, 1e6),
 		Grants:           GrantMode(s.OneOf("grants", string(GrantByCall), string(GrantByCall), string(GrantByHeartbeat))),
 	}
 	out.readRolesAndAddresses(s)
