--- a/internal/forward/leaving.go
+++ b/internal/forward/leaving.go
@@ -129,6 +129,7 @@
 	sum.Requests += x.Requests
 	sum.Sent += x.Sent
 	sum.Bytes += x.Bytes
+	sum.Slowdown += x.Slowdown
 	d.sinceReport[x.Service] = sum
 }
 
@@ -162,7 +163,8 @@
 	if !out.isHead {
 		bytes += max(0, out.size())
 	}
-	s.demand.add(instance.ServiceDemand{Service: c.service.Name, Sent: 1, Bytes: uint64(bytes)})
+	slowdown, _ := c.result.slowdown()
+	s.demand.add(instance.ServiceDemand{Service: c.service.Name, Sent: 1, Bytes: uint64(bytes), Slowdown: float32(slowdown - 1)})
 	s.demand.countZone(c.service.Name, c.target.AvailabilityZone == s.cfg.AvailabilityZone)
 }
 
--- a/internal/instance/deployment_messages.go
+++ b/internal/instance/deployment_messages.go
@@ -94,6 +94,9 @@
 	Sent     uint32 `msgpack:"sent,omitempty"` // of these, sent to a target
 	// Bytes is the size of the requests that were sent and of their responses.
 	Bytes uint64 `msgpack:"bytes,omitempty"`
+	// Slowdown sums up over the requests that were sent how much longer than usual their
+	// targets took, as a share of the usual time. Service times don't contain it.
+	Slowdown float32 `msgpack:"slowdown,omitempty"`
 }
 
 // ZoneShares holds, by service and other availability zone, the share of the requests of one
--- a/internal/leader/leaving.go
+++ b/internal/leader/leaving.go
@@ -25,6 +25,8 @@
 	assumedAnswers = 3.0
 	// minDemand is the rate in requests a second below which a zone has no demand.
 	minDemand = 0.05
+	// minSlowdown bounds the slowdown that entries report, as entries do.
+	minSlowdown = 0.1
 	// zoneLogInterval is the least time between two log lines of the shares of a service.
 	zoneLogInterval = time.Second
 )
@@ -52,6 +54,7 @@
 type serviceLoad struct {
 	demand      map[string]decayingSum // in requests a second, by zone of the entries
 	sent, bytes decayingSum
+	slowdown    decayingSum // of the requests that were sent
 	work        map[deployment.Incarnation]targetWork
 	shares      overflow.Shares
 	leaving     map[string]bool // zones that give away requests, as logged last
@@ -82,6 +85,7 @@
 		l.demand[r.Zone] = l.demand[r.Zone].with(float64(d.Requests)*weight, m.now, demandWindow)
 		l.sent = l.sent.with(float64(d.Sent), m.now, workWindow)
 		l.bytes = l.bytes.with(float64(d.Bytes), m.now, workWindow)
+		l.slowdown = l.slowdown.with(float64(d.Slowdown), m.now, workWindow)
 	}
 }
 
@@ -123,6 +127,16 @@
 	return (seconds + assumedAnswers*mean) / (answers + assumedAnswers)
 }
 
+// slowdownNow returns how much longer than the service time targets take now. Requests at busy
+// targets that are slow for a part of the time show the mean speed.
+func (l *serviceLoad) slowdownNow(now timer.Instant) float64 {
+	sent := l.sent.decayed(now, workWindow)
+	if sent <= 0 {
+		return 1
+	}
+	return max(minSlowdown, 1+l.slowdown.decayed(now, workWindow)/sent)
+}
+
 // adviseZoneShares computes the shares of requests that leave their availability zone. It
 // returns them by zone, and what is to be logged.
 func (m *Model) adviseZoneShares(advice *instance.ReportResponse) (map[string]instance.ZoneShares, []Effect) {
@@ -176,7 +190,7 @@
 		slots, targets int
 		warm           float64 // capacity of the warm targets
 		warmSlots      int
-		mean           float64
+		mean, slowdown float64
 	}
 	totals := make(map[string]*total)
 	for _, t := range m.state.Targets() {
@@ -186,10 +200,10 @@
 		}
 		l, x := m.zoneLoads[t.Service], totals[t.Service]
 		if x == nil {
-			x = &total{zones: make(map[string]float64), mean: l.meanWork(m.now)}
+			x = &total{zones: make(map[string]float64), mean: l.meanWork(m.now), slowdown: l.slowdownNow(m.now)}
 			totals[t.Service] = x
 		}
-		rate := float64(max(t.Slots, 1)) / l.workOf(t, x.mean, m.now)
+		rate := float64(max(t.Slots, 1)) / (l.workOf(t, x.mean, m.now) * x.slowdown)
 		x.slots, x.targets = x.slots+max(t.Slots, 1), x.targets+1
 		x.warm, x.warmSlots = x.warm+rate, x.warmSlots+max(t.Slots, 1)
 		x.zones[t.AvailabilityZone] += m.admittedRate(t, rate, s.ColdRate)
--- a/internal/leader/leaving_test.go
+++ b/internal/leader/leaving_test.go
@@ -30,6 +30,8 @@
 	*sim
 	demand map[string]float64 // requests a second, by zone
 	silent map[string]bool    // zones whose targets and entry are lost
+
+	slowdown float32 // of all targets
 }
 
 func newLeavingSim(t *testing.T, coordinated bool) *zonesSim {
@@ -77,7 +79,7 @@
 		r := instance.ReportRequest{Instance: "entry-" + zone, Zone: zone, Interval: readingRound}
 		n := uint32(math.Round(s.demand[zone] * readingRound.Seconds()))
 		if n > 0 {
-			r.Demand = []instance.ServiceDemand{{Service: readings, Requests: n, Sent: n, Bytes: uint64(n) * readingBytes}}
+			r.Demand = []instance.ServiceDemand{{Service: readings, Requests: n, Sent: n, Bytes: uint64(n) * readingBytes, Slowdown: s.slowdown * float32(n)}}
 		}
 		for k := range zoneTargets {
 			target := i*zoneTargets + k
@@ -149,6 +151,13 @@
 		assert.Assert(t, u["b"] < 0.85*room && u["c"] < 0.85*room, "%v", u)
 		assert.Equal(t, s.leaving("b")+s.leaving("c"), 0.0)
 	})
+	t.Run("targets that take twice as long at the moment", func(t *testing.T) {
+		s := newLeavingSim(t, true)
+		s.slowdown = 1
+		s.setDemand(140, 60, 60)
+		s.run(10 * time.Second)
+		assert.Assert(t, s.loads()["a"] < room/2, "%v of %v", s.loads()["a"], room/2)
+	})
 	t.Run("a zone whose targets fail half of their requests", func(t *testing.T) {
 		s := newLeavingSim(t, true)
 		s.setDemand(200, 100, 100)
