--- a/internal/leader/leaving.go
+++ b/internal/leader/leaving.go
@@ -89,9 +89,10 @@
 	}
 }
 
-// recordWork adds the service times that an entry measured at a target.
-func (m *Model) recordWork(t deployment.Target, tl instance.TargetLoad) {
-	if cfg, _ := m.state.Config(); !cfg.Coordinated() {
+// recordWork adds the service times that an entry measured at a target of a service without
+// keys, if the entry asks dispatchers.
+func (m *Model) recordWork(r instance.ReportRequest, t deployment.Target, tl instance.TargetLoad) {
+	if _, keyed := m.state.Table(t.Service); keyed || r.DispatchersVersion == 0 {
 		return
 	}
 	l := m.zoneLoadOf(t.Service)
@@ -280,6 +281,9 @@
 		return LogZoneShares{}, false
 	}
 	e := LogZoneShares{Service: service, Shares: l.shares, Zones: zones}
+	for i, z := range e.Zones {
+		e.Zones[i].Demand, e.Zones[i].Capacity = math.Round(z.Demand), math.Round(z.Capacity)
+	}
 	for _, zone := range slices.Sorted(maps.Keys(l.shares)) {
 		if !l.leaving[zone] {
 			l.leaving[zone] = true
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -101,7 +101,7 @@
 		if tl.Successes == 0 || tl.ServiceTime == 0 {
 			continue
 		}
-		m.recordWork(t, tl)
+		m.recordWork(e.Report, t, tl)
 		stats := m.statsOf(t.Service)
 		old, ok := stats.serviceTime[tl.ID]
 		if !ok {
--- a/internal/overflow/overflow.go
+++ b/internal/overflow/overflow.go
@@ -13,12 +13,12 @@
 
 // Zone is the demand and the capacity of a service in one availability zone.
 type Zone struct {
-	Name string
+	Name string `json:"name"`
 	// Demand is the rate of requests that callers of the zone send, in requests a second.
-	Demand float64
+	Demand float64 `json:"demand"`
 	// Capacity is the rate that the zone's targets can serve, in requests a second; 0 if it
 	// has none that may get requests.
-	Capacity float64
+	Capacity float64 `json:"capacity"`
 }
 
 // Service is the load of one service.
