--- a/internal/forward/leaving.go
+++ b/internal/forward/leaving.go
@@ -168,8 +168,8 @@
 	s.demand.countZone(c.service.Name, c.target.AvailabilityZone == s.cfg.AvailabilityZone)
 }
 
-// ZoneRequests returns the numbers of requests to services without keys that targets of this
-// entry's zone and of other zones got, by service.
+// ZoneRequests returns the numbers of requests of this entry's callers to services without keys
+// that were sent to targets of its zone and of other zones, by service.
 func (s *Server) ZoneRequests() (stayed, left map[string]uint64) {
 	s.demand.mu.Lock()
 	defer s.demand.mu.Unlock()
--- a/internal/leader/leaving.go
+++ b/internal/leader/leaving.go
@@ -189,9 +189,8 @@
 	type total struct {
 		zones          map[string]float64 // capacity by zone
 		slots, targets int
-		warm           float64 // capacity of the warm targets
-		warmSlots      int
-		mean, slowdown float64
+		rate           float64 // of all slots, in requests a second
+		mean, slowdown float64 // of the service
 	}
 	totals := make(map[string]*total)
 	for _, t := range m.state.Targets() {
@@ -205,14 +204,13 @@
 			totals[t.Service] = x
 		}
 		rate := float64(max(t.Slots, 1)) / (l.workOf(t, x.mean, m.now) * x.slowdown)
-		x.slots, x.targets = x.slots+max(t.Slots, 1), x.targets+1
-		x.warm, x.warmSlots = x.warm+rate, x.warmSlots+max(t.Slots, 1)
+		x.slots, x.targets, x.rate = x.slots+max(t.Slots, 1), x.targets+1, x.rate+rate
 		x.zones[t.AvailabilityZone] += m.admittedRate(t, rate, s.ColdRate)
 	}
 	out := make(map[string]overflow.Service, len(totals))
 	for name, x := range totals {
 		load := overflow.Service{
-			ServiceTime: time.Duration(float64(x.warmSlots) / x.warm * float64(time.Second)),
+			ServiceTime: time.Duration(float64(x.slots) / x.rate * float64(time.Second)),
 			PoolSlots:   max(1, x.slots*min(x.targets, dispatch.PoolSize)/x.targets),
 		}
 		for zone, capacity := range x.zones {
