--- a/internal/leader/leaving.go
+++ b/internal/leader/zone_shares.go
@@ -57,7 +57,7 @@
 	slowdown    decayingSum // of the requests that were sent
 	work        map[deployment.Incarnation]targetWork
 	shares      overflow.Shares
-	leaving     map[string]bool // zones that give away requests, as logged last
+	logged      map[string]bool // zones that give away requests, as logged last
 	loggedAt    timer.Instant
 }
 
@@ -71,7 +71,7 @@
 func (m *Model) zoneLoadOf(service string) *serviceLoad {
 	l, ok := m.zoneLoads[service]
 	if !ok {
-		l = &serviceLoad{demand: make(map[string]decayingSum), work: make(map[deployment.Incarnation]targetWork), leaving: make(map[string]bool)}
+		l = &serviceLoad{demand: make(map[string]decayingSum), work: make(map[deployment.Incarnation]targetWork), logged: make(map[string]bool)}
 		m.zoneLoads[service] = l
 	}
 	return l
@@ -283,14 +283,14 @@
 		e.Zones[i].Demand, e.Zones[i].Capacity = math.Round(z.Demand), math.Round(z.Capacity)
 	}
 	for _, zone := range slices.Sorted(maps.Keys(l.shares)) {
-		if !l.leaving[zone] {
-			l.leaving[zone] = true
+		if !l.logged[zone] {
+			l.logged[zone] = true
 			e.Began = append(e.Began, zone)
 		}
 	}
-	for _, zone := range slices.Sorted(maps.Keys(l.leaving)) {
+	for _, zone := range slices.Sorted(maps.Keys(l.logged)) {
 		if _, leaves := l.shares[zone]; !leaves {
-			delete(l.leaving, zone)
+			delete(l.logged, zone)
 			e.Stopped = append(e.Stopped, zone)
 		}
 	}
--- a/internal/leader/leaving_test.go
+++ b/internal/leader/zone_shares_test.go
@@ -30,7 +30,7 @@
 	failures uint32             // of each target of zone a in a round
 }
 
-func newLeavingSim(t *testing.T, coldRate float64, a, b, c float64) *zonesSim {
+func newZoneSharesSim(t *testing.T, coldRate float64, a, b, c float64) *zonesSim {
 	s := &zonesSim{sim: newSim(t), demand: map[string]float64{"a": a, "b": b, "c": c}, lost: make(map[string]bool)}
 	s.model.WithZoneCosts(overflow.Costs{Delay: 3 * time.Millisecond, LatePerMegabyte: 20})
 	change := deployment.ConfigChange{Digest: "zones", Version: 2, Base: 1,
@@ -103,9 +103,9 @@
 	assert.Assert(s.t, s.advice.ZoneSharesKnown && load >= least && load <= most, "zone %s gets %.1f: %v", zone, load, s.zoneShares)
 }
 
-// TestLeavingZone guards against demand that stays where it can't be served, requests that
+// TestZoneShares guards against demand that stays where it can't be served, requests that
 // cross zones for nothing, and advice for services with keys.
-func TestLeavingZone(t *testing.T) {
+func TestZoneShares(t *testing.T) {
 	cases := []struct {
 		name        string
 		a, b, c     float64 // demand
@@ -121,7 +121,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			s := newLeavingSim(t, testColdRate, c.a, c.b, c.c)
+			s := newZoneSharesSim(t, testColdRate, c.a, c.b, c.c)
 			c.prepare(s)
 			s.run(10 * time.Second)
 			s.assertLoad("a", c.least, c.most)
@@ -133,17 +133,17 @@
 		})
 	}
 	t.Run("not coordinated", func(t *testing.T) {
-		s := newLeavingSim(t, 0, 400, 100, 100)
+		s := newZoneSharesSim(t, 0, 400, 100, 100)
 		s.run(10 * time.Second)
 		assert.Assert(t, !s.advice.ZoneSharesKnown && len(s.zoneShares) == 0)
 	})
 }
 
-// TestLeavingAfterFaults guards against requests that are advised to go where they can't be
+// TestZoneSharesAfterFaults guards against requests that are advised to go where they can't be
 // served, and against shares that stay when they have no use any more.
-func TestLeavingAfterFaults(t *testing.T) {
+func TestZoneSharesAfterFaults(t *testing.T) {
 	start := func(t *testing.T) *zonesSim {
-		s := newLeavingSim(t, testColdRate, 60, 300, 140)
+		s := newZoneSharesSim(t, testColdRate, 60, 300, 140)
 		s.run(10 * time.Second)
 		s.assertLoad("a", 61, zoneRoom)
 		return s
@@ -185,11 +185,11 @@
 	})
 }
 
-// TestLeavingFollowsWave guards against shares that lag behind demand: a wave of 55% moves
+// TestZoneSharesFollowWave guards against shares that lag behind demand: a wave of 55% moves
 // through three zones every 13 s.
-func TestLeavingFollowsWave(t *testing.T) {
+func TestZoneSharesFollowWave(t *testing.T) {
 	const period, waves = 13 * time.Second, 3
-	s := newLeavingSim(t, testColdRate, 0, 0, 0)
+	s := newZoneSharesSim(t, testColdRate, 0, 0, 0)
 	over, rounds, turns, last, rising := 0.0, 0, 0, 0.0, false
 	for s.now.Sub(0) < (waves+1)*period {
 		for i, zone := range []string{"a", "b", "c"} {
