--- a/internal/instance/deployment_messages.go
+++ b/internal/instance/deployment_messages.go
@@ -85,8 +85,26 @@
 	DispatchersVersion uint64 `msgpack:"dispatchers_version,omitempty"`
 	// Level is the feature level that the entry supports; 0 if it announces none.
 	Level uint64 `msgpack:"level,omitempty"`
+	// Demand holds the demand for services without keys, while dispatchers decide.
+	Demand []ServiceDemand `msgpack:"demand,omitempty"`
 }
 
+// ServiceDemand counts what callers of an entry asked of a service without keys.
+type ServiceDemand struct {
+	Service  string `msgpack:"service"`
+	Requests uint32 `msgpack:"requests"`       // admitted, also if they were rejected later
+	Sent     uint32 `msgpack:"sent,omitempty"` // of these, sent to a target
+	// Bytes is the size of the requests that were sent and of their responses.
+	Bytes uint64 `msgpack:"bytes,omitempty"`
+	// Slowdown sums up over the requests that were sent how much longer than usual their
+	// targets took, as a share of the usual time. Service times don't contain it.
+	Slowdown float32 `msgpack:"slowdown,omitempty"`
+}
+
+// ZoneShares holds, by service and other availability zone, the share of the requests of one
+// availability zone that goes there.
+type ZoneShares map[string]map[string]float32
+
 // ReportBatchRequest passes reports of several entries on to the leader.
 type ReportBatchRequest struct {
 	Reports []ReportRequest `msgpack:"reports"`
@@ -99,6 +117,9 @@
 	Advice ReportResponse `msgpack:"advice"` // without Parts
 	// Parts holds the parts that each entry is advised of, by entry and service.
 	Parts map[string]map[string]float64 `msgpack:"parts,omitempty"`
+	// ZoneShares holds the shares by the availability zone of entries. A zone is left out if
+	// it has no shares, or if no report of the batch is from it.
+	ZoneShares map[string]ZoneShares `msgpack:"zone_shares,omitempty"`
 }
 
 // KeyLoad counts the requests for one bucket of a service's keys.
@@ -159,6 +180,10 @@
 	// none. Dispatchers holds the list only if the version in the report is another one.
 	DispatchersVersion uint64           `msgpack:"dispatchers_version,omitempty"`
 	Dispatchers        []DispatcherZone `msgpack:"dispatchers,omitempty"`
+	// ZoneSharesKnown reports that the leader decides which requests leave their availability
+	// zone. ZoneShares holds the shares of the entry's own zone; a request without one stays.
+	ZoneSharesKnown bool       `msgpack:"zones_known,omitempty"`
+	ZoneShares      ZoneShares `msgpack:"zone_shares,omitempty"`
 }
 
 // Peer is an entry to which others can pass requests on.
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -85,6 +85,7 @@
 		stats.fastRate[b] += float64(k.Count) * fastWeight
 		stats.sumsStale = true
 	}
+	m.recordDemand(e.Report)
 	for _, tl := range e.Report.Targets {
 		t, ok := m.state.Target(tl.ID)
 		if !ok {
@@ -101,6 +102,7 @@
 		if tl.Successes == 0 || tl.ServiceTime == 0 {
 			continue
 		}
+		m.recordWork(e.Report, t, tl)
 		stats := m.statsOf(t.Service)
 		old, ok := stats.serviceTime[tl.ID]
 		if !ok {
