Count a slot from when the body has been sent, and weigh connections by what they take

Cause: on narrow links an upload held its slot at the dispatcher while its body was still being sent, several times as long as its target worked on it. An entry whose link was full reported targets as failing when no connection opened in time.

Change: requests for slots tell the time of the body on the link and the mean time to open a connection. The bytes of long bodies that are still to be sent count in the link's delay.

--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -47,8 +47,13 @@
 	Objective, Timeout time.Duration
 	Left               time.Duration // until the caller's deadline
 	BodyBytes          int
-	Excluded           []string // IDs of targets to which it may not go
-	Connected          []string // IDs of targets to which the entry has an open connection
+	// BodyTime is how long the body takes on the entry's own link. The target does not work
+	// on the request meanwhile.
+	BodyTime time.Duration
+	// ConnectTime is how long the entry takes to open a connection, in the mean.
+	ConnectTime time.Duration
+	Excluded    []string // IDs of targets to which it may not go
+	Connected   []string // IDs of targets to which the entry has an open connection
 	// Returning reports that its caller was told when to return, and kept to that.
 	Returning bool
 }
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// connectCost is the time that opening a connection costs, so that an open one is
-	// preferred as far as it saves that.
-	connectCost = 2 * time.Millisecond
+	// minConnectCost is the least time that opening a connection costs. An open one is
+	// preferred as far as it saves what the entry takes for that.
+	minConnectCost = 2 * time.Millisecond
 	// maxTargetBodyBytes bounds the bytes of bodies in flight to one target.
 	maxTargetBodyBytes = 4 << 20
 	// lateShare is the share of the time from the objective to the timeout up to which a
@@ -267,6 +267,8 @@
 		limitStart:  limitEnd.Add(-work),
 		deadline:    deadline,
 		body:        e.BodyBytes,
+		bodyTime:    e.BodyTime,
+		connectCost: max(e.ConnectTime, minConnectCost).Seconds(),
 		excluded:    e.Excluded,
 		connected:   e.Connected,
 	}
@@ -452,7 +454,7 @@
 	g := t.release(i)
 	if work > 0 {
 		p.serviceTime.add(work, poolTimeWeight, assumedSamples)
-		held := p.now.Sub(g.at).Seconds()
+		held := g.held(p.now)
 		t.heldTime.add(held, heldTimeWeight, 0)
 		p.heldTime.add(held, poolHeldWeight, 0)
 	}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -19,6 +19,8 @@
 	limitStart  timer.Instant // it is rejected if it can't start until then
 	deadline    timer.Instant
 	body        int
+	bodyTime    time.Duration
+	connectCost float64 // seconds
 	excluded    []string
 	connected   []string
 }
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -33,6 +33,9 @@
 	// coldBurst is the burst of a cold target's rate limit. Two dispatchers that both
 	// count for it stay below its bound: 2 x (2.8 + 2) = 9.6 of 12.2 a second.
 	coldBurst = 2.0
+	// minHeld is the least time for which a request counts as having taken a slot: the time
+	// that its body took is only an estimate.
+	minHeld = 20 * time.Millisecond
 	// shedTime is how long a target that shed a request has one slot less.
 	shedTime = time.Second
 	// A circuit breaker opens after failuresToOpen consecutive failures, or
@@ -93,11 +96,17 @@
 type grant struct {
 	id            RequestID
 	at, until     timer.Instant
+	workFrom      timer.Instant // when its body has been sent; it takes a slot from then on
 	body          int
 	slowdown      float64 // of the target when the slot was granted
 	overdue, lost bool    // counted as overdue; the stream of its entry has ended
 }
 
+// held returns for how long the grant has taken a slot, in seconds.
+func (g *grant) held(now timer.Instant) float64 {
+	return now.Sub(min(g.workFrom, max(g.at, now.Add(-minHeld)))).Seconds()
+}
+
 func (t *target) cold(now timer.Instant) bool { return t.coldRate > 0 && now < t.coldUntil }
 
 func (t *target) circuitOpen(now timer.Instant) bool { return now < t.openUntil }
@@ -120,10 +129,22 @@
 	return max(n, 0)
 }
 
+// busy returns how many slots are taken by granted requests. Those whose bodies are still
+// being sent take none, but no more of them count as such than the target has slots.
+func (t *target) busy(now timer.Instant) int {
+	sending := 0
+	for i := range t.grants {
+		if t.grants[i].workFrom > now {
+			sending++
+		}
+	}
+	return len(t.grants) - min(sending, max(t.Slots, 1))
+}
+
 // free returns how many requests the target may get now: of a cold one, at most one at a
 // time.
 func (t *target) free(now timer.Instant) int {
-	n := t.slotCount(now) - len(t.grants)
+	n := t.slotCount(now) - t.busy(now)
 	if n > 0 && t.cold(now) {
 		n = 0
 		if t.coldTokens.Allows(now) {
@@ -174,7 +195,7 @@
 		share = max(share, overdueFailureShare)
 	}
 	if !slices.Contains(w.connected, t.ID) {
-		cost += connectCost.Seconds()
+		cost += w.connectCost
 	}
 	return cost + share*failureCost*w.objective.Seconds()
 }
@@ -190,7 +211,7 @@
 	if t.cold(now) {
 		t.coldTokens, _ = t.coldTokens.WithRequest(now)
 	}
-	t.grants = append(t.grants, grant{id: w.id, at: now, until: w.deadline, body: w.body, slowdown: t.currentSlowdown(now)})
+	t.grants = append(t.grants, grant{id: w.id, at: now, workFrom: now.Add(w.bodyTime), until: w.deadline, body: w.body, slowdown: t.currentSlowdown(now)})
 	t.bodyBytes += w.body
 	t.lastGrant = now
 }
@@ -275,12 +296,12 @@
 	limit := max(minOverdue, seconds(overdueFactor*t.expected(now)))
 	for i := len(t.grants) - 1; i >= 0; i-- {
 		g := &t.grants[i]
-		if !g.overdue && !g.lost && now.Sub(g.at) >= limit {
+		if !g.overdue && !g.lost && now.Sub(g.workFrom) >= limit {
 			g.overdue = true
 			t.recordFailure(now, false)
 		}
 		if now >= g.until {
-			t.heldTime.add(now.Sub(g.at).Seconds(), heldTimeWeight, 0)
+			t.heldTime.add(g.held(now), heldTimeWeight, 0)
 			t.release(i)
 		}
 	}
--- a/internal/dispatcher/client.go
+++ b/internal/dispatcher/client.go
@@ -204,7 +204,7 @@
 func slotRequest(p *Pending, r dispatch.Requested) instance.SlotRequest {
 	out := instance.SlotRequest{
 		Number: p.number, Pool: p.pool, Priority: r.Priority, Age: int(r.Age / time.Millisecond), Objective: int(r.Objective / time.Millisecond),
-		Timeout: int(r.Timeout / time.Millisecond), Left: int(r.Left / time.Millisecond), BodyBytes: r.BodyBytes, Excluded: r.Excluded, Returning: r.Returning,
+		Timeout: int(r.Timeout / time.Millisecond), Left: int(r.Left / time.Millisecond), BodyBytes: r.BodyBytes, BodyTime: int(r.BodyTime / time.Millisecond), Connect: int(r.ConnectTime / time.Millisecond), Excluded: r.Excluded, Returning: r.Returning,
 	}
 	for _, id := range r.Connected {
 		out.Connected = append(out.Connected, shortHash(id))
--- a/internal/dispatcher/pools.go
+++ b/internal/dispatcher/pools.go
@@ -220,7 +220,7 @@
 func (x *pool) requestedOf(id dispatch.RequestID, r instance.SlotRequest, now timer.Instant) dispatch.Requested {
 	out := dispatch.Requested{
 		At: now, ID: id, Priority: r.Priority, Age: millis(r.Age), Objective: millis(r.Objective), Timeout: millis(r.Timeout),
-		Left: millis(r.Left), BodyBytes: r.BodyBytes, Excluded: r.Excluded, Returning: r.Returning,
+		Left: millis(r.Left), BodyBytes: r.BodyBytes, BodyTime: millis(r.BodyTime), ConnectTime: millis(r.Connect), Excluded: r.Excluded, Returning: r.Returning,
 	}
 	for _, h := range r.Connected {
 		if target, ok := x.targets[h]; ok {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -18,15 +18,6 @@
 	return min(max(objective/2, minConnectTimeout), maxConnectTimeout)
 }
 
-// paceBody returns the function that paces a long request body on a narrow link, so that small
-// requests and responses don't wait behind it; nil on a wide link.
-func (s *Server) paceBody(ctx context.Context) func(chunk, remaining int) error {
-	if s.cfg.Link == nil {
-		return nil
-	}
-	return func(chunk, remaining int) error { return s.cfg.Link.Wait(ctx, chunk, remaining) }
-}
-
 // maxConns returns the number of connections that this entry may open to a target.
 func (s *Server) maxConns(service deployment.Service) int {
 	return max(minConns, int(connectionShare*float64(service.Connections)/float64(s.entryCount())))
@@ -41,11 +32,13 @@
 	maxConns := s.maxConns(c.service)
 	start := time.Now()
 	c.admittedBy, c.bodyTime = "", 0
+	pace := &bodyPace{ctx: ctx, link: s.cfg.Link}
+	defer pace.end()
 	c.sentAt = s.targets.requestSent(t)
 	a, err := s.cfg.Pool.Do(ctx, t.Address, maxConns, s.cfg.Headers.RequestID, targethttp.Request{
 		Method: c.method,
 		Head: func() []byte {
-			s.countBody(c)
+			s.countBody(c, pace)
 			return s.requestHead(c, t, time.Now())
 		},
 		Body:           c.body,
@@ -53,7 +46,7 @@
 		NonIdempotent:  !c.route.Kind.Idempotent(),
 		ConnectTimeout: connectTimeout(c.route.Objective),
 
-		Pace:        s.paceBody(ctx),
+		Pace:        pace.function(),
 		BodyContext: c.bodyCtx,
 		// The target may have said otherwise while the connection was opened.
 		Allowed: func() bool { return s.mayStillSend(c, t) && s.zoneAllows(c, t) },
@@ -189,7 +182,7 @@
 		noConnection: !disconnected && errors.Is(err, targethttp.ErrNoConnection) && (s.cfg.Link == nil || !isTimeout(err)),
 	}
 	s.targets.requestEnded(t, res)
-	s.releaseSlot(c, failedOutcome(err, disconnected), res)
+	s.releaseSlot(c, s.failedOutcome(err, disconnected), res)
 	if res.failed && (errors.Is(err, targethttp.ErrNoConnection) || errors.Is(err, targethttp.ErrTimeout)) {
 		s.path.RecordFailure(t.ID)
 	}
--- a/internal/forward/bodies.go
+++ b/internal/forward/bodies.go
@@ -1,14 +1,17 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
 	"github.com/cranberrywind/cranberrywind/internal/targethttp"
+	"github.com/cranberrywind/cranberrywind/pkg/limit"
 )
 
 const (
@@ -236,9 +239,57 @@
 
 // countBody counts the body of an upload that is about to be sent as traffic of the link, and
 // records the time that it takes there.
-func (s *Server) countBody(c *call) {
+func (s *Server) countBody(c *call, pace *bodyPace) {
 	c.bodyTime = s.bodyTime(c)
-	if c.route.Kind == deployment.Upload && len(c.body) <= targethttp.LongBodyBytes { // longer ones are counted as they are paced
+	switch {
+	case c.route.Kind != deployment.Upload:
+	case len(c.body) <= targethttp.LongBodyBytes:
 		s.cfg.Link.Count(len(c.body))
+	default:
+		pace.expect(len(c.body))
+	}
+}
+
+// bodyPace sends a long request body at the pace of a narrow link, so that small requests and
+// responses don't wait behind it.
+type bodyPace struct {
+	ctx  context.Context
+	link *limit.Link // nil for a wide one
+	mu   sync.Mutex
+	left int // bytes that the link expects
+}
+
+// function returns what waits before each chunk, or nil on a wide link.
+func (p *bodyPace) function() func(chunk, remaining int) error {
+	if p.link == nil {
+		return nil
 	}
+	return p.wait
+}
+
+func (p *bodyPace) expect(bytes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.left += bytes
+	p.link.Expect(bytes)
+}
+
+// wait waits until a chunk may be sent.
+func (p *bodyPace) wait(chunk, remaining int) error {
+	err := p.link.Wait(p.ctx, chunk, remaining)
+	if err == nil {
+		p.sent(chunk)
+	}
+	return err
+}
+
+// end takes back what will not be sent any more.
+func (p *bodyPace) end() { p.sent(math.MaxInt) }
+
+func (p *bodyPace) sent(bytes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := min(bytes, p.left)
+	p.left -= n
+	p.link.Expect(-n)
 }
--- a/internal/forward/bodies_test.go
+++ b/internal/forward/bodies_test.go
@@ -179,7 +179,7 @@
 	booking := &call{request: upload.request, route: &deployment.Route{Kind: deployment.Booking}}
 	assert.Equal(t, s.bodyTime(upload), 500*time.Millisecond)
 	assert.Equal(t, s.bodyTime(booking), time.Duration(0))
-	s.countBody(upload)
+	s.countBody(upload, &bodyPace{link: s.cfg.Link})
 	assert.Assert(t, s.bodyTime(upload) > 900*time.Millisecond, "it waits behind the one before")
 
 	clock := timer.NewManual()
--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -251,7 +251,7 @@
 	}
 	r := dispatch.Requested{
 		Priority: c.route.Priority, Age: now.Sub(c.start), Objective: c.route.Objective, Timeout: c.route.Timeout,
-		Left: c.deadline.Sub(now) - responseMargin, BodyBytes: len(c.body), Returning: *c.returning,
+		Left: c.deadline.Sub(now) - responseMargin, BodyBytes: len(c.body), BodyTime: s.bodyTime(c), ConnectTime: s.cfg.Pool.ConnectTime(), Returning: *c.returning,
 	}
 	v := s.cfg.View.View()
 	usable := v.Usable(c.service.Name)
@@ -347,7 +347,7 @@
 	if c.slot == nil {
 		return
 	}
-	e := dispatch.Ended{Outcome: outcome, Took: res.took}
+	e := dispatch.Ended{Outcome: outcome, Took: res.workTime()}
 	if res.loadKnown {
 		e.LoadKnown, e.Running, e.Waiting, e.Slowdown = true, res.load.Running, res.load.Waiting, max(res.load.Slowdown, 0)
 		if e.Slowdown == 0 {
@@ -358,9 +358,13 @@
 	c.slot, c.granted = nil, false
 }
 
-// failedOutcome returns how an attempt ended that brought no complete answer.
-func failedOutcome(err error, disconnected bool) dispatch.Outcome {
+// failedOutcome returns how an attempt ended that brought no complete answer. On a narrow link
+// a connection that does not open in time mostly shows that the link is full, and says nothing
+// about the target.
+func (s *Server) failedOutcome(err error, disconnected bool) dispatch.Outcome {
 	switch {
+	case errors.Is(err, targethttp.ErrNotSent) && s.cfg.Link != nil && isTimeout(err):
+		return dispatch.CallerLeft
 	case errors.Is(err, targethttp.ErrNotSent):
 		return dispatch.NotSent
 	case disconnected:
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -127,7 +127,7 @@
 		ID:             c.id,
 		NonIdempotent:  !c.route.Kind.Idempotent(),
 		ConnectTimeout: connectTimeout(c.route.Objective),
-		Pace:           s.paceBody(ctx),
+		Pace:           (&bodyPace{ctx: ctx, link: s.cfg.Link}).function(),
 		BodyContext:    c.bodyCtx,
 	})
 	if err == nil && a.Stream != nil && a.Status >= http.StatusMultipleChoices {
--- a/internal/instance/dispatch.go
+++ b/internal/instance/dispatch.go
@@ -33,6 +33,8 @@
 	Timeout   int      `msgpack:"max,omitempty"`
 	Left      int      `msgpack:"left,omitempty"`
 	BodyBytes int      `msgpack:"body,omitempty"`
+	BodyTime  int      `msgpack:"body_time,omitempty"`
+	Connect   int      `msgpack:"dial,omitempty"` // time to open a connection
 	Excluded  []string `msgpack:"not,omitempty"`
 	// Connected holds short hashes of the IDs of targets to which the entry has an open
 	// connection. Two targets with the same hash are rare, and then one of them is only
--- a/internal/targethttp/pool.go
+++ b/internal/targethttp/pool.go
@@ -229,6 +229,13 @@
 	return p.avgConnectTime
 }
 
+// ConnectTime returns the moving average of the times to open a connection.
+func (p *Pool) ConnectTime() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.avgConnectTime
+}
+
 // releaseSlot stops counting a connection to the address as open.
 func (p *Pool) releaseSlot(address string) {
 	p.mu.Lock()
--- a/pkg/limit/link.go
+++ b/pkg/limit/link.go
@@ -17,6 +17,7 @@
 
 	mu      sync.Mutex
 	freeAt  time.Time // when the link will have sent all bytes counted so far
+	pending int       // bytes of large transfers that have not been admitted
 	waiting []*transfer
 	timer   *time.Timer
 }
@@ -57,7 +58,18 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return max(0, time.Until(l.freeAt)) + time.Duration(float64(bytes)/l.rate*float64(time.Second))
+	return max(0, time.Until(l.freeAt)) + time.Duration(float64(l.pending+bytes)/l.rate*float64(time.Second))
+}
+
+// Expect adds bytes of a large transfer that will be sent by Wait, so that Delay counts them
+// before. It takes back as many when the number is negative.
+func (l *Link) Expect(bytes int) {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pending += bytes
 }
 
 // countLocked adds bytes to the backlog. The caller holds l.mu.
