--- a/internal/deployment/state.go
+++ b/internal/deployment/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"github.com/cranberrywind/cranberrywind/internal/suspect"
@@ -28,7 +29,7 @@
 	AvailabilityZone string `msgpack:"availability_zone"`
 	Software         string `msgpack:"software"`
 	Slots            int    `msgpack:"slots"`
-	WarmUpMillis     int64  `msgpack:"warm_up_millis"` // time left to warm up at the first announcement
+	WarmUpMillis     int64  `msgpack:"warm_up_millis"` // time left to warm up at this announcement; 0 for a warm target
 	Status           Status `msgpack:"status"`
 	Sequence         uint64 `msgpack:"sequence"` // of the announcement
 	Changed          uint64 `msgpack:"changed"`  // log index of the last change
@@ -51,6 +52,13 @@
 	tables        []KeyTable
 	suspects      []Suspect
 	suspectsIndex uint64 // log index of the last change of the suspects
+
+	zones          []zoneRecord // for which an operator called, sorted by name
+	forgottenCalls uint64       // latest zoneRecord.Called that was dropped
+	evacuated      []Evacuation // of zones
+	evacuatedIndex uint64       // log index of the last change of the evacuated zones
+
+	featureLevel uint64 // agreed level; 0 if it was never raised
 	// earlierConfigs are the configurations before the one in force, oldest first.
 	// They are not part of a snapshot.
 	earlierConfigs []indexedConfig
@@ -171,6 +179,11 @@
 	Tables        []KeyTable `msgpack:"tables"`
 	Suspects      []Suspect  `msgpack:"suspects"`
 	SuspectsIndex uint64     `msgpack:"blamed"`
+
+	Zones          []zoneRecord `msgpack:"zones,omitempty"`
+	ForgottenCalls uint64       `msgpack:"forgotten_calls,omitempty"`
+	EvacuatedIndex uint64       `msgpack:"evacuated_index,omitempty"`
+	FeatureLevel   uint64       `msgpack:"feature_level,omitempty"`
 }
 
 // Encode returns the state as a snapshot for Decode.
@@ -184,14 +197,23 @@
 		Tables:        s.tables,
 		Suspects:      s.suspects,
 		SuspectsIndex: s.suspectsIndex,
+
+		Zones:          s.zones,
+		ForgottenCalls: s.forgottenCalls,
+		EvacuatedIndex: s.evacuatedIndex,
+		FeatureLevel:   s.featureLevel,
 	})
 }
 
-// Decode returns the state of a snapshot by Encode.
+// Decode returns the state of a snapshot by Encode. The error matches ErrUnknownRecord if
+// the snapshot has a field that this build does not know, or a higher feature level.
 func Decode(data []byte) (State, error) {
 	var in snapshot
-	if err := wire.Decode(data, &in); err != nil {
-		return State{}, err
+	if err := wire.DecodeStrict(data, &in); err != nil {
+		return State{}, fmt.Errorf("%w: %w", ErrUnknownRecord, err)
+	}
+	if in.FeatureLevel > FeatureLevel {
+		return State{}, fmt.Errorf("%w: the snapshot has level %d, and this build supports %d", ErrUnknownRecord, in.FeatureLevel, FeatureLevel)
 	}
 	return State{
 		version:       in.Version,
@@ -202,5 +224,11 @@
 		tables:        in.Tables,
 		suspects:      in.Suspects,
 		suspectsIndex: in.SuspectsIndex,
+
+		zones:          in.Zones,
+		forgottenCalls: in.ForgottenCalls,
+		evacuated:      evacuationsOf(in.Zones),
+		evacuatedIndex: in.EvacuatedIndex,
+		featureLevel:   in.FeatureLevel,
 	}, nil
 }
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -38,6 +38,7 @@
 	openReplica    atomic.Pointer[openReplica]
 	fs             disk.FS // nil for the operating system's file system
 	seeds          atomic.Pointer[[]string]
+	refusals       refusals
 
 	invalidKeyReports atomic.Uint64
 	invalidKeysOf     sync.Map // targets whose invalid reports were logged
@@ -56,8 +57,8 @@
 	_ view.Source                = (*Control)(nil)
 )
 
-// ErrUnavailable is returned with every error of a call to the leader, for example
-// when the control group did not decide in time. The request may still take effect
+// ErrUnavailable is returned with every error of a call to the leader but
+// deployment.ErrFeatureLevel, for example when the control group did not decide in time. The request may still take effect
 // later.
 var ErrUnavailable = errors.New("control group is not available")
 
@@ -74,6 +75,10 @@
 // SubmitChange sends an operator's configuration change to the leader and returns
 // the decision. It may be called at any control instance.
 func (c *Control) SubmitChange(ctx context.Context, change deployment.ConfigChange) (deployment.Result, error) {
+	// The leader may be of an earlier build, which does not check the level.
+	if err := c.State().Admit(deployment.Command{ConfigChange: &change}); err != nil {
+		return deployment.Result{}, err
+	}
 	res, err := callLeader[instance.ConfigChangeRequest, instance.ConfigChangeResponse](ctx, c, "Change", &instance.ConfigChangeRequest{Change: change}, c.ChangeConfig)
 	if err != nil {
 		return deployment.Result{}, err
@@ -81,6 +86,34 @@
 	return res.Result, nil
 }
 
+// EvacuateZone sends an operator's call to evacuate an availability zone, or to withdraw
+// that, to the leader and returns the decision. It may be called at any control instance. If
+// ctx ends before the command is sent, the command is not sent: nobody waits for its outcome,
+// and the operator may have made a later call.
+func (c *Control) EvacuateZone(ctx context.Context, zone string, withdraw bool) (deployment.Result, error) {
+	if err := deployment.ValidateZone(zone); err != nil {
+		return deployment.Result{Outcome: deployment.Invalid, Reason: err.Error()}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	read, err := callLeader[instance.BarrierRequest, instance.BarrierResponse](ctx, c, "Barrier", &instance.BarrierRequest{}, c.Barrier)
+	if err == nil {
+		err = wrapUnavailable(ctx.Err())
+	}
+	if err != nil {
+		return deployment.Result{}, err
+	}
+	deadline, _ := ctx.Deadline()
+	ctx, cancelCommand := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	defer cancelCommand()
+	req := &instance.EvacuateRequest{Evacuate: deployment.Evacuate{Zone: zone, Withdraw: withdraw, Base: read.Index}}
+	res, err := callLeader[instance.EvacuateRequest, instance.EvacuateResponse](ctx, c, "Evacuate", req, c.Evacuate)
+	if err != nil {
+		return deployment.Result{}, err
+	}
+	return res.Result, nil
+}
+
 // Configuration returns a configuration that includes every change acknowledged before
 // the call, and whether one has been accepted yet.
 func (c *Control) Configuration(ctx context.Context) (deployment.Config, bool, error) {
@@ -128,10 +161,11 @@
 	}
 }
 
-// wrapUnavailable adds ErrUnavailable to an error.
+// wrapUnavailable adds ErrUnavailable to an error, but not to deployment.ErrFeatureLevel,
+// which the leader returns.
 func wrapUnavailable(err error) error {
-	if err == nil {
-		return nil
+	if err == nil || errors.Is(err, deployment.ErrFeatureLevel) {
+		return err
 	}
 	return fmt.Errorf("%w: %w", ErrUnavailable, err)
 }
@@ -184,8 +218,29 @@
 	return &instance.ConfigChangeResponse{Result: result}, nil
 }
 
-// propose commits a command and returns its result.
+// Evacuate commits an operator's call to evacuate an availability zone or to withdraw that.
+// Only the leader accepts the call; EvacuateZone makes it.
+func (c *Control) Evacuate(ctx context.Context, req *instance.EvacuateRequest) (*instance.EvacuateResponse, error) {
+	if !c.isLeader() {
+		return nil, c.notLeaderError()
+	}
+	e := req.Evacuate
+	result, err := c.propose(ctx, deployment.Command{Evacuate: &e})
+	if err != nil {
+		c.log.Warn("evacuation not decided", "zone", e.Zone, "withdraw", e.Withdraw, "base", e.Base, "error", err)
+		return nil, err
+	}
+	c.log.Info("evacuation decided", "zone", e.Zone, "withdraw", e.Withdraw, "base", e.Base, "outcome", result.Outcome, "reason", result.Reason,
+		"evacuated", zoneNames(c.State().Evacuated()))
+	return &instance.EvacuateResponse{Result: result}, nil
+}
+
+// propose commits a command and returns its result, or an error that matches
+// deployment.ErrFeatureLevel if the command needs a higher level than the agreed one.
 func (c *Control) propose(ctx context.Context, command deployment.Command) (deployment.Result, error) {
+	if err := c.State().Admit(command); err != nil {
+		return deployment.Result{}, err
+	}
 	committed, err := c.lastReplica().group.Propose(ctx, wire.Encode(command))
 	if err != nil {
 		return deployment.Result{}, err
@@ -224,12 +279,21 @@
 	return nil, c.notLeaderError()
 }
 
+// zoneShares returns the shares of requests that leave their availability zone, by zone and
+// service; nil if this instance does not lead, or if none leave.
+func (c *Control) zoneShares() map[string]instance.ZoneShares {
+	if !c.isLeader() {
+		return nil
+	}
+	return c.lastReplica().leader.ZoneShares()
+}
+
 // ReportBatch records the reports that another control instance collected.
 func (c *Control) ReportBatch(_ context.Context, req *instance.ReportBatchRequest) (*instance.ReportBatchResponse, error) {
 	if !c.isLeader() {
 		return nil, c.notLeaderError()
 	}
-	res := c.lastReplica().leader.ReportBatch(req.Reports)
+	res := c.lastReplica().leader.ReportBatch(*req)
 	return &res, nil
 }
 
@@ -245,8 +309,17 @@
 
 // Watch streams updates of the view to an entry.
 func (c *Control) Watch(ctx context.Context, req *instance.WatchRequest, send func(*instance.ViewUpdate) error) error {
+	if err := c.checkLevel("entry", req.Instance, req.Level); err != nil {
+		return err
+	}
 	c.log.Info("entry subscribed to the view", "entry", req.Instance, "view_version", req.Version)
-	return c.publisher.Publish(ctx, req, send)
+	return c.publisher.Publish(ctx, req, func(u *instance.ViewUpdate) error {
+		// The level may have been raised since the entry subscribed.
+		if err := c.checkLevel("entry", req.Instance, req.Level); err != nil {
+			return err
+		}
+		return send(u)
+	})
 }
 
 // State returns the state that this replica has applied.
@@ -274,16 +347,11 @@
 	return out
 }
 
-// Deliver passes a message of the group to the replica.
-func (c *Control) Deliver(e group.Envelope) {
-	if e.Group == groupName {
-		c.lastReplica().group.Receive(e)
-	}
-}
-
 // Probe returns the replica's identity and whether it has a membership.
 func (c *Control) Probe(context.Context, *instance.ProbeRequest) (*instance.ProbeResponse, error) {
-	return &instance.ProbeResponse{Self: c.lastReplica().group.Self(), Formed: c.lastReplica().group.Formed()}, nil
+	return &instance.ProbeResponse{
+		Self: c.lastReplica().group.Self(), Formed: c.lastReplica().group.Formed(), Level: deployment.FeatureLevel,
+	}, nil
 }
 
 // Form sets the group's first membership on the replica.
@@ -296,6 +364,11 @@
 	if !c.isLeader() {
 		return nil, c.notLeaderError()
 	}
+	if err := c.checkLevel("replica", string(req.Member.ID), req.Level); err != nil {
+		return nil, err
+	}
+	c.lastReplica().group.NoteLevel(req.Member.ID, req.Level)
+	c.lastReplica().leader.LevelHeard(string(req.Member.ID), req.Level)
 	c.lastReplica().members.Join(req.Member)
 	return &instance.Empty{}, nil
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -18,6 +18,7 @@
 
 	"github.com/cranberrywind/cranberrywind/internal/cleanup"
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/internal/dispatcher"
 	"github.com/cranberrywind/cranberrywind/internal/forward"
 	"github.com/cranberrywind/cranberrywind/internal/instance"
 	"github.com/cranberrywind/cranberrywind/internal/leader"
@@ -65,6 +66,7 @@
 	operator   *http.Server // of the control role
 	entry      *forward.Server
 	follower   *view.Follower
+	dispatcher *dispatcher.Dispatcher
 	collectors collectors
 
 	cleanups cleanup.Stack
@@ -103,7 +105,7 @@
 	}
 	i.log.Info("instance started", "availability_zone", cfg.AvailabilityZone, "entry", cfg.Entry, "control", cfg.Control,
 		"bootstrap", cfg.Bootstrap, "seeds", cfg.Seeds, "grace", cfg.Grace, "retry_ratio", cfg.RetryRatio, "retry_slack", cfg.RetrySlack,
-		"config_apply", cfg.ConfigApply, "target_drain", cfg.TargetDrain, "max_lease", cfg.MaxLease, "grants", cfg.Grants, "link_mbps", cfg.LinkMbps)
+		"config_apply", cfg.ConfigApply, "target_drain", cfg.TargetDrain, "max_lease", cfg.MaxLease, "grants", cfg.Grants, "link_mbps", cfg.LinkMbps, "memory_mb", cfg.MemoryMB)
 	if len(cfg.Unknown) > 0 {
 		i.log.Warn("unknown settings of the platform ignored", "names", cfg.Unknown)
 	}
@@ -123,7 +125,7 @@
 	}
 	i.addGauges()
 	if i.cfg.MetricsAddress != "" {
-		_, err := i.listenHTTP(i.cfg.MetricsAddress, i.metrics)
+		_, err := i.listenHTTP(i.cfg.MetricsAddress, newAdmin(i.control, i.metrics))
 		return err
 	}
 	return nil
@@ -140,12 +142,16 @@
 		i.metrics.addGauge("applied_index", func() any { return c.lastReplica().group.State().Index })
 		i.metrics.addGauge("config_version", func() any { cfg, _ := c.State().Config(); return cfg.Version })
 		i.metrics.addGauge("invalid_key_reports", func() any { return c.invalidKeyReports.Load() })
+		i.metrics.addGauge("feature_level", c.featureGauge)
 		i.metrics.addGauge("targets", func() any { return countTargets(c.State().Targets()) })
+		i.metrics.addGauge("evacuated_zones", func() any { return len(c.State().Evacuated()) })
+		i.metrics.addGauge("zone_shares", func() any { return c.zoneShares() })
 	}
 	if v := i.follower; v != nil {
 		i.metrics.addGauge("view_version", func() any { return v.View().Version })
 		i.metrics.addGauge("view_age_milliseconds", func() any { return v.Age().Milliseconds() })
 		i.metrics.addGauge("config_version", func() any { return v.View().Config.Version })
+		i.metrics.addGauge("evacuated_zones", func() any { return v.View().EvacuatedZones() })
 		i.metrics.addGauge("config_lag_milliseconds", func() any { return v.ConfigLag().Milliseconds() })
 		i.metrics.addGauge("caller_connections", func() any { return i.entry.Connections() })
 		i.metrics.addGauge("retry_budgets", func() any { return i.entry.RetryBudgets() })
@@ -157,7 +163,26 @@
 			return map[string]uint64{"sent": sent, "taken": taken, "rejected": rejected}
 		})
 		i.metrics.addGauge("responses_not_written", func() any { return i.entry.NotWritten() })
+		i.metrics.addGauge("request_body_bytes", func() any { return i.entry.HeldBodyBytes() })
 		i.metrics.addGauge("rate_limits", func() any { return i.entry.RateLimits() })
+		i.metrics.addGauge("dispatch", func() any { return i.dispatchGauge() })
+		i.metrics.addGauge("zone_requests", func() any {
+			stayed, left := i.entry.ZoneRequests()
+			return map[string]map[string]uint64{"stayed": stayed, "left": left}
+		})
+	}
+}
+
+// dispatchGauge returns the numbers of decisions and fallbacks of this entry's requests, and of
+// the pools that it runs. It is null while the configuration does not call for dispatch.
+func (i *Instance) dispatchGauge() any {
+	if !i.dispatcher.Active() {
+		return nil
+	}
+	grants, rejections := i.entry.DispatchDecisions()
+	pools, waiting := i.dispatcher.Running()
+	return map[string]any{
+		"grants": grants, "rejections": rejections, "fallbacks": i.dispatcher.Fallbacks(), "pools": pools, "waiting": waiting,
 	}
 }
 
@@ -208,13 +233,16 @@
 	if i.cfg.PreferZone {
 		i.collectors.nearby = instance.NewNearby(i.cfg.AvailabilityZone, i.clock)
 	}
-	i.follower = view.Follow(ctx, view.FollowerConfig{Name: i.cfg.Name, Seeds: i.cfg.Seeds, Pool: i.pool, Log: i.log, Nearby: i.collectors.nearby})
+	i.follower = view.Follow(ctx, view.FollowerConfig{Name: i.cfg.Name, Seeds: i.cfg.Seeds, Pool: i.pool, Log: i.log, Nearby: i.collectors.nearby, Level: deployment.FeatureLevel})
 	targets, closeTargets := targethttp.NewPool(i.clock)
 	i.cleanups.Add(closeTargets)
 	l, err := net.Listen("tcp", i.cfg.CallerAddress)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
+	if err := i.startDispatcher(ctx); err != nil {
+		return err
+	}
 	leaderClient := instance.NewLeaderClient(i.pool, i.cfg.Seeds, reportTimeout)
 	server, stopServer := forward.Serve(ctx, l, forward.Config{
 		Name:             i.cfg.Name,
@@ -236,6 +264,8 @@
 		GrantsByHeartbeat: i.cfg.Grants == settings.GrantByHeartbeat,
 		RelayAddress:      i.cfg.RelayAddress,
 		Link:              newLink(i.cfg.LinkMbps),
+		Dispatcher:        i.dispatcher,
+		BodyBudget:        int(i.cfg.MemoryMB * bodyShare * (1 << 20)),
 	})
 	i.entry = server
 	i.cleanups.Add(stopServer)
@@ -250,10 +280,29 @@
 	return err
 }
 
+// startDispatcher starts to ask other entries for slots of targets, and to decide on theirs.
+func (i *Instance) startDispatcher(ctx context.Context) error {
+	i.dispatcher = dispatcher.New(ctx, dispatcher.Config{
+		Name: i.cfg.Name, Address: i.cfg.DispatchAddress, View: i.follower, Clock: i.clock, Log: i.log, Open: i.pool.OpenDispatch,
+	})
+	if i.cfg.DispatchAddress == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", i.cfg.DispatchAddress)
+	if err != nil {
+		return fmt.Errorf("listen for requests for slots: %w", err)
+	}
+	i.cleanups.Add(instance.ServeDispatch(l, i.dispatcher, instance.Security{}, i.traffic))
+	return nil
+}
+
 const (
 	// narrowLinkMbps is the bandwidth below which large responses are scheduled.
 	narrowLinkMbps = 100.0
 	bytesPerMbit   = 1e6 / 8
+	// bodyShare is the share of an instance's memory for the bodies of requests. The heap
+	// grows to several times that before it is collected.
+	bodyShare = 1.0 / 8
 	// responseShare is the share of a link for responses to callers. The rest is for
 	// requests to targets, traffic between instances, and packet headers.
 	responseShare = 0.92
@@ -276,6 +325,7 @@
 func (i *Instance) sendReport(ctx context.Context, leaderClient *instance.LeaderClient, r instance.ReportRequest) *instance.ReportResponse {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
+	r.Level = deployment.FeatureLevel
 	control := i.follower.View().Control
 	if r.Collect && len(control) > 0 {
 		address := i.collectors.choose(i.cfg.Name, control)
@@ -398,6 +448,7 @@
 		if err := i.entry.Shutdown(ctx); err != nil {
 			i.log.Warn("graceful shutdown timed out", "error", err)
 		}
+		i.dispatcher.AwaitIdle(ctx)
 	}
 	i.log.Info("graceful shutdown finished")
 }
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -12,6 +12,7 @@
 	"github.com/cranberrywind/cranberrywind/internal/instance"
 	"github.com/cranberrywind/cranberrywind/internal/leader"
 	"github.com/cranberrywind/cranberrywind/internal/membership"
+	"github.com/cranberrywind/cranberrywind/internal/overflow"
 	"github.com/cranberrywind/cranberrywind/internal/settings"
 	"github.com/cranberrywind/cranberrywind/internal/view"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
@@ -40,7 +41,8 @@
 }
 
 // start opens the replica and starts forwarding heartbeats. It reopens the replica
-// after disk failures, until the returned function is called.
+// after disk failures, until the returned function is called. A replica that finds a record
+// which this build does not know stays stopped.
 func (c *Control) start(ctx context.Context) (func(), error) {
 	c.seeds.Store(&c.cfg.Seeds)
 	stop, err := c.open(ctx)
@@ -71,11 +73,20 @@
 			return
 		case <-c.lastReplica().group.Done():
 		}
-		c.log.Error("replica stopped after a disk failure", "error", c.lastReplica().group.Err())
+		err := c.lastReplica().group.Err()
 		stop()
 		stop = func() {}
+		if unknownRecord(err) {
+			c.stayStopped(ctx, err)
+			return
+		}
+		c.log.Error("replica stopped after a disk failure", "error", err)
 		for retry := true; retry && timer.Sleep(ctx, reopenDelay); {
 			next, err := c.open(ctx)
+			if unknownRecord(err) {
+				c.stayStopped(ctx, err)
+				return
+			}
 			if err != nil {
 				c.log.Warn("replica not reopened yet; retrying", "error", err)
 				continue
@@ -100,6 +111,7 @@
 		Clock:     c.clock,
 		Timing:    groupTiming(),
 		FS:        c.fs,
+		Level:     deployment.FeatureLevel,
 	})
 	if err != nil {
 		cancel()
@@ -107,7 +119,8 @@
 	}
 	lead, stopLead := leader.Start(ctx, g, c.targets, c.clock, newModel(c.cfg), c.log)
 	m := membership.New(g, c.pool, c.clock, c.log, nil).
-		WithSeeds(membership.Seeds{Peers: seedPeers(*c.seeds.Load()), Bootstrap: c.cfg.Bootstrap})
+		WithSeeds(membership.Seeds{Peers: seedPeers(*c.seeds.Load()), Bootstrap: c.cfg.Bootstrap}).
+		WithLevel(deployment.FeatureLevel)
 	go m.Run(ctx)
 	c.openReplica.Store(&openReplica{group: g, leader: lead, members: m})
 	return func() {
@@ -120,11 +133,12 @@
 // newModel returns the leader's model for the way in which targets are granted keys.
 func newModel(cfg settings.Routed) *leader.Model {
 	timing := leader.DefaultTiming()
+	costs := overflow.Costs{Delay: cfg.ZoneDelay, LatePerMegabyte: cfg.ZoneLatePerMB}
 	if cfg.Grants == settings.GrantByHeartbeat {
-		return leader.NewHeartbeatModel(timing.WithHeartbeat(cfg.Heartbeat, cfg.MaxLease))
+		return leader.NewHeartbeatModel(timing.WithHeartbeat(cfg.Heartbeat, cfg.MaxLease)).WithZoneCosts(costs)
 	}
 	timing.LeaseDuration, timing.MaxLease = min(timing.LeaseDuration, cfg.MaxLease), cfg.MaxLease
-	return leader.NewModel(timing)
+	return leader.NewModel(timing).WithZoneCosts(costs)
 }
 
 // SetSeeds replaces the addresses at which the replica looks for its group.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -18,34 +18,45 @@
 	return min(max(objective/2, minConnectTimeout), maxConnectTimeout)
 }
 
+// maxConns returns the number of connections that this entry may open to a target.
+func (s *Server) maxConns(service deployment.Service) int {
+	return max(minConns, int(connectionShare*float64(service.Connections)/float64(s.entryCount())))
+}
+
 // attempt sends the request to one target. It returns the final response, or nil
 // and whether another attempt may help.
 func (s *Server) attempt(ctx context.Context, c *call, t deployment.Target) (*response, bool) {
 	if !c.service.Keyed {
 		c.excluded = append(c.excluded, t.ID)
 	}
-	maxConns := max(minConns, int(connectionShare*float64(c.service.Connections)/float64(s.entryCount())))
+	maxConns := s.maxConns(c.service)
 	start := time.Now()
-	c.admittedBy = ""
+	c.admittedBy, c.bodyTime = "", 0
+	pace := &bodyPace{ctx: ctx, link: s.cfg.Link}
+	defer pace.end()
 	c.sentAt = s.targets.requestSent(t)
 	a, err := s.cfg.Pool.Do(ctx, t.Address, maxConns, s.cfg.Headers.RequestID, targethttp.Request{
-		Method:         c.method,
-		Head:           func() []byte { return s.requestHead(c, t, time.Now()) },
+		Method: c.method,
+		Head: func() []byte {
+			s.countBody(c, pace)
+			return s.requestHead(c, t, time.Now())
+		},
 		Body:           c.body,
 		ID:             c.id,
 		NonIdempotent:  !c.route.Kind.Idempotent(),
 		ConnectTimeout: connectTimeout(c.route.Objective),
 
+		Pace:        pace.function(),
 		BodyContext: c.bodyCtx,
 		// The target may have said otherwise while the connection was opened.
-		Allowed: func() bool { return s.targets.mayStillSend(t, s.cfg.TargetDrain) },
+		Allowed: func() bool { return s.mayStillSend(c, t) && s.zoneAllows(c, t) },
 	})
 	took := time.Since(start)
 	if err != nil {
 		return s.handleFailure(ctx, c, t, err, took)
 	}
 	s.path.RecordAnswer()
-	res := attemptResult{sentAt: c.sentAt, took: took, answered: true, leaving: a.Header.Get(s.cfg.Headers.Leaving) != ""}
+	res := attemptResult{sentAt: c.sentAt, took: took, bodyTime: c.bodyTime, answered: true, leaving: a.Header.Get(s.cfg.Headers.Leaving) != ""}
 	if a.Status == http.StatusServiceUnavailable && s.cfg.Headers.ParseRest != nil {
 		if value := a.Header.Get("Retry-After"); value != "" {
 			if rest, ok := s.cfg.Headers.ParseRest(value); ok {
@@ -77,6 +88,7 @@
 	if invalid := s.invalidReason(a); invalid != "" {
 		res.failed, res.broken = true, true
 		s.targets.requestEnded(t, res)
+		s.releaseSlot(c, answeredOutcome(res), res)
 		c.reason = fmt.Sprintf("target %s: %s", t.ID, invalid)
 		s.logAttempt(c, t, res, c.reason)
 		return nil, s.mayRetry(c)
@@ -84,11 +96,22 @@
 	return s.handleAnswer(c, t, res, a)
 }
 
+// zoneAllows reports whether the request may be sent to the target as far as the evacuated
+// zones tell.
+func (s *Server) zoneAllows(c *call, t deployment.Target) bool {
+	v := s.cfg.View.View()
+	if c.service.Keyed {
+		return v.OwnerAllowed(t, time.Now())
+	}
+	return !v.Evacuated(t.AvailabilityZone)
+}
+
 // handleNotRun handles an answer by which the target reports that it did not run
 // the request. It returns whether another attempt may help.
 func (s *Server) handleNotRun(c *call, t deployment.Target, res attemptResult, status int) bool {
 	c.reason = fmt.Sprintf("target %s did not run the request: status %d", t.ID, status)
 	s.targets.requestEnded(t, res)
+	s.releaseSlot(c, answeredOutcome(res), res)
 	s.logAttempt(c, t, res, c.reason)
 	// Sending it again is safe, so it is sent at least twice if no target ran it.
 	if c.mayHaveRun || c.sent >= max(c.route.Attempts, 2) {
@@ -119,6 +142,7 @@
 		s.crashes.recordAnswered(c.fingerprint)
 	}
 	s.targets.requestEnded(t, res)
+	s.releaseSlot(c, answeredOutcome(res), res)
 	out := &response{status: a.Status, header: forwardedHeaders(a.Header), body: a.Body, stream: a.Stream}
 	if length := a.Header.Get("Content-Length"); c.method == http.MethodHead && length != "" {
 		out.header["Content-Length"] = []string{length}
@@ -158,6 +182,7 @@
 		noConnection: !disconnected && errors.Is(err, targethttp.ErrNoConnection) && (s.cfg.Link == nil || !isTimeout(err)),
 	}
 	s.targets.requestEnded(t, res)
+	s.releaseSlot(c, s.failedOutcome(err, disconnected), res)
 	if res.failed && (errors.Is(err, targethttp.ErrNoConnection) || errors.Is(err, targethttp.ErrTimeout)) {
 		s.path.RecordFailure(t.ID)
 	}
@@ -167,6 +192,9 @@
 	}
 	s.logAttempt(c, t, res, c.reason)
 	if errors.Is(err, targethttp.ErrNotSent) {
+		if c.service.Keyed && errors.Is(err, targethttp.ErrNotAllowed) && !s.zoneAllows(c, t) {
+			return nil, !disconnected // it waits for the next owner
+		}
 		if c.service.Keyed {
 			c.failedConnects++
 			if c.ownerUnreached = res.noConnection && s.targets.onlyOthersReach(t); c.ownerUnreached {
--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/internal/dispatch"
 	"github.com/cranberrywind/cranberrywind/internal/targethttp"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
@@ -102,6 +103,7 @@
 	reason         string        // why there is no answer yet
 	expected       time.Duration // expected time until the answer of the target that was chosen last
 	target         deployment.Target
+	granted        bool            // the dispatcher of the target granted the next attempt
 	admittedBy     string          // ID of the target whose rate limit counts the next attempt already
 	result         attemptResult   // of the last attempt
 	sentAt         timer.Instant   // of the last attempt
@@ -109,7 +111,10 @@
 	fingerprint    string          // of the kind of request
 	rangeID        string          // target and fence of the key's range
 	ownerRetryAt   time.Time       // earliest next attempt at the owner under rangeID
+	bodyTime       time.Duration   // of the last attempt, that its body takes on this entry's link
 	bodyCtx        context.Context // ends when the caller disconnects, and bodyGrace after the deadline
+
+	dispatchState
 }
 
 // handle returns the final response to a request.
@@ -118,6 +123,7 @@
 	if rejection != nil {
 		return s.finish(r, c, *rejection)
 	}
+	s.countDemand(c)
 	ctx, cancel := context.WithDeadline(s.ctx, c.deadline)
 	defer cancel()
 	if c.route.Kind.Idempotent() {
@@ -161,6 +167,7 @@
 	}
 	out.isHead = r.method == http.MethodHead
 	out.closeConn = out.closeConn || r.closeConn
+	s.countAnswered(c, out)
 	if r.relayed {
 		out = s.finishRelayed(c, out)
 	}
@@ -177,6 +184,8 @@
 // sendWithRetries sends the request to targets until one answers, or no further
 // attempt is allowed or likely to help.
 func (s *Server) sendWithRetries(ctx context.Context, c *call) response {
+	// Gives back a slot that was not used, for example because the retry budget is exhausted.
+	defer func() { s.releaseSlot(c, dispatch.NotSent, attemptResult{}) }()
 	for {
 		if s.mustRelay(c) {
 			if out := s.relay(ctx, c); out != nil {
@@ -253,6 +262,9 @@
 		out := s.finalResponse(ctx, c)
 		if !c.mayHaveRun {
 			out = unavailableResponse(reason, retryAfter)
+			if c.exactRetryAfter {
+				out = rejectedResponse(reason, retryAfter)
+			}
 		}
 		return deployment.Target{}, &out
 	}
@@ -267,17 +279,26 @@
 		}
 		return t, nil
 	}
-	t, retryAfter, reason := s.chooseUnkeyed(c)
+	t, retryAfter, reason := s.findUnkeyed(ctx, c)
 	if reason != "" {
 		return reject(reason, retryAfter)
 	}
 	return t, nil
 }
 
-// chooseUnkeyed chooses a target of a service without keys. If there is none, it returns
-// why, and when the caller may try again.
-func (s *Server) chooseUnkeyed(c *call) (deployment.Target, time.Duration, string) {
-	candidates := s.cfg.View.View().Usable(c.service.Name)
+// findUnkeyed returns a target of a service without keys, from its dispatcher where the
+// configuration calls for that. If there is none, it returns why, and when the caller may try
+// again.
+func (s *Server) findUnkeyed(ctx context.Context, c *call) (deployment.Target, time.Duration, string) {
+	if s.dispatching() {
+		return s.acquireUnkeyed(ctx, c)
+	}
+	return s.chooseUnkeyed(c, s.cfg.View.View().Usable(c.service.Name))
+}
+
+// chooseUnkeyed chooses one of the candidates for a request to a service without keys. If
+// there is none, it returns why, and when the caller may try again.
+func (s *Server) chooseUnkeyed(c *call, candidates []deployment.Target) (deployment.Target, time.Duration, string) {
 	t, ok := s.targets.choose(choice{
 		candidates: candidates,
 		excluded:   c.excluded,
@@ -291,9 +312,13 @@
 		if retryAfter, limited := s.targets.rejectLimited(candidates, c.excluded); limited {
 			return t, retryAfter, errRateLimit.Error()
 		}
+		if retryAfter, cold := s.targets.untilWarm(candidates, c.excluded); cold {
+			return t, retryAfter, errTargetsCold.Error()
+		}
 		return t, defaultRetryAfter, "no target of the service is available"
 	}
 	expected, _ := s.targets.expected(t)
+	expected += s.bodyTime(c)
 	c.target, c.expected = t, expected
 	if expected > c.maxExpected() {
 		return t, expected / 2, "the chosen target would take too long"
--- a/internal/forward/owner.go
+++ b/internal/forward/owner.go
@@ -22,6 +22,7 @@
 		oldOwnerTimer = time.After(min(oldOwnerDelay, time.Until(c.deadline)/2))
 	}
 	askOldOwner := false
+	c.withoutDispatcher = false
 	for {
 		changed := s.cfg.View.Changed()
 		v := s.cfg.View.View()
@@ -30,10 +31,22 @@
 		switch {
 		case r.Phase == deployment.Unowned || !known || t.StartMillis != r.StartMillis:
 			return t, defaultRetryAfter, "the key has no owner"
+		case !v.OwnerAllowed(t, time.Now()):
+			// Wait for the leader to move the key, or for the evacuation to be withdrawn.
+			if !hasLive(v.Usable(c.service.Name)) {
+				return t, defaultRetryAfter, errEvacuated.Error()
+			}
 		case r.Phase == deployment.Owned && c.rangeID == rangeID(r) && time.Until(c.ownerRetryAt) > 0:
 			// Wait for the owner to learn of the key.
+		case r.Phase != deployment.Owned && !c.granted && !s.asksDispatcher(c) && s.targets.coldLimited(t):
+			// Wait for the next owner: the old one may take no request from this entry.
 		case (r.Phase == deployment.Owned || askOldOwner && t.Usable()) && !c.excludesRange(r):
 			retryAfter, err := s.checkOwner(c, t, r)
+			if errors.Is(err, errAskDispatcher) {
+				if retryAfter, err = s.askForOwner(ctx, c, t, r); errors.Is(err, errAskDispatcher) {
+					continue
+				}
+			}
 			if !errors.Is(err, errWindowFull) || !s.awaitWindow(waitCtx, c, t) {
 				return t, retryAfter, errorText(err)
 			}
@@ -52,6 +65,12 @@
 	}
 }
 
+// hasLive reports whether one of the targets sends heartbeats. Only such a target can take
+// over keys.
+func hasLive(targets []deployment.Target) bool {
+	return slices.ContainsFunc(targets, func(t deployment.Target) bool { return t.Status == deployment.Live })
+}
+
 // waitUntil returns a channel that receives the time at the given one, or nil if that has
 // passed.
 func waitUntil(at time.Time) <-chan time.Time {
@@ -70,6 +89,7 @@
 	errOwnerBusy        = errors.New("the key's owner would take too long")
 	errRateLimit        = errors.New("the target's rate limit is reached")
 	errWindowFull       = errors.New("this entry's window at the key's owner is full")
+	errEvacuated        = errors.New("the zone of the key's owner is evacuated, and no target elsewhere can take the key")
 )
 
 func errorText(err error) string {
@@ -89,6 +109,9 @@
 	if retryAfter, ok := s.targets.maySendToOwner(t, s.cfg.TargetDrain); !ok {
 		return max(retryAfter, defaultRetryAfter), errOwnerNotice
 	}
+	if left := s.targets.coldLeft(t); left > 0 && !c.granted && !s.asksDispatcher(c) {
+		return min(left, maxReturnDelay), errOwnerCold
+	}
 	if retryAfter, ok := s.targets.available(t); !ok {
 		c.target, c.ownerUnreached = t, s.targets.onlyOthersReach(t)
 		return retryAfter, errOwnerUnavailable
@@ -99,9 +122,16 @@
 		}
 		c.admittedBy = t.ID
 	}
+	if s.asksDispatcher(c) {
+		c.target, c.expected, c.fence = t, 0, r.Fence
+		return 0, errAskDispatcher
+	}
 	expected, withinWindow := s.targets.expected(t)
+	expected += s.bodyTime(c)
 	c.target, c.expected, c.fence = t, expected, r.Fence
 	switch {
+	case s.dispatching() && s.cfg.Dispatcher.ColdLeft(t) > 0:
+		return min(s.cfg.Dispatcher.ColdLeft(t), maxReturnDelay), errColdOwner
 	case s.rejectOverload(c.service.Name, c.key, t):
 		return overloadRetryAfter, errKeyOverloaded
 	case expected > c.maxExpected():
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -21,23 +21,25 @@
 	inFlight := make(chan struct{}, maxReportsInFlight)
 	number := uint64(0)
 	var heldUp atomic.Bool // the last report was
+	dispatchAddress := ""  // in the last report
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticks:
 		}
+		s.noteColdTargets()
 		for _, id := range s.targets.overdue() {
 			s.path.RecordFailure(id)
 		}
 		now := s.cfg.Clock.Now()
 		req := s.report(now.Sub(last))
 		last = now
-		idle := len(req.Keys) == 0 && len(req.Targets) == 0 && len(req.CrashReports) == 0
+		idle := req.DispatchAddress == dispatchAddress && len(req.Keys) == 0 && len(req.Targets) == 0 && len(req.Demand) == 0 && len(req.CrashReports) == 0
 		if idle && now.Sub(lastSent) < idleReportInterval {
 			continue
 		}
-		lastSent = now
+		lastSent, dispatchAddress = now, req.DispatchAddress
 		if heldUp.Load() {
 			req.Targets = withoutServiceTimes(req.Targets)
 		}
@@ -64,9 +66,13 @@
 		Interval:     interval,
 		Keys:         s.keys.take(),
 		CrashReports: s.crashes.take(),
+		Demand:       s.demand.take(),
 		Collect:      s.entryCount() > maxDirectEntries,
 		Targets:      s.targets.report(func(id string) bool { _, ok := v.Target(id); return ok }),
 	}
+	if s.cfg.Dispatcher != nil {
+		req.DispatchAddress, req.DispatchersVersion = s.cfg.Dispatcher.Address(), s.cfg.Dispatcher.Version()
+	}
 	switch {
 	case s.path.Lost():
 		req.Targets = withoutFailures(req.Targets)
@@ -120,7 +126,11 @@
 		a.Entries = before.Entries
 	}
 	s.advice.Store(a)
+	s.adoptZoneShares(a)
 	s.peers.Advise(a.Peers)
+	if s.cfg.Dispatcher != nil {
+		s.cfg.Dispatcher.Adopt(a)
+	}
 	s.targets.setFailureShares(a.Failing)
 	s.targets.setLeaving(a.Leaving, s.cfg.View.View().Target)
 	if a.LimitsKnown {
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -34,6 +34,12 @@
 	brokenAnswersToOpen = 6
 	minOpenTime         = 250 * time.Millisecond
 	maxOpenTime         = 2 * time.Second
+	// slowdownValidity is for how long a slowdown that a target reports counts. Slowdowns
+	// change many times a second, so that after this time the usual speed is likelier.
+	slowdownValidity = 400 * time.Millisecond
+	// minSlowdown and maxSlowdown bound a reported slowdown, so that an absurd one neither
+	// closes a target nor spoils its service time.
+	minSlowdown, maxSlowdown = 0.1, 10.0
 	// warmUpFactor is how many times slower a target is assumed to be while it
 	// warms up.
 	warmUpFactor = 2.0
@@ -55,6 +61,9 @@
 	mu             sync.Mutex
 	byID           map[string]*targetState
 	targetAverages map[string]movingAverage // service time in seconds, averaged over a service's targets, by service
+	// coldRate returns how many requests a second a cold target of a service takes, or 0 if
+	// it takes as many as a warm one. Nil stands for 0.
+	coldRate func(service string) float64
 }
 
 // movingAverage is an exponential moving average with its number of samples.
@@ -68,8 +77,10 @@
 	startMillis         int64
 	firstSeen           timer.Instant // when this entry first saw it
 	inFlight            int
-	serviceTime         float64 // moving average in seconds
-	queueDelay          float64 // seconds that a request waits for a slot, as of queueDelayAt
+	serviceTime         float64 // moving average in seconds, at the usual speed
+	slowdown            float64 // as last reported; counts for slowdownValidity after slowdownAt
+	slowdownAt          timer.Instant
+	queueDelay          float64 // seconds that a request waits for a slot at the usual speed, as of queueDelayAt
 	queueDelayAt        timer.Instant
 	sentSince           int // requests sent since queueDelayAt
 	window              float64
@@ -85,8 +96,7 @@
 	failures            uint32        // failed, missing or overdue answers since the last report
 	pending             []pendingRequest
 	advisedFailureShare float64 // share of failed requests over all entries, advised by the leader
-	limit               sharedLimit
-	notice              notice
+	targetLimits
 }
 
 // pendingRequest is a request in flight at a target.
@@ -107,24 +117,37 @@
 		if average, ok := ts.targetAverages[t.Service]; ok {
 			s.serviceTime = average.value
 		}
+		s.cold = coldness{sequence: t.Sequence, left: t.WarmUp(), since: ts.clock.Now()}
 		ts.byID[t.ID] = s
 	}
+	if t.Sequence > s.cold.sequence {
+		s.cold = s.cold.WithTarget(t, ts.clock.Now())
+	}
 	return s
 }
 
 // expected returns the estimated time until the answer to a request sent now, in
 // seconds.
 func (s *targetState) expected(t deployment.Target, now timer.Instant) float64 {
-	serviceTime := s.serviceTime
+	slowdown := s.slowdownNow(now)
+	serviceTime := s.serviceTime * slowdown
 	if now.Sub(s.firstSeen) < time.Duration(t.WarmUpMillis)*time.Millisecond {
 		serviceTime *= warmUpFactor
 	}
 	slots := float64(max(t.Slots, 1))
-	queue := max(0, s.queueDelay-queueDecayRate*now.Sub(s.queueDelayAt).Seconds())
+	queue := max(0, s.queueDelay*slowdown-queueDecayRate*now.Sub(s.queueDelayAt).Seconds())
 	ahead := max(0, float64(max(s.sentSince, s.inFlight))+1-slots)
 	return serviceTime*(1+ahead/slots) + queue
 }
 
+// slowdownNow returns how long the target's work takes now, as a multiple of the usual time.
+func (s *targetState) slowdownNow(now timer.Instant) float64 {
+	if s.slowdown == 0 || now.Sub(s.slowdownAt) >= slowdownValidity {
+		return 1
+	}
+	return s.slowdown
+}
+
 // A request is overdue after overdueFactor times the target's service time plus its
 // queue delay, but not before minOverdue: a congested link may delay answers for that
 // long.
@@ -193,7 +216,7 @@
 // the window to it.
 func (s *targetState) updateQueue(slots int, res attemptResult, now timer.Instant) {
 	slotCount := float64(max(slots, 1))
-	waiting := max(0, res.took.Seconds()-s.serviceTime) / s.serviceTime * slotCount
+	waiting := max(0, res.workTime().Seconds()-s.serviceTime) / s.serviceTime * slotCount
 	if res.loadKnown {
 		waiting = float64(res.load.Waiting)
 	}
@@ -295,6 +318,9 @@
 		close(s.freed)
 		s.freed = nil
 	}
+	if slowdown, ok := res.slowdown(); ok {
+		s.slowdown, s.slowdownAt = slowdown, now
+	}
 	if res.loadKnown || res.ran {
 		s.updateQueue(t.Slots, res, now)
 	} else {
@@ -369,14 +395,18 @@
 	ts.targetAverages[service] = avg
 }
 
-// serviceTimeOf returns the service time of a request, as part of the time until its
-// answer. It assumes that the request waited in a queue as long as the one that the
-// answer reports.
+// serviceTimeOf returns the service time of a request at the target's usual speed, as part
+// of the time until its answer. It assumes that the request waited in a queue as long as the
+// one that the answer reports, and ran at the speed that it reports.
 func (s *targetState) serviceTimeOf(slots int, res attemptResult) time.Duration {
 	if !res.loadKnown {
-		return res.took
+		return res.workTime()
+	}
+	took := float64(res.workTime())
+	if slowdown, ok := res.slowdown(); ok {
+		took /= slowdown
 	}
-	return time.Duration(float64(res.took) / (1 + float64(res.load.Waiting)/float64(max(slots, 1))))
+	return time.Duration(took / (1 + float64(res.load.Waiting)/float64(max(slots, 1))))
 }
 
 // recordFailure counts a failure and opens the circuit breaker after several.
@@ -445,6 +475,7 @@
 	success   bool          // the answer was a success
 	sentAt    timer.Instant // as returned by requestSent
 	took      time.Duration
+	bodyTime  time.Duration // part of took for which the body was on the entry's own link
 	load      Load
 	loadKnown bool
 	// rateLimit is the rate limit that the answer named, in requests a second; 0 unless
@@ -457,6 +488,23 @@
 	answered       bool          // a complete answer came, also one that did not run the request
 }
 
+// minWorkShare is the least share of the time until an answer that counts as the target's
+// work: the time of the body on the entry's own link is an estimate.
+const minWorkShare = 0.25
+
+// workTime returns the time until the answer without that of the body on the entry's own link.
+func (r attemptResult) workTime() time.Duration {
+	return max(r.took-r.bodyTime, time.Duration(minWorkShare*float64(r.took)))
+}
+
+// slowdown returns the slowdown that the target reported, and false if it reported none.
+func (r attemptResult) slowdown() (float64, bool) {
+	if !r.loadKnown || r.load.Slowdown <= 0 {
+		return 1, false
+	}
+	return min(max(r.load.Slowdown, minSlowdown), maxSlowdown), true
+}
+
 // overloaded reports whether the target reported at least as many waiting requests
 // as it has slots.
 func (r attemptResult) overloaded() bool { return r.loadKnown && r.load.Waiting >= r.load.Slots }
--- a/internal/instance/deployment_messages.go
+++ b/internal/instance/deployment_messages.go
@@ -17,6 +17,17 @@
 	Result deployment.Result `msgpack:"result"`
 }
 
+// EvacuateRequest asks the leader to commit an operator's call to evacuate an availability
+// zone or to withdraw that.
+type EvacuateRequest struct {
+	Evacuate deployment.Evacuate `msgpack:"evacuate"`
+}
+
+// EvacuateResponse holds the outcome of the call.
+type EvacuateResponse struct {
+	Result deployment.Result `msgpack:"result"`
+}
+
 // AnnounceTargetRequest forwards a target's announcement or withdrawal to the leader.
 type AnnounceTargetRequest struct {
 	// Target is the target as announced. For a withdrawal only ID and StartMillis
@@ -66,11 +77,39 @@
 	// RelayAddress is where other entries can pass requests on to this one; empty while
 	// they can't.
 	RelayAddress string `msgpack:"relay_address,omitempty"`
+	// DispatchAddress is where other entries ask this one for slots of targets; empty
+	// while it is no dispatcher.
+	DispatchAddress string `msgpack:"dispatch_address,omitempty"`
+	// DispatchersVersion is the version of the list of dispatchers that the entry has, and
+	// NoDispatchers if it has none. It is 0 if the entry needs no list.
+	DispatchersVersion uint64 `msgpack:"dispatchers_version,omitempty"`
+	// Level is the feature level that the entry supports; 0 if it announces none.
+	Level uint64 `msgpack:"level,omitempty"`
+	// Demand holds the demand for services without keys, while dispatchers decide.
+	Demand []ServiceDemand `msgpack:"demand,omitempty"`
 }
 
+// ServiceDemand counts what callers of an entry asked of a service without keys.
+type ServiceDemand struct {
+	Service  string `msgpack:"service"`
+	Requests uint32 `msgpack:"requests"`       // admitted, also if they were rejected later
+	Sent     uint32 `msgpack:"sent,omitempty"` // of these, sent to a target
+	// Bytes is the size of the requests that were sent and of their responses.
+	Bytes uint64 `msgpack:"bytes,omitempty"`
+	// Slowdown sums up over the requests that were sent how much longer than usual their
+	// targets took, as a share of the usual time. Service times don't contain it.
+	Slowdown float32 `msgpack:"slowdown,omitempty"`
+}
+
+// ZoneShares holds, by service and other availability zone, the share of the requests of one
+// availability zone that goes there.
+type ZoneShares map[string]map[string]float32
+
 // ReportBatchRequest passes reports of several entries on to the leader.
 type ReportBatchRequest struct {
 	Reports []ReportRequest `msgpack:"reports"`
+	// DispatchersVersion is that of the list that the sender has, as in ReportRequest.
+	DispatchersVersion uint64 `msgpack:"dispatchers_version,omitempty"`
 }
 
 // ReportBatchResponse is the leader's advice to the entries of a batch.
@@ -78,6 +117,9 @@
 	Advice ReportResponse `msgpack:"advice"` // without Parts
 	// Parts holds the parts that each entry is advised of, by entry and service.
 	Parts map[string]map[string]float64 `msgpack:"parts,omitempty"`
+	// ZoneShares holds the shares by the availability zone of entries. A zone is left out if
+	// it has no shares, or if no report of the batch is from it.
+	ZoneShares map[string]ZoneShares `msgpack:"zone_shares,omitempty"`
 }
 
 // KeyLoad counts the requests for one bucket of a service's keys.
@@ -134,6 +176,14 @@
 	// NoAdvice reports that the report was taken and that there is no advice yet. All
 	// other fields but AvailabilityZone are zero then.
 	NoAdvice bool `msgpack:"no_advice,omitempty"`
+	// DispatchersVersion is the version of the leader's list of dispatchers; 0 while it has
+	// none. Dispatchers holds the list only if the version in the report is another one.
+	DispatchersVersion uint64           `msgpack:"dispatchers_version,omitempty"`
+	Dispatchers        []DispatcherZone `msgpack:"dispatchers,omitempty"`
+	// ZoneSharesKnown reports that the leader decides which requests leave their availability
+	// zone. ZoneShares holds the shares of the entry's own zone; a request without one stays.
+	ZoneSharesKnown bool       `msgpack:"zones_known,omitempty"`
+	ZoneShares      ZoneShares `msgpack:"zone_shares,omitempty"`
 }
 
 // Peer is an entry to which others can pass requests on.
@@ -181,6 +231,19 @@
 	Incarnations []deployment.Incarnation `msgpack:"lives"`
 }
 
+// FeaturesRequest asks the leader for the feature level.
+type FeaturesRequest struct{}
+
+// FeaturesResponse holds the feature levels of a deployment.
+type FeaturesResponse struct {
+	Agreed    uint64 `msgpack:"agreed" json:"agreed"`
+	Supported uint64 `msgpack:"supported" json:"supported"` // by the build of the instance that was asked
+	Leader    string `msgpack:"leader" json:"leader"`       // address of the leader; empty if none is known
+	// HeldBackBy names the instances because of which the leader does not raise the level,
+	// with the reason of each.
+	HeldBackBy []string `msgpack:"held_back_by" json:"held_back_by"`
+}
+
 // WatchRequest asks for an entry's view and all later changes of it.
 type WatchRequest struct {
 	Instance string `msgpack:"instance"`
@@ -189,6 +252,8 @@
 	ConfigIndex uint64 `msgpack:"doc_index"`
 	// Parts reports that the entry can assemble an update from parts.
 	Parts bool `msgpack:"parts"`
+	// Level is the feature level that the entry supports; 0 if it announces none.
+	Level uint64 `msgpack:"level,omitempty"`
 }
 
 // ViewUpdate holds changes of an entry's view. The first update of a stream holds
@@ -211,6 +276,9 @@
 	// Suspects holds all suspects if SuspectsChanged is set, else nothing.
 	Suspects        []deployment.Suspect `msgpack:"suspects"`
 	SuspectsChanged bool                 `msgpack:"suspects_changed"`
+	// Evacuated holds all evacuations in force if EvacuatedChanged is set, else nothing.
+	Evacuated        []deployment.Evacuation `msgpack:"evacuated,omitempty"`
+	EvacuatedChanged bool                    `msgpack:"evacuated_changed,omitempty"`
 	// Current reports that the sender leads or receives its leader's heartbeats.
 	Current bool `msgpack:"current"`
 	// Part is one part of an update that was compressed and split. Beside it only
--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc/mem"
 	"google.golang.org/grpc/status"
 
+	"github.com/cranberrywind/cranberrywind/internal/deployment"
 	"github.com/cranberrywind/cranberrywind/internal/group"
 	"github.com/cranberrywind/cranberrywind/internal/wire"
 	"github.com/cranberrywind/cranberrywind/pkg/replica"
@@ -45,12 +46,14 @@
 type DeploymentHandler interface {
 	GroupHandler
 	ChangeConfig(ctx context.Context, req *ConfigChangeRequest) (*ConfigChangeResponse, error)
+	Evacuate(ctx context.Context, req *EvacuateRequest) (*EvacuateResponse, error)
 	AnnounceTarget(ctx context.Context, req *AnnounceTargetRequest) (*AnnounceTargetResponse, error)
 	Barrier(ctx context.Context, req *BarrierRequest) (*BarrierResponse, error)
 	Report(ctx context.Context, req *ReportRequest) (*ReportResponse, error)
 	ReportBatch(ctx context.Context, req *ReportBatchRequest) (*ReportBatchResponse, error)
 	ReportHeartbeats(ctx context.Context, req *HeartbeatsRequest) (*Empty, error)
 	KeyHeartbeat(ctx context.Context, req *KeyHeartbeatRequest) (*KeyHeartbeatResponse, error)
+	Features(ctx context.Context, req *FeaturesRequest) (*FeaturesResponse, error)
 	// Watch sends updates until send fails or ctx ends, and returns the error.
 	Watch(ctx context.Context, req *WatchRequest, send func(*ViewUpdate) error) error
 }
@@ -126,12 +129,14 @@
 		HandlerType: (*DeploymentHandler)(nil),
 		Methods: append(groupMethods(),
 			unary("Change", DeploymentHandler.ChangeConfig),
+			unary("Evacuate", DeploymentHandler.Evacuate),
 			unary("Announced", DeploymentHandler.AnnounceTarget),
 			unary("Barrier", DeploymentHandler.Barrier),
 			unary("Report", DeploymentHandler.Report),
 			unary("ReportBatch", DeploymentHandler.ReportBatch),
 			unary("Heard", DeploymentHandler.ReportHeartbeats),
 			unary("KeyHeartbeat", DeploymentHandler.KeyHeartbeat),
+			unary("Features", DeploymentHandler.Features),
 		),
 		Streams: []grpc.StreamDesc{deliverStream(), {StreamName: "Watch", Handler: handleWatch, ServerStreams: true}},
 	}
@@ -220,6 +225,8 @@
 		return status.Error(codes.FailedPrecondition, notLeader.Leader)
 	case errors.Is(err, group.ErrOutcomeUnknown):
 		return status.Error(codes.Unknown, err.Error())
+	case errors.Is(err, deployment.ErrFeatureLevel):
+		return status.Error(codes.Unimplemented, err.Error())
 	case errors.Is(err, ErrRejected):
 		return status.Error(codes.PermissionDenied, err.Error())
 	case errors.Is(err, group.ErrNotCommitted), errors.Is(err, replica.ErrTransferring), errors.Is(err, replica.ErrNotLeader):
@@ -239,6 +246,9 @@
 	switch s, _ := status.FromError(err); s.Code() {
 	case codes.FailedPrecondition:
 		return &NotLeaderError{Leader: s.Message()}
+	case codes.Unimplemented:
+		// gRPC also returns this code for a method that an earlier build does not have.
+		return fmt.Errorf("%s: %w", s.Message(), deployment.ErrFeatureLevel)
 	case codes.PermissionDenied:
 		return fmt.Errorf("%s: %w", s.Message(), ErrRejected)
 	case codes.Aborted:
--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -41,12 +41,16 @@
 		if m.now.Sub(at) > entryExpiry {
 			delete(m.lastReports, name)
 			delete(m.peers, name)
+			delete(m.dispatchers, name)
 		}
 	}
 	advice := instance.ReportResponse{Failing: m.failing(), Leaving: m.leaving(), Peers: m.nextPeers()}
 	if m.now.Sub(m.leadingSince) > entryCountDelay {
 		advice.Entries = len(m.lastReports)
 	}
+	if m.now.Sub(m.leadingSince) > dispatcherListDelay {
+		advice.Dispatchers, advice.DispatchersVersion = m.dispatchers.list()
+	}
 	for _, table := range m.state.Tables() {
 		for _, u := range m.targetUsages(table.Service) {
 			if u.utilization() > maxAdmittedUtilization && !u.boundByLimit() {
@@ -55,7 +59,8 @@
 		}
 	}
 	parts := m.adviseLimits(&advice)
-	return []Effect{Advise{Advice: advice, Parts: parts}}
+	shares, effects := m.adviseZoneShares(&advice)
+	return append(effects, Advise{Advice: advice, Parts: parts, ZoneShares: shares})
 }
 
 // nextPeers returns the next entries, in the order of their names, that take requests from
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -67,10 +67,12 @@
 func (m *Model) handleReport(e Reported) {
 	m.now = max(m.now, e.At)
 	m.lastReports[e.Report.Instance] = e.At
+	m.handleLevelHeard(LevelHeard{At: e.At, Name: e.Report.Instance, Level: e.Report.Level})
 	delete(m.peers, e.Report.Instance)
 	if address := e.Report.RelayAddress; address != "" {
 		m.peers[e.Report.Instance] = instance.Peer{Address: address, AvailabilityZone: e.Report.Zone}
 	}
+	m.dispatchers.record(e.Report)
 	m.crashReports = append(m.crashReports, e.Report.CrashReports...)
 	load := m.entryLoadOf(e.Report.Instance)
 	slowWeight, fastWeight := rateWeight(e.Report.Interval, slowWindow), rateWeight(e.Report.Interval, fastWindow)
@@ -83,6 +85,7 @@
 		stats.fastRate[b] += float64(k.Count) * fastWeight
 		stats.sumsStale = true
 	}
+	m.recordDemand(e.Report)
 	for _, tl := range e.Report.Targets {
 		t, ok := m.state.Target(tl.ID)
 		if !ok {
@@ -99,6 +102,7 @@
 		if tl.Successes == 0 || tl.ServiceTime == 0 {
 			continue
 		}
+		m.recordWork(e.Report, t, tl)
 		stats := m.statsOf(t.Service)
 		old, ok := stats.serviceTime[tl.ID]
 		if !ok {
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -9,6 +9,7 @@
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
 	"github.com/cranberrywind/cranberrywind/internal/instance"
+	"github.com/cranberrywind/cranberrywind/internal/overflow"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
@@ -43,6 +44,7 @@
 	lastReports      map[string]timer.Instant // by entry
 	peers            map[string]instance.Peer // entries that take requests from others, by entry
 	advisedPeer      string                   // entry whose peer was advised last
+	dispatchers      dispatchers
 	lastAdvice       timer.Instant
 	crashReports     []deployment.CrashReport // to be committed
 	suspectedSince   map[string]timer.Instant // when a suspect was first seen, by fingerprint
@@ -52,6 +54,10 @@
 	entryLoads       map[string]*entryLoad // by entry
 	notices          map[deployment.Incarnation]*targetNotice
 	drainingSince    map[deployment.Incarnation]timer.Instant // when this leader first saw that a target drains or has left
+	refuges          refuges
+	levels           levelState
+	zoneCosts        overflow.Costs          // set by WithZoneCosts
+	zoneLoads        map[string]*serviceLoad // by service without keys
 }
 
 // serviceArrivals records when targets of a service arrived before its keys were first
@@ -127,6 +133,8 @@
 		}
 	case Reported:
 		m.handleReport(e)
+	case LevelHeard:
+		m.handleLevelHeard(e)
 	case GrantEnded:
 		m.handleGrantEnded(e)
 	case ReleaseEnded:
@@ -140,6 +148,9 @@
 	case Ticked:
 		m.now = e.At
 		m.adoptState(e.State)
+		if e.Members != nil {
+			m.levels.members = e.Members
+		}
 		return m, append(m.answerHeartbeats(), m.plan()...)
 	}
 	return m, nil
@@ -177,6 +188,8 @@
 		base:           m.base,
 		timing:         m.base,
 		granter:        m.granter.forTerm(),
+		zoneCosts:      m.zoneCosts,
+		zoneLoads:      make(map[string]*serviceLoad),
 		leading:        true,
 		leadingSince:   e.At,
 		now:            e.At,
@@ -190,6 +203,7 @@
 		arrivals:       make(map[string]serviceArrivals),
 		lastReports:    make(map[string]timer.Instant),
 		peers:          make(map[string]instance.Peer),
+		dispatchers:    make(dispatchers),
 		suspectedSince: make(map[string]timer.Instant),
 		health:         make(map[deployment.Incarnation]health),
 		limits:         make(map[deployment.Incarnation]namedLimit),
@@ -240,7 +254,7 @@
 	m.planCount++
 	m.indexAddresses()
 	m.timing = m.granter.timing(m.base, m.countRanges())
-	effects := m.planTargetStatus()
+	effects := append(m.planLevel(), m.planTargetStatus()...)
 	var reassignable []deployment.Assignment
 	var moves []deployment.RangeRef
 	var due []dueGrant
@@ -322,7 +336,7 @@
 		return reassign
 	case rs.released && m.now > rs.unansweredExpiry:
 		return reassign
-	case rs.fenced && t.Status == deployment.Live && m.recentHeartbeat(t):
+	case rs.fenced && t.Status == deployment.Live && m.recentHeartbeat(t) && !m.mustLeave(t):
 		// The owner itself, under a newer fence.
 		reassign.reassignable[0].To = incarnationOf(t)
 		return reassign
@@ -339,7 +353,7 @@
 		return rangeStep{}
 	case r.Phase == deployment.Releasing:
 		return m.granter.release(m, t, ref, rs)
-	case !t.Usable() && m.graceOver():
+	case m.mustLeave(t) && m.graceOver():
 		return rangeStep{moves: []deployment.RangeRef{ref}}
 	case !m.granter.responsive(m, t, rs):
 		return rangeStep{}
--- a/internal/leader/rebalance.go
+++ b/internal/leader/rebalance.go
@@ -45,39 +45,40 @@
 // targetUsage is the part of a service's keys and load that falls on one target.
 type targetUsage struct {
 	target        deployment.Target
-	serviceTime   float64            // seconds per request
-	limit         float64            // rate limit in requests a second; 0 for none
-	resting       bool               // it asked for no requests for now
+	serviceTime   float64 // seconds per request
+	limit         deployment.Limit
 	rate          float64            // requests a second
 	width         int                // keys owned
 	movableRanges []deployment.Range // owned ranges that may be moved
+	returned      bool               // its zone was evacuated before
 }
 
 // utilization returns the busy part of the target's slots; above 1 the target is
 // overloaded.
 func (u targetUsage) utilization() float64 {
 	utilization := u.rate * u.perRequest()
-	if u.resting {
+	if u.limit.Reason == deployment.LimitResting {
 		return max(utilization, restingUtilization)
 	}
 	return utilization
 }
 
-// targetUsages returns the live targets of a service with their keys and load. A range
-// that is being released counts for its planned owner.
+// targetUsages returns the live targets of a service outside of evacuated zones, with their
+// keys and load. A range that is being released counts for its planned owner.
 func (m *Model) targetUsages(service string) []targetUsage {
 	stats := m.statsOf(service)
+	coldRate := m.coldRate(service)
 	var out []targetUsage
 	for _, t := range m.state.Targets() {
-		if t.Service != service || t.Status != deployment.Live || !m.recentHeartbeat(t) {
+		if t.Service != service || !m.mayOwn(t) {
 			continue
 		}
 		serviceTime, ok := stats.serviceTime[t.ID]
 		if !ok {
 			serviceTime = stats.meanServiceTime()
 		}
-		limit, _ := m.limitOf(incarnationOf(t))
-		out = append(out, targetUsage{target: t, serviceTime: serviceTime, limit: limit, resting: m.resting(incarnationOf(t))})
+		out = append(out, targetUsage{target: t, serviceTime: serviceTime, limit: m.limitOf(t, coldRate),
+			returned: m.state.WasEvacuated(t.AvailabilityZone)})
 	}
 	index := make(map[deployment.Incarnation]int, len(out))
 	for i, u := range out {
@@ -170,6 +171,7 @@
 // can serve the highest rate, if that is sufficiently faster.
 func (m *Model) moveHotKeys(table deployment.KeyTable, usages []targetUsage) []deployment.RangeRef {
 	stats := m.statsOf(table.Service)
+	noneWarm := allCold(usages)
 	var out []deployment.RangeRef
 	for h := range usages {
 		high := &usages[h]
@@ -180,7 +182,7 @@
 			}
 			best := h
 			for k, u := range usages {
-				if u.perRequest() < usages[best].perRequest() {
+				if (noneWarm || !u.cold()) && u.perRequest() < usages[best].perRequest() {
 					best = k
 				}
 			}
@@ -200,11 +202,15 @@
 }
 
 // selectPair returns the indexes of the least busy target, preferring targets that
-// own nothing, and of the busiest other target with movable ranges; -1 if there is
+// own nothing and leaving out cold ones while one is warm, and of the busiest other target with movable ranges; -1 if there is
 // none.
 func selectPair(usages []targetUsage) (low, high int) {
 	low, high = -1, -1
+	noneWarm := allCold(usages)
 	for i, u := range usages {
+		if u.cold() && !noneWarm {
+			continue
+		}
 		if low < 0 || u.width == 0 && usages[low].width > 0 ||
 			(u.width == 0) == (usages[low].width == 0) && u.utilization() < usages[low].utilization() {
 			low = i
@@ -263,23 +269,33 @@
 // of the range, the keys and their rate, and false if no move lowers the higher
 // utilization enough. An idle range is halved, for a target that owns nothing.
 func (s *serviceStats) selectSlice(service string, high, low targetUsage) (int, deployment.RangeRef, float64, bool) {
+	minGain := minUtilizationGain
+	if low.returned && low.width == 0 {
+		minGain = 0 // a target that lost its keys to an evacuation gets some again also under little load
+	}
 	perRequest := high.perRequest() + low.perRequest()
 	wantRate := (high.utilization() - low.utilization()) / perRequest
 	order := make([]int, len(high.movableRanges))
 	rates := make([]float64, len(high.movableRanges))
 	for i, r := range high.movableRanges {
-		order[i], rates[i] = i, s.rateOf(r.From, r.To)
+		order[i] = i
+		if rate := s.rateOf(r.From, r.To); rate >= idleRate {
+			rates[i] = rate
+		}
 	}
-	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(rates[b], rates[a]) })
+	// Of idle ranges the widest comes first: a range of one key can't be halved.
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Or(cmp.Compare(rates[b], rates[a]), cmp.Compare(high.movableRanges[b].Width(), high.movableRanges[a].Width()))
+	})
 	for _, i := range order {
 		r := high.movableRanges[i]
 		ref := deployment.RangeRef{Service: service, From: r.From, To: r.To, Fence: r.Fence}
-		if rates[i] < idleRate {
+		if rates[i] == 0 {
 			ref.From = r.From + deployment.Key(r.Width()/2)
 			return i, ref, 0, r.Width() > 1 && low.width == 0
 		}
 		part, rate, ok := s.selectByRate(ref, wantRate)
-		if ok && low.utilization()+rate*low.perRequest() < high.utilization()-minUtilizationGain {
+		if ok && low.utilization()+rate*low.perRequest() < high.utilization()-minGain {
 			return i, part, rate, true
 		}
 	}
@@ -289,7 +305,7 @@
 // perRequest returns the utilization that one request a second causes.
 func (u targetUsage) perRequest() float64 {
 	if u.boundByLimit() {
-		return 1 / u.limit
+		return 1 / u.limit.PerSecond
 	}
 	return u.slotsPerRequest()
 }
@@ -301,7 +317,17 @@
 }
 
 // boundByLimit reports whether the target's rate limit allows less than its slots.
-func (u targetUsage) boundByLimit() bool { return u.limit > 0 && 1/u.limit > u.slotsPerRequest() }
+func (u targetUsage) boundByLimit() bool {
+	return u.limit.PerSecond > 0 && 1/u.limit.PerSecond > u.slotsPerRequest()
+}
+
+// cold reports whether the target has not warmed up and takes fewer requests until then.
+func (u targetUsage) cold() bool { return u.limit.Reason == deployment.LimitCold }
+
+// allCold reports whether no target is warm.
+func allCold(usages []targetUsage) bool {
+	return !slices.ContainsFunc(usages, func(u targetUsage) bool { return !u.cold() })
+}
 
 // meanPerRequest is like perRequest, for the mean service time of all targets.
 func (u targetUsage) meanPerRequest(stats *serviceStats) float64 {
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -20,6 +20,7 @@
 	BalancerAddress  string   // for the balancer's readiness checks
 	OperatorAddress  string   // of a control instance, for operators and targets
 	RelayAddress     string   // where other entries pass requests on to this one; not served if empty
+	DispatchAddress  string   // where other entries ask this one for slots of targets; not served if empty
 	MetricsAddress   string   // not served if empty
 	DataDir          string   // data directory of a control instance
 	Seeds            []string // addresses of the first control instances
@@ -30,6 +31,7 @@
 	Grace      time.Duration // time limit of a graceful shutdown, until the process has exited
 	RetryRatio float64       // retries of all entries together, as a share of requests
 	RetrySlack float64       // retries of all entries together beyond that share
+	MemoryMB   float64       // memory of the instance; 0 if it is not known
 	LinkMbps   float64       // bandwidth of the instance's network link; 0 if it is not a bottleneck
 
 	ConfigApply time.Duration // time within which an acknowledged configuration is in force at entries
@@ -40,7 +42,14 @@
 	// PreferZone makes entries follow and report to control instances of their own
 	// availability zone where there are any, because traffic between zones is costly.
 	PreferZone bool
-	Unknown    []string // names of the platform's settings that are ignored
+	// A cold target may get ColdExcess times the cold rate of its service plus ColdSlack
+	// requests in any second, from all entries together.
+	ColdExcess, ColdSlack float64
+	// ZoneDelay is the round trip between availability zones, and ZoneLatePerMB how many late
+	// answers are as bad as a megabyte between them. They decide when requests leave a zone.
+	ZoneDelay     time.Duration
+	ZoneLatePerMB float64
+	Unknown       []string // names of the platform's settings that are ignored
 }
 
 // GrantMode is the way in which targets are granted keys.
@@ -62,6 +71,11 @@
 	defaultTargetDrain = 2 * time.Second
 	defaultMaxLease    = 10 * time.Second
 	defaultHeartbeat   = time.Second
+	defaultColdExcess  = 1.5
+	defaultColdSlack   = 8
+	defaultZoneDelay   = 3 * time.Millisecond
+	maxZoneDelay       = 10 * time.Second
+	defaultZoneLate    = 20
 	maxPlatformTime    = 10 * time.Minute
 )
 
@@ -87,12 +101,17 @@
 		Grace:            s.Duration("grace", defaultGrace, 0, maxGrace),
 		RetryRatio:       s.Float("retry_ratio", defaultRetryRatio, 0, 1),
 		RetrySlack:       s.Float("retry_slack", defaultRetrySlack, 0, 1e6),
+		MemoryMB:         s.Float("memory_mb", 0, 0, 1e7),
 		LinkMbps:         s.Float("link_mbps", 0, 0, 1e6),
 		ConfigApply:      s.Duration("config_apply", defaultConfigApply, 0, maxPlatformTime),
 		TargetDrain:      s.Duration("target_drain", defaultTargetDrain, 0, maxPlatformTime),
 		MaxLease:         s.Duration("max_lease", defaultMaxLease, time.Second, maxPlatformTime),
 		Heartbeat:        s.Duration("heartbeat", defaultHeartbeat, 10*time.Millisecond, maxPlatformTime),
 		PreferZone:       s.Bool("prefer_zone", false),
+		ColdExcess:       defaultColdExcess,
+		ColdSlack:        defaultColdSlack,
+		ZoneDelay:        s.Duration("zone_delay", defaultZoneDelay, 0, maxZoneDelay),
+		ZoneLatePerMB:    s.Float("zone_late_per_mb", defaultZoneLate, 0, 1e6),
 		Grants:           GrantMode(s.OneOf("grants", string(GrantByCall), string(GrantByCall), string(GrantByHeartbeat))),
 	}
 	out.readRolesAndAddresses(s)
@@ -117,6 +136,7 @@
 	r.BalancerAddress = readAddress(s, "balancer_address", r.Entry)
 	r.OperatorAddress = readAddress(s, "operator_address", r.Control)
 	r.RelayAddress = readAddress(s, "relay_address", false)
+	r.DispatchAddress = readAddress(s, "dispatch_address", false)
 	r.MetricsAddress = readAddress(s, "metrics_address", false)
 }
 
--- a/internal/view/follow.go
+++ b/internal/view/follow.go
@@ -26,6 +26,8 @@
 	done        <-chan struct{} // closed when the follower stops
 	mu          sync.Mutex
 	changed     chan struct{}
+
+	confirmations confirmations // guarded by mu
 }
 
 // FollowerConfig configures a Follower.
@@ -37,6 +39,7 @@
 	// Nearby makes the follower prefer control instances of its own availability zone. It
 	// may be nil.
 	Nearby *instance.Nearby
+	Level  uint64 // feature level to announce
 }
 
 const (
@@ -59,6 +62,9 @@
 	// nearPeriod is how often a follower of a farther control instance looks for one in
 	// its own availability zone.
 	nearPeriod = time.Second
+	// refusedDelay is the time before a control instance that has refused the entry is
+	// asked again.
+	refusedDelay = time.Second
 )
 
 // errStalled ends a stream after openTimeout or silenceTimeout.
@@ -246,7 +252,7 @@
 	messages := 0
 	opened, bytesBefore := time.Now(), f.cfg.Pool.BytesReceived(s.address)
 	view := f.View()
-	req := &instance.WatchRequest{Instance: f.cfg.Name, Version: view.Version, ConfigIndex: view.ConfigIndex, Parts: true}
+	req := &instance.WatchRequest{Instance: f.cfg.Name, Version: view.Version, ConfigIndex: view.ConfigIndex, Parts: true, Level: f.cfg.Level}
 	var parts assembler
 	err := f.cfg.Pool.Watch(s.ctx, s.address, req, func(u *instance.ViewUpdate) error {
 		if messages++; messages == 1 {
@@ -267,10 +273,13 @@
 				return err
 			}
 		}
+		if err := f.apply(u); err != nil {
+			return err
+		}
 		if u.Current {
-			f.confirmedAt.Store(time.Now().UnixNano())
+			f.confirm()
 		}
-		return f.apply(u)
+		return nil
 	})
 	if cause := context.Cause(s.ctx); cause != nil {
 		err = cause
@@ -280,12 +289,29 @@
 		f.cfg.Log.Warn("view stream lost; asking another control instance", "control", s.address, "version", f.View().Version,
 			"open_ms", time.Since(opened).Milliseconds(), "messages", messages, "received_bytes", f.cfg.Pool.BytesReceived(s.address)-bytesBefore, "error", err)
 	}
+	if errors.Is(err, instance.ErrRejected) {
+		f.cfg.Log.Error("control instance refuses this entry", "control", s.address, "level", f.cfg.Level, "error", err)
+		select { // the answer does not change soon
+		case <-time.After(refusedDelay):
+		case <-f.done:
+			return
+		}
+	}
 	select {
 	case ended <- s:
 	case <-f.done:
 	}
 }
 
+// confirm records that a control instance with a leader has confirmed the view.
+func (f *Follower) confirm() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	f.confirmedAt.Store(now.UnixNano())
+	f.confirmations = f.confirmations.With(now)
+}
+
 // errOtherConfig ends a stream whose next change applies to another configuration than
 // the view's, which another stream has brought meanwhile.
 var errOtherConfig = errors.New("change applies to another configuration")
@@ -303,6 +329,9 @@
 		return errOtherConfig
 	}
 	next := old.With(u)
+	if u.EvacuatedChanged {
+		f.noteEvacuated(old, next)
+	}
 	f.view.Store(next)
 	if u.Version == old.Version && !u.Whole {
 		return nil
@@ -314,3 +343,15 @@
 	f.changed = make(chan struct{})
 	return nil
 }
+
+// noteEvacuated handles that the next view has other evacuated zones than the old one.
+func (f *Follower) noteEvacuated(old, next *View) {
+	now := time.Now()
+	fresh := f.confirmations.Fresh(now)
+	if fresh {
+		next.allowOwners(old, now.Add(ownerGrace))
+	}
+	if len(old.evacuated) > 0 || len(next.evacuated) > 0 {
+		f.cfg.Log.Info("evacuated zones changed", "zones", slices.Sorted(maps.Keys(next.evacuated)), "version", next.Version, "view_fresh", fresh)
+	}
+}
