Remove what nothing calls of the limits of cold targets

Cause: the dispatcher reads a target's coldness from the view by itself; a health check for entries without control was built and never connected.

Change: both go, with the header that only they read.

Result: tests of cold targets and dispatch pass.

--- a/internal/forward/cold.go
+++ b/internal/forward/cold.go
@@ -1,16 +1,11 @@
 package forward
 
 import (
-	"context"
 	"errors"
-	"fmt"
-	"net/http"
 	"slices"
 	"time"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
-	"github.com/cranberrywind/cranberrywind/internal/dispatch"
-	"github.com/cranberrywind/cranberrywind/internal/targethttp"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
@@ -160,50 +155,3 @@
 	}
 	return c.granted || !s.targets.coldLimited(t)
 }
-
-// CheckCold asks a target for how long it stays cold, with a health check, and keeps the
-// answer until the target's next record. Without control no record tells that a target has
-// turned cold. It does nothing for targets of services without a cold rate.
-func (s *Server) CheckCold(ctx context.Context, t deployment.Target) error {
-	service, _ := s.cfg.View.View().Config.Service(t.Service)
-	if service.ColdRate <= 0 || service.HealthPath == "" || s.cfg.Headers.ParseWarmUp == nil {
-		return nil
-	}
-	head := fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n\r\n", service.HealthPath, t.Address, s.cfg.Headers.Target, t.ID)
-	a, err := s.cfg.Pool.Do(ctx, t.Address, s.maxConns(service), s.cfg.Headers.RequestID, targethttp.Request{
-		Method: http.MethodGet, Head: func() []byte { return head }, ConnectTimeout: minConnectTimeout,
-	})
-	if err != nil {
-		return fmt.Errorf("health check of target %s: %w", t.ID, err)
-	}
-	if left, ok := s.cfg.Headers.ParseWarmUp(a.Header.Get(s.cfg.Headers.WarmUp)); ok {
-		s.targets.saidCold(t, left)
-	}
-	return nil
-}
-
-// saidCold records for how long a target said that it stays cold, until its next record.
-func (ts *targetStates) saidCold(t deployment.Target, left time.Duration) {
-	ts.mu.Lock()
-	defer ts.mu.Unlock()
-	s := ts.state(t)
-	s.cold.left, s.cold.since = left, ts.clock.Now()
-}
-
-// TargetInfo returns what the dispatcher of a target has to know of it.
-func (s *Server) TargetInfo(t deployment.Target) dispatch.TargetInfo {
-	return dispatch.TargetInfo{
-		Target:       t,
-		ColdLeft:     s.targets.coldLeft(t),
-		ColdRate:     s.targets.coldRateOf(t.Service),
-		FailureShare: s.targets.advisedShare(t),
-	}
-}
-
-// advisedShare returns the share of the target's requests that all entries together see
-// failing.
-func (ts *targetStates) advisedShare(t deployment.Target) float64 {
-	ts.mu.Lock()
-	defer ts.mu.Unlock()
-	return ts.state(t).advisedFailureShare
-}
--- a/internal/forward/cold_test.go
+++ b/internal/forward/cold_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -75,29 +74,6 @@
 	assert.Assert(t, !ts.coldLimited(all[1]), "the service has no cold rate")
 }
 
-// TestHealthCheckTellsOfColdTarget guards against sending the usual load to a target that has
-// turned cold while no record of it arrives.
-func TestHealthCheckTellsOfColdTarget(t *testing.T) {
-	e := startEntry(t, nil, func(w io.Writer, r *http.Request) {
-		if r.URL.Path == "/health" {
-			_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nWarm-Up: 4000\r\nContent-Length: 2\r\n\r\nok")
-			return
-		}
-		respondOK("x")(w, r)
-	})
-	x, _ := e.server.cfg.View.View().Target("t0")
-	assert.NilError(t, e.server.CheckCold(t.Context(), x))
-	assert.Equal(t, e.receivedCount(), 0, "the service has no cold rate")
-	services := []deployment.Service{{Name: "catalog", Connections: 100, ColdRate: coldRate, HealthPath: "/health"}}
-	e.updateView(&instance.ViewUpdate{Version: 2, ConfigIndex: 2, Current: true, ConfigChange: &deployment.ConfigChange{Version: 2, Services: services}})
-	e.stopControl()
-	assert.NilError(t, e.server.CheckCold(t.Context(), x))
-	status, retryAfter := e.statusOf("/look/x")
-	assert.Equal(t, status, http.StatusServiceUnavailable)
-	assert.Assert(t, retryAfter > 3*time.Second, "%v", retryAfter)
-	assert.Equal(t, e.receivedCount(), 1)
-}
-
 // TestColdTargetOfEntry guards against each path on which a request may reach a cold target.
 func TestColdTargetOfEntry(t *testing.T) {
 	e := startEntry(t, nil, respondOK("x"))
@@ -122,10 +98,6 @@
 		}
 		assert.Equal(t, e.receivedCount(), 1)
 	})
-	t.Run("the dispatcher learns of it", func(t *testing.T) {
-		info := e.server.TargetInfo(cold)
-		assert.Assert(t, info.ColdLeft > 5*time.Second && info.ColdRate == coldRate, "%+v", info)
-	})
 	t.Run("requests are sent once it is warm", func(t *testing.T) {
 		warm.Sequence = 3
 		e.updateView(&instance.ViewUpdate{Version: 3, ConfigIndex: 2, Current: true, Targets: []deployment.Target{warm}})
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -33,11 +33,6 @@
 			seconds, err := strconv.ParseFloat(value, 64)
 			return time.Duration(seconds * float64(time.Second)), err == nil && seconds > 0 && seconds < 600
 		},
-		WarmUp: "Warm-Up",
-		ParseWarmUp: func(value string) (time.Duration, bool) {
-			ms, err := strconv.Atoi(value)
-			return time.Duration(ms) * time.Millisecond, err == nil
-		},
 		ParseLoad: func(value string) (Load, bool) {
 			var l Load
 			n, err := fmt.Sscanf(value, "%d,%d,%d", &l.Running, &l.Waiting, &l.Slots)
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -28,15 +28,12 @@
 	Key       string // key of a request to a keyed service
 	RateLimit string // rate limit that a target names in its answers, read by ParseRateLimit
 	Leaving   string // set in all answers of a target that is leaving
-	WarmUp    string // in answers to health checks: for how long the target stays cold
 	// ParseLoad parses the value of the Load header. It returns false for an
 	// invalid one.
 	ParseLoad func(value string) (Load, bool)
 	// ParseRateLimit parses the value of the RateLimit header, in requests a second. It
 	// returns false for an invalid one.
 	ParseRateLimit func(value string) (float64, bool)
-	// ParseWarmUp parses the value of the WarmUp header. It returns false for an invalid one.
-	ParseWarmUp func(value string) (time.Duration, bool)
 	// ParseRest parses the Retry-After header of an answer with status 503: for how long
 	// the target wants no requests. It returns false for an invalid value.
 	ParseRest func(value string) (time.Duration, bool)
