Hold no target responsible for grants that are given back

Cause: a grant that its entry could not use counted as a failure of the target at its dispatcher and opened its circuit breaker.

Change: such grants end without saying anything about the target.

--- a/internal/forward/dispatch.go
+++ b/internal/forward/dispatch.go
@@ -198,7 +198,7 @@
 			c.target, c.expected = t, 0
 			return t, nil
 		}
-		pending.End(dispatch.Ended{Outcome: dispatch.NotSent})
+		pending.End(dispatch.Ended{Outcome: dispatch.CallerLeft}) // says nothing about the target
 		refused = append(refused, d.Target)
 	}
 	return deployment.Target{}, errNoneLeft
@@ -239,15 +239,10 @@
 		Priority: c.route.Priority, Age: now.Sub(c.start), Objective: c.route.Objective, Timeout: c.route.Timeout,
 		Left: c.deadline.Sub(now) - responseMargin, BodyBytes: len(c.body), BodyTime: s.bodyTime(c), ConnectTime: s.cfg.Pool.ConnectTime(), Returning: *c.returning,
 	}
-	v := s.cfg.View.View()
-	usable := v.Usable(c.service.Name)
 	for _, id := range p.Targets {
-		t, known := v.Target(id)
-		if !c.service.Keyed {
-			_, known = slices.BinarySearchFunc(usable, id, func(t deployment.Target, id string) int { return cmp.Compare(t.ID, id) })
-		}
+		t, ok := s.mayGoTo(c, id)
 		switch {
-		case !known || slices.Contains(refused, id) || c.service.Keyed && id != c.target.ID || !c.service.Keyed && (slices.Contains(c.excluded, id) || !s.targets.mayAsk(t)):
+		case !ok || slices.Contains(refused, id):
 			r.Excluded = append(r.Excluded, id)
 		case s.cfg.Pool.ExpectedConnectTime(t.Address) == 0:
 			r.Connected = append(r.Connected, id)
@@ -256,6 +251,22 @@
 	return r
 }
 
+// mayGoTo returns the target with the ID, and whether a slot of it may be asked for: the owner
+// of the key, or for a service without keys any usable target that was not tried yet.
+func (s *Server) mayGoTo(c *call, id string) (deployment.Target, bool) {
+	v := s.cfg.View.View()
+	if c.service.Keyed {
+		t, known := v.Target(id)
+		return t, known && id == c.target.ID
+	}
+	usable := v.Usable(c.service.Name)
+	i, ok := slices.BinarySearchFunc(usable, id, func(t deployment.Target, id string) int { return cmp.Compare(t.ID, id) })
+	if !ok {
+		return deployment.Target{}, false
+	}
+	return usable[i], !slices.Contains(c.excluded, id) && s.targets.mayAsk(usable[i])
+}
+
 // mayAsk reports whether a slot of the target may be asked for, as far as this entry knows of
 // it. The window does not matter: the dispatcher counts the requests of all entries.
 func (ts *targetStates) mayAsk(t deployment.Target) bool {
@@ -344,11 +355,13 @@
 	c.slot, c.granted = nil, false
 }
 
-// failedOutcome returns how an attempt ended that brought no complete answer. On a narrow link
-// a connection that does not open in time mostly shows that the link is full, and says nothing
-// about the target.
+// failedOutcome returns how an attempt ended that brought no complete answer. A request that
+// this entry may not send any more says nothing about the target. Nor does a connection that
+// does not open in time on a narrow link: that mostly shows that the link is full.
 func (s *Server) failedOutcome(err error, disconnected bool) dispatch.Outcome {
 	switch {
+	case errors.Is(err, targethttp.ErrNotAllowed), errors.Is(err, targethttp.ErrConnLimit):
+		return dispatch.CallerLeft
 	case errors.Is(err, targethttp.ErrNotSent) && s.cfg.Link != nil && isTimeout(err):
 		return dispatch.CallerLeft
 	case errors.Is(err, targethttp.ErrNotSent):
