--- a/internal/leader/evacuation.go
+++ b/internal/leader/evacuation.go
@@ -7,8 +7,8 @@
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
-// refuges tells for which services a target can take keys of evacuated zones, at one time.
-type refuges struct {
+// otherOwners tells for which services a target can take keys of evacuated zones, at one time.
+type otherOwners struct {
 	at        timer.Instant
 	version   uint64 // of the state
 	byService map[string]bool
@@ -23,18 +23,18 @@
 // its zone is evacuated and there is a target elsewhere that can take them. Without one,
 // moving the keys would only leave them without an owner.
 func (m *Model) mustLeave(t deployment.Target) bool {
-	return !t.Usable() || m.state.IsEvacuated(t.AvailabilityZone) && m.hasRefuge(t.Service)
+	return !t.Usable() || m.state.IsEvacuated(t.AvailabilityZone) && m.hasOtherOwner(t.Service)
 }
 
-// hasRefuge reports whether a target of the service may own keys.
-func (m *Model) hasRefuge(service string) bool {
-	if m.refuges.byService == nil || m.refuges.at != m.now || m.refuges.version != m.state.Version() {
-		m.refuges = refuges{at: m.now, version: m.state.Version(), byService: make(map[string]bool)}
+// hasOtherOwner reports whether a target of the service may own keys.
+func (m *Model) hasOtherOwner(service string) bool {
+	if m.otherOwners.byService == nil || m.otherOwners.at != m.now || m.otherOwners.version != m.state.Version() {
+		m.otherOwners = otherOwners{at: m.now, version: m.state.Version(), byService: make(map[string]bool)}
 	}
-	has, ok := m.refuges.byService[service]
+	has, ok := m.otherOwners.byService[service]
 	if !ok {
 		has = slices.ContainsFunc(m.state.Targets(), func(t deployment.Target) bool { return t.Service == service && m.mayOwn(t) })
-		m.refuges.byService[service] = has
+		m.otherOwners.byService[service] = has
 	}
 	return has
 }
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -54,7 +54,7 @@
 	entryLoads       map[string]*entryLoad // by entry
 	notices          map[deployment.Incarnation]*targetNotice
 	drainingSince    map[deployment.Incarnation]timer.Instant // when this leader first saw that a target drains or has left
-	refuges          refuges
+	otherOwners      otherOwners
 	levels           levelState
 	zoneCosts        overflow.Costs          // set by WithZoneCosts
 	zoneLoads        map[string]*serviceLoad // by service without keys
