Log by which configuration a request was admitted and sent

The log told the version at the answer only, and not when an entry had heard of a newer configuration, so that a request that waited and an entry that heard late looked alike. Log lines of requests name the version at admission and at the last send and how long the request had waited; "configuration in force" says how long ago the entry had heard of it.

--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -44,7 +44,7 @@
 		return reject(unavailableResponse("no service of this route has a weight above zero", defaultRetryAfter))
 	}
 	service, _ := v.Config.Service(name)
-	c := &call{request: r, route: route, service: service, id: id, deadline: r.start.Add(route.Timeout)}
+	c := &call{request: r, route: route, admittedConfig: v.Config.Version, service: service, id: id, deadline: r.start.Add(route.Timeout)}
 	if ms, err := strconv.ParseInt(r.header.Get(s.cfg.Headers.Deadline), 10, 64); err == nil && ms >= 0 {
 		if callerDeadline := r.start.Add(time.Duration(ms) * time.Millisecond); callerDeadline.Before(c.deadline) {
 			c.deadline = callerDeadline
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -38,6 +38,7 @@
 	a, err := s.cfg.Pool.Do(ctx, t.Address, maxConns, s.cfg.Headers.RequestID, targethttp.Request{
 		Method: c.method,
 		Head: func() []byte {
+			c.sentConfig, c.sentAfter = s.cfg.View.View().Config.Version, time.Since(c.start)
 			s.countBody(c, pace)
 			return s.requestHead(c, t, time.Now())
 		},
--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -86,6 +86,8 @@
 type call struct {
 	*request
 	route          *deployment.Route
+	admittedConfig uint64 // version of the configuration that admitted it
+	sentConfig     uint64 // version of the configuration in the view at the last attempt
 	service        deployment.Service
 	id             string
 	deadline       time.Time
@@ -112,6 +114,7 @@
 	rangeID        string          // target and fence of the key's range
 	ownerRetryAt   time.Time       // earliest next attempt at the owner under rangeID
 	bodyTime       time.Duration   // of the last attempt, that its body takes on this entry's link
+	sentAfter      time.Duration   // from the request's first byte until the last attempt was sent
 	bodyCtx        context.Context // ends when the caller disconnects, and bodyGrace after the deadline
 
 	dispatchState
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -62,6 +62,9 @@
 		"target", c.target.ID, "address", c.target.Address, "target_status", c.target.Status, "attempts", c.sent,
 		"expected_ms", millis(c.expected), "target_ms", millis(c.result.took), "left_ms", time.Until(c.deadline).Milliseconds(),
 	}
+	if c.sentConfig != 0 {
+		fields = append(fields, "admitted_config", c.admittedConfig, "sent_config", c.sentConfig, "sent_after_ms", millis(c.sentAfter))
+	}
 	if c.relayedTo != "" {
 		fields = append(fields, "relayed_to", c.relayedTo)
 	}
--- a/internal/view/follow.go
+++ b/internal/view/follow.go
@@ -332,12 +332,13 @@
 	if u.EvacuatedChanged {
 		f.noteEvacuated(old, next)
 	}
+	lag := f.ConfigLag()
 	f.view.Store(next)
 	if u.Version == old.Version && !u.Whole {
 		return nil
 	}
 	if u.ConfigIndex != old.ConfigIndex {
-		f.cfg.Log.Info("configuration in force", "version", next.Config.Version, "index", u.ConfigIndex)
+		f.cfg.Log.Info("configuration in force", "version", next.Config.Version, "index", u.ConfigIndex, "heard_ms_ago", lag.Milliseconds())
 	}
 	close(f.changed)
 	f.changed = make(chan struct{})
