--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -111,6 +112,8 @@
 	stop        func()                    // ends the entry at once
 	further     chan *instance.ViewUpdate // from the control instance
 
+	unconfirmed atomic.Bool // reports are not answered
+
 	mu       sync.Mutex
 	received []string                 // IDs of the targets that received a request, in order
 	demand   []instance.ServiceDemand // reported
