Send entries again only when a follower confirms nothing for an election timeout

Cause: a leader sent all unconfirmed entries again with each heartbeat response that arrived while they were in flight. Reads add heartbeats to the periodic ones. A configuration of 1,100 routes is 400 KB, so that a busy follower got it many times over, and answered even later. Why the fix works: the streams between replicas lose nothing while they are open, so that an entry is sent again only after the time in which a lost one matters.

--- a/pkg/replica/election.go
+++ b/pkg/replica/election.go
@@ -21,6 +21,9 @@
 func (s *step) tickLeader() {
 	s.tickTransfer()
 	s.electionElapsed++
+	for i := range s.progress {
+		s.progress[i].unconfirmed++
+	}
 	if s.electionElapsed >= s.cfg.ElectionTicks {
 		s.electionElapsed = 0
 		if !s.checkQuorum() {
--- a/pkg/replica/replication.go
+++ b/pkg/replica/replication.go
@@ -7,7 +7,7 @@
 	id                 ID
 	match              uint64 // highest index known to match on its disk
 	next               uint64 // next index to send
-	heartbeatMatch     uint64 // match at its previous heartbeat response
+	unconfirmed        int    // ticks since entries were last sent to it or confirmed by it
 	round              uint64 // highest read round it confirmed
 	snapshotIndex      uint64 // index of a snapshot in flight; 0 if none
 	snapshotHeartbeats int    // heartbeats until that snapshot may be sent again
@@ -54,6 +54,9 @@
 	}
 	entries := s.log.entriesFrom(p.next, s.cfg.MaxAppendBytes)
 	p.next += uint64(len(entries))
+	if len(entries) > 0 {
+		p.unconfirmed = 0
+	}
 	s.send(Message{Kind: MsgAppend, To: p.id, Index: prev, LogTerm: term, Entries: entries, Commit: s.commit})
 }
 
@@ -214,6 +217,7 @@
 		return
 	}
 	if m.Index > p.match {
+		p.unconfirmed = 0
 		p.match = m.Index
 		p.next = max(p.next, m.Index+1)
 		s.advanceCommit()
@@ -281,11 +285,11 @@
 	p := &s.progress[i]
 	p.active = true
 	p.round = max(p.round, m.Round)
-	if p.match < s.log.lastIndex() && p.heartbeatMatch == p.match {
+	// A busy follower may answer heartbeats before it has written the entries.
+	if p.match < s.log.lastIndex() && p.unconfirmed >= s.cfg.ElectionTicks {
 		p.next = p.match + 1
 		s.sendAppend(p)
 	}
-	p.heartbeatMatch = p.match
 	s.finishReads()
 }
 
