Compare views once for all entries that follow, and not once for each of them

Cause: for every update of every stream a control instance compared the whole state with the view that the entry had when it subscribed, and dropped the result, since the change since the last update is made once for all streams. With 1,100 routes more than at the subscription that takes 0.40 ms (0.036 ms without them, and 16 us for the change itself; benchmark on this machine). 18 streams with up to 57 updates a second want more than the 0.24 cores of an instance, on all ten of them. Why the fix works: only the first update of a stream is made from what the entry had.

--- a/internal/view/publish.go
+++ b/internal/view/publish.go
@@ -77,9 +77,12 @@
 // sendUpdate sends the changes since the state that was sent last or, if there is none,
 // since the view that the entry has.
 func (p *Publisher) sendUpdate(have *instance.WatchRequest, sent *deployment.State, state deployment.State, send func(*instance.ViewUpdate) error) error {
-	key := packedKey{from: have.Version, fromConfig: have.ConfigIndex, to: state.Version(), sinceRequest: true}
-	u := DeltaSince(have, state)
-	if sent != nil {
+	var key packedKey
+	var u *instance.ViewUpdate
+	if sent == nil {
+		key = packedKey{from: have.Version, fromConfig: have.ConfigIndex, to: state.Version(), sinceRequest: true}
+		u = DeltaSince(have, state)
+	} else {
 		_, configIndex := sent.Config()
 		key = packedKey{from: sent.Version(), fromConfig: configIndex, to: state.Version()}
 		u = p.deltas.delta(key, sent, state)
