--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -266,8 +266,10 @@
 // is not the leader collects the report if that is asked for.
 func (c *Control) Report(_ context.Context, req *instance.ReportRequest) (*instance.ReportResponse, error) {
 	if c.isLeader() {
-		res := c.lastReplica().leader.Report(*req)
-		res.AvailabilityZone = c.cfg.AvailabilityZone
+		l := c.lastReplica().leader
+		res := l.Report(*req)
+		confirmation := l.ConfirmConfig()
+		res.AvailabilityZone, res.Config = c.cfg.AvailabilityZone, &confirmation
 		return &res, nil
 	}
 	if req.Collect && c.Current() {
@@ -293,7 +295,10 @@
 	if !c.isLeader() {
 		return nil, c.notLeaderError()
 	}
-	res := c.lastReplica().leader.ReportBatch(*req)
+	l := c.lastReplica().leader
+	res := l.ReportBatch(*req)
+	confirmation := l.ConfirmConfig()
+	res.Config = &confirmation
 	return &res, nil
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -153,6 +153,8 @@
 		i.metrics.addGauge("config_version", func() any { return v.View().Config.Version })
 		i.metrics.addGauge("evacuated_zones", func() any { return v.View().EvacuatedZones() })
 		i.metrics.addGauge("config_lag_milliseconds", func() any { return v.ConfigLag().Milliseconds() })
+		i.metrics.addGauge("config_confirmed_milliseconds_ago", func() any { return v.ConfigConfirmedAge().Milliseconds() })
+		i.metrics.addGauge("config_in_force", func() any { return v.ConfigInForce() })
 		i.metrics.addGauge("caller_connections", func() any { return i.entry.Connections() })
 		i.metrics.addGauge("retry_budgets", func() any { return i.entry.RetryBudgets() })
 		i.metrics.addGauge("invalid_retry_after", func() any { return i.entry.InvalidRests() })
@@ -233,7 +235,7 @@
 	if i.cfg.PreferZone {
 		i.collectors.nearby = instance.NewNearby(i.cfg.AvailabilityZone, i.clock)
 	}
-	i.follower = view.Follow(ctx, view.FollowerConfig{Name: i.cfg.Name, Seeds: i.cfg.Seeds, Pool: i.pool, Log: i.log, Nearby: i.collectors.nearby, Level: deployment.FeatureLevel})
+	i.follower = view.Follow(ctx, view.FollowerConfig{Name: i.cfg.Name, Seeds: i.cfg.Seeds, Pool: i.pool, Log: i.log, Nearby: i.collectors.nearby, Level: deployment.FeatureLevel, ConfigApply: i.cfg.ConfigApply})
 	targets, closeTargets := targethttp.NewPool(i.clock)
 	i.cleanups.Add(closeTargets)
 	l, err := net.Listen("tcp", i.cfg.CallerAddress)
@@ -258,7 +260,7 @@
 		RetryRatio:       i.cfg.RetryRatio,
 		RetrySlack:       i.cfg.RetrySlack,
 		RetryShare:       retryShare,
-		MaxConfigLag:     i.cfg.ConfigApply / 2,
+		ConfigApply:      i.cfg.ConfigApply,
 
 		TargetDrain:       i.cfg.TargetDrain,
 		GrantsByHeartbeat: i.cfg.Grants == settings.GrantByHeartbeat,
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"strconv"
@@ -12,6 +14,13 @@
 // configRetryAfter is the time after which the newer configuration is expected.
 const configRetryAfter = 300 * time.Millisecond
 
+// errConfigReplaced reports that a newer configuration may have to be in force, and that this
+// entry has not received it.
+var errConfigReplaced = errors.New("the configuration may have been replaced and a newer one has not arrived yet")
+
+// reasonNoWeight is the reason of a rejection.
+const reasonNoWeight = "no service of this route has a weight above zero"
+
 // admit finds the route, service, key and deadline of a request, or rejects it.
 func (s *Server) admit(r *request) (*call, *response) { return s.admitTo(r, s.chooseService) }
 
@@ -29,8 +38,8 @@
 	}
 	route, ok := v.Routes.Find(r.host, r.path)
 	behind := s.behindPeers()
-	if lag := s.cfg.View.ConfigLag(); lag > s.cfg.MaxConfigLag || !ok && (lag > 0 || behind) || r.relayed && behind {
-		return reject(unavailableHere("the configuration was replaced and the newer one has not arrived yet", configRetryAfter))
+	if !s.cfg.View.ConfigInForce() || !ok && (s.cfg.View.ConfigLag() > 0 || behind) || r.relayed && behind {
+		return reject(unavailableHere(errConfigReplaced.Error(), configRetryAfter))
 	}
 	if !ok {
 		return reject(errorResponse(http.StatusNotFound, "no route for this host and path"))
@@ -41,10 +50,10 @@
 	}
 	name, ok := choose(r, route)
 	if !ok {
-		return reject(unavailableResponse("no service of this route has a weight above zero", defaultRetryAfter))
+		return reject(unavailableResponse(reasonNoWeight, defaultRetryAfter))
 	}
 	service, _ := v.Config.Service(name)
-	c := &call{request: r, route: route, admittedConfig: v.Config.Version, service: service, id: id, deadline: r.start.Add(route.Timeout)}
+	c := &call{request: r, route: route, admittedConfig: v.Config.Version, configIndex: v.ConfigIndex, service: service, id: id, deadline: r.start.Add(route.Timeout)}
 	if ms, err := strconv.ParseInt(r.header.Get(s.cfg.Headers.Deadline), 10, 64); err == nil && ms >= 0 {
 		if callerDeadline := r.start.Add(time.Duration(ms) * time.Millisecond); callerDeadline.Before(c.deadline) {
 			c.deadline = callerDeadline
@@ -56,12 +65,8 @@
 	if s.mayOutlastShutdown(c.deadline) {
 		return reject(unavailableHere("the instance is stopping and might cut the request off", defaultRetryAfter))
 	}
-	if service.Keyed {
-		key, err := strconv.ParseUint(r.header.Get(s.cfg.Headers.Key), 10, 16)
-		if err != nil {
-			return reject(errorResponse(http.StatusBadRequest, s.cfg.Headers.Key+" header must be a whole number from 0 to 65535"))
-		}
-		c.key = deployment.Key(key)
+	if reason := s.readKey(c); reason != "" {
+		return reject(errorResponse(http.StatusBadRequest, reason))
 	}
 	c.fingerprint = fingerprintOf(r)
 	if _, blocked := v.Suspected(c.fingerprint); blocked {
@@ -70,6 +75,69 @@
 	return c, nil
 }
 
+// readKey reads the key of a request to a keyed service. It returns why there is none, or an
+// empty string.
+func (s *Server) readKey(c *call) string {
+	if !c.service.Keyed {
+		return ""
+	}
+	key, err := strconv.ParseUint(c.header.Get(s.cfg.Headers.Key), 10, 16)
+	if err != nil {
+		return s.cfg.Headers.Key + " header must be a whole number from 0 to 65535"
+	}
+	c.key = deployment.Key(key)
+	return ""
+}
+
+// configAllows reports whether the request may be sent by the configuration by which it was
+// routed.
+func (s *Server) configAllows(c *call) bool {
+	return c.configIndex == s.cfg.View.View().ConfigIndex && s.cfg.View.ConfigInForce()
+}
+
+// reroute routes a request anew if the configuration has changed since it was routed. It
+// returns the final response if the newer configuration does not allow the request, or if
+// a newer one may have to be in force that has not arrived.
+func (s *Server) reroute(ctx context.Context, c *call) *response {
+	end := func(reason string, out response) *response {
+		c.reason = reason
+		if c.mayHaveRun {
+			out = s.finalResponse(ctx, c)
+		}
+		return &out
+	}
+	v := s.cfg.View.View()
+	if !s.cfg.View.ConfigInForce() {
+		return end(errConfigReplaced.Error(), unavailableHere(errConfigReplaced.Error(), configRetryAfter))
+	}
+	if v.ConfigIndex == c.configIndex {
+		return nil
+	}
+	route, ok := v.Routes.Find(c.host, c.path)
+	if !ok {
+		return end("the route was dropped", errorResponse(http.StatusNotFound, "no route for this host and path"))
+	}
+	name := c.service.Name
+	if !slices.ContainsFunc(route.Split, func(w deployment.WeightedService) bool { return w.Service == name && w.Weight > 0 }) {
+		if name, ok = s.chooseService(c.request, route); !ok {
+			return end(reasonNoWeight, unavailableResponse(reasonNoWeight, defaultRetryAfter))
+		}
+		c.excluded, c.rangeID, c.ownerRetryAt = nil, "", time.Time{}
+	}
+	c.route, c.configIndex = route, v.ConfigIndex
+	c.service, _ = v.Config.Service(name)
+	if c.relayed {
+		c.limitAttempts()
+	}
+	if deadline := c.start.Add(route.Timeout); deadline.Before(c.deadline) {
+		c.deadline = deadline
+	}
+	if reason := s.readKey(c); reason != "" {
+		return end(reason, errorResponse(http.StatusBadRequest, reason))
+	}
+	return nil
+}
+
 // chooseService returns the service that serves a request: the one that the entry which
 // passed it on has chosen, if the route still has it, or else the next one.
 func (s *Server) chooseService(r *request, route *deployment.Route) (string, bool) {
--- a/internal/forward/config_test.go
+++ b/internal/forward/config_test.go
@@ -14,6 +14,7 @@
 // publish sends the entry an update of its view, and waits until it has it.
 func (e *testEntry) publish(u *instance.ViewUpdate) {
 	e.t.Helper()
+	e.newest.Store(u.ConfigIndex)
 	e.further <- u
 	e.awaitView(u.Version)
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -112,7 +112,8 @@
 	stop        func()                    // ends the entry at once
 	further     chan *instance.ViewUpdate // from the control instance
 
-	unconfirmed atomic.Bool // reports are not answered
+	unconfirmed atomic.Bool   // reports are not answered
+	newest      atomic.Uint64 // log index that accepted the newest configuration
 
 	mu       sync.Mutex
 	received []string                 // IDs of the targets that received a request, in order
@@ -123,6 +124,7 @@
 // routes /look/, /fetch/ and /book/; the first one owns all keys of /keyed/.
 func startEntry(t *testing.T, link *limit.Link, handlers ...targetHandler) *testEntry {
 	e := &testEntry{t: t, further: make(chan *instance.ViewUpdate)}
+	e.newest.Store(1)
 	change := deployment.ConfigChange{Version: 1, Whole: true, Services: []deployment.Service{{Name: "catalog", Connections: 100}}}
 	for kind, name := range map[deployment.Kind]string{deployment.Lookup: "look", deployment.Download: "fetch", deployment.Booking: "book"} {
 		change.Routes = append(change.Routes, deployment.Route{
@@ -177,7 +179,7 @@
 	e.t.Cleanup(closeTargets)
 	quiet := log.New(io.Discard)
 	l, peers := listenLocal(e.t), listenLocal(e.t)
-	follower := view.Follow(ctx, view.FollowerConfig{Name: "entry", Seeds: []string{control}, Pool: pool, Log: quiet})
+	follower := view.Follow(ctx, view.FollowerConfig{Name: "entry", Seeds: []string{control}, Pool: pool, Log: quiet, ConfigApply: maxConfigLag})
 	dispatch := listenLocal(e.t)
 	d := dispatcher.New(ctx, dispatcher.Config{
 		Name: "entry", Address: dispatch.Addr().String(), View: follower, Clock: clock, Log: quiet, Open: pool.OpenDispatch,
@@ -187,7 +189,7 @@
 	server, stop := Serve(ctx, l, Config{
 		Name: "entry", AvailabilityZone: "a", Headers: testHeaderNames(), View: follower, Pool: targetPool, Clock: clock, Log: quiet, RoutineLog: quiet,
 		Observer: nopObserver{}, Report: e.recordReport,
-		RetryRatio: 1, RetrySlack: 10, RetryShare: 1, MaxConfigLag: maxConfigLag, TargetDrain: testDrain, Link: link, RelayAddress: peers.Addr().String(),
+		RetryRatio: 1, RetrySlack: 10, RetryShare: 1, ConfigApply: maxConfigLag, TargetDrain: testDrain, Link: link, RelayAddress: peers.Addr().String(),
 		Dispatcher: d,
 	})
 	e.t.Cleanup(stop)
@@ -413,6 +415,7 @@
 		assert.Equal(t, resp.Header.Get("Retry-After") != "", retryAfter)
 	}
 	assertAnswer("/new/1", http.StatusNotFound, false)
+	e.newest.Store(2)
 	e.further <- &instance.ViewUpdate{Version: 2, ConfigIndex: 2, Current: true, Part: []byte{0}, MoreParts: true}
 	for deadline := time.Now().Add(10 * time.Second); e.server.cfg.View.ConfigLag() == 0; time.Sleep(time.Millisecond) {
 		assert.Assert(t, time.Now().Before(deadline), "the entry did not hear of the newer configuration")
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -9,6 +9,7 @@
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
 	"github.com/cranberrywind/cranberrywind/internal/instance"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
 // reportLoop sends measurements to the leader until ctx ends, and stores the advice
@@ -36,7 +37,7 @@
 		req := s.report(now.Sub(last))
 		last = now
 		idle := req.DispatchAddress == dispatchAddress && len(req.Keys) == 0 && len(req.Targets) == 0 && len(req.Demand) == 0 && len(req.CrashReports) == 0
-		if idle && now.Sub(lastSent) < idleReportInterval {
+		if idle && now.Sub(lastSent) < min(idleReportInterval, s.cfg.ConfigApply/maxUnconfirmedReports) {
 			continue
 		}
 		lastSent, dispatchAddress = now, req.DispatchAddress
@@ -47,8 +48,11 @@
 		number++
 		go func(number uint64) {
 			defer func() { <-inFlight }()
-			start := s.cfg.Clock.Now()
+			start, sentAt := s.cfg.Clock.Now(), timer.BootTime()
 			a := s.cfg.Report(req)
+			if a != nil {
+				s.cfg.View.ConfirmConfig(a.Config, sentAt)
+			}
 			heldUp.Store(a == nil || s.cfg.Clock.Now().Sub(start) > heldUpReport)
 			if a != nil && !a.NoAdvice {
 				s.adopt(number, a)
@@ -86,6 +90,10 @@
 // report. They keep it known to the leader, and bring the leader's advice.
 const idleReportInterval = time.Second
 
+// maxUnconfirmedReports is the number of reports that an entry with nothing to report sends
+// within the time in which its configuration has to be confirmed.
+const maxUnconfirmedReports = 4
+
 // maxReportsInFlight bounds the reports that wait for the leader. One that is held up by a
 // full link does not hold up the next.
 const maxReportsInFlight = 4
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -38,10 +38,8 @@
 	RetryRatio float64 // retries of all entries together, as a share of requests
 	RetrySlack float64 // retries of all entries together beyond RetryRatio
 	RetryShare float64 // part of both that the entries use
-	// MaxConfigLag is for how long requests are served by a configuration that is known
-	// to be replaced. It is shorter than the time within which a change must be in force,
-	// because its operator learned of it earlier than the entry.
-	MaxConfigLag time.Duration
+	// ConfigApply is the time within which an acknowledged configuration has to be in force.
+	ConfigApply time.Duration
 	// TargetDrain is for how long a target that is leaving still serves requests.
 	TargetDrain time.Duration
 	// GrantsByHeartbeat reports that targets learn only at their heartbeats which keys
--- a/internal/forward/zone_shares_test.go
+++ b/internal/forward/zone_shares_test.go
@@ -32,12 +32,16 @@
 	return e.server.zonesFor(&call{service: service, excluded: excluded})
 }
 
-// recordReport is the Reporter of the entry, which keeps the demand.
+// recordReport is the Reporter of the entry, which keeps the demand and confirms the newest
+// configuration.
 func (e *testEntry) recordReport(r instance.ReportRequest) *instance.ReportResponse {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.demand = append(e.demand, r.Demand...)
-	return nil
+	if e.unconfirmed.Load() {
+		return nil
+	}
+	return &instance.ReportResponse{NoAdvice: true, Config: &instance.ConfigConfirmation{Index: e.newest.Load()}}
 }
 
 // assertDemand checks what the entry reports in all, after it had time for two reports.
--- a/internal/instance/deployment_messages.go
+++ b/internal/instance/deployment_messages.go
@@ -120,6 +120,8 @@
 	// ZoneShares holds the shares by the availability zone of entries. A zone is left out if
 	// it has no shares, or if no report of the batch is from it.
 	ZoneShares map[string]ZoneShares `msgpack:"zone_shares,omitempty"`
+	// Config is the newest configuration; nil from a build that confirms none.
+	Config *ConfigConfirmation `msgpack:"config,omitempty"`
 }
 
 // KeyLoad counts the requests for one bucket of a service's keys.
@@ -174,7 +176,7 @@
 	// AvailabilityZone is that of the control instance which answers the report.
 	AvailabilityZone string `msgpack:"zone,omitempty"`
 	// NoAdvice reports that the report was taken and that there is no advice yet. All
-	// other fields but AvailabilityZone are zero then.
+	// other fields but AvailabilityZone and Config are zero then.
 	NoAdvice bool `msgpack:"no_advice,omitempty"`
 	// DispatchersVersion is the version of the leader's list of dispatchers; 0 while it has
 	// none. Dispatchers holds the list only if the version in the report is another one.
@@ -184,6 +186,15 @@
 	// zone. ZoneShares holds the shares of the entry's own zone; a request without one stays.
 	ZoneSharesKnown bool       `msgpack:"zones_known,omitempty"`
 	ZoneShares      ZoneShares `msgpack:"zone_shares,omitempty"`
+	// Config is the newest configuration; nil from a build that confirms none.
+	Config *ConfigConfirmation `msgpack:"config,omitempty"`
+}
+
+// ConfigConfirmation names the newest configuration that was acknowledged to an operator at
+// a moment before the message was sent.
+type ConfigConfirmation struct {
+	Index uint64        `msgpack:"index"` // log index that accepted it; 0 if the sender does not know now
+	Age   time.Duration `msgpack:"age"`   // from that moment until the message was sent
 }
 
 // Peer is an entry to which others can pass requests on.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -227,7 +227,7 @@
 func (l *Leader) startTerm(ctx context.Context, term uint64) uint64 {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	start := bootTime()
+	start := timer.BootTime()
 	applied, err := l.group.Barrier(ctx)
 	if err != nil {
 		l.log.Warn("control leadership not confirmed yet", "term", term, "error", err)
@@ -247,7 +247,7 @@
 		if l.group.Role().Role != replica.Leader {
 			return
 		}
-		start := bootTime()
+		start := timer.BootTime()
 		barrierCtx, cancel := context.WithTimeout(ctx, confirmationValidity)
 		if _, err := l.group.Barrier(barrierCtx); err == nil {
 			l.confirmedAt.Store(int64(start))
@@ -256,10 +256,22 @@
 	})
 }
 
+// ConfirmConfig returns the newest configuration that was acknowledged to an operator before
+// a quorum last confirmed this leadership.
+func (l *Leader) ConfirmConfig() instance.ConfigConfirmation {
+	confirmedAt := time.Duration(l.confirmedAt.Load())
+	if !l.leadershipConfirmed() {
+		return instance.ConfigConfirmation{}
+	}
+	// What earlier leaders acknowledged, and this one until then, is in the state by now.
+	_, index := l.group.State().State.Config()
+	return instance.ConfigConfirmation{Index: index, Age: timer.BootTime() - confirmedAt}
+}
+
 // leadershipConfirmed reports whether a quorum confirmed the leadership within
 // confirmationValidity.
 func (l *Leader) leadershipConfirmed() bool {
-	return bootTime()-time.Duration(l.confirmedAt.Load()) <= confirmationValidity
+	return timer.BootTime()-time.Duration(l.confirmedAt.Load()) <= confirmationValidity
 }
 
 func (l *Leader) runEffects(_ context.Context, effects []Effect) error {
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -52,13 +52,13 @@
 		l.release(SendRelease{Range: ref})
 		return targets.calls.Load() - before
 	}
-	l.confirmedAt.Store(int64(bootTime()))
+	l.confirmedAt.Store(int64(timer.BootTime()))
 	assert.Equal(t, calls(), int32(2))
-	expireConfirmation := func() { l.confirmedAt.Store(int64(bootTime() - confirmationValidity - time.Millisecond)) }
+	expireConfirmation := func() { l.confirmedAt.Store(int64(timer.BootTime() - confirmationValidity - time.Millisecond)) }
 	expireConfirmation()
 	assert.Equal(t, calls(), int32(0))
 	// Suspended while connecting.
-	l.confirmedAt.Store(int64(bootTime()))
+	l.confirmedAt.Store(int64(timer.BootTime()))
 	targets.onConnect = expireConfirmation
 	assert.Equal(t, calls(), int32(0))
 }
--- a/internal/view/follow.go
+++ b/internal/view/follow.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/cranberrywind/cranberrywind/internal/instance"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
 // Follower keeps an entry's view up to date from the update stream of one control
@@ -23,7 +24,8 @@
 	seeds       atomic.Pointer[[]string]
 	confirmedAt atomic.Int64 // Unix nanoseconds of the last update with Current set
 	newerConfig atomic.Pointer[newerConfig]
-	done        <-chan struct{} // closed when the follower stops
+	lease       atomic.Pointer[configLease] // changed while mu is held
+	done        <-chan struct{}             // closed when the follower stops
 	mu          sync.Mutex
 	changed     chan struct{}
 
@@ -40,6 +42,8 @@
 	// may be nil.
 	Nearby *instance.Nearby
 	Level  uint64 // feature level to announce
+	// ConfigApply is the time within which an acknowledged configuration has to be in force.
+	ConfigApply time.Duration
 }
 
 const (
@@ -113,6 +117,56 @@
 	return time.Since(newer.since)
 }
 
+// ConfirmConfig records which configuration a control instance named as the newest in its
+// answer to a call that was sent at the time sentAt of the boot clock. A nil c stands for a
+// build that confirms none.
+func (f *Follower) ConfirmConfig(c *instance.ConfigConfirmation, sentAt time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c == nil {
+		f.setLease(f.currentLease().WithoutConfirmations())
+		return
+	}
+	f.setLease(f.currentLease().WithConfirmation(confirmation{index: c.Index, at: sentAt - c.Age}))
+}
+
+func (f *Follower) currentLease() configLease {
+	if l := f.lease.Load(); l != nil {
+		return *l
+	}
+	return configLease{}
+}
+
+// setLease replaces the lease. The caller holds f.mu.
+func (f *Follower) setLease(l configLease) { f.lease.Store(&l) }
+
+// ConfigInForce reports whether the entry may serve by the configuration of its view. If not,
+// a newer one may have to be in force already.
+func (f *Follower) ConfigInForce() bool {
+	l := f.currentLease()
+	if l.unsupported {
+		return f.ConfigLag() <= f.cfg.ConfigApply/2
+	}
+	return l.Valid(timer.BootTime(), f.cfg.ConfigApply)
+}
+
+// ConfigConfirmedAge returns the time since the configuration of the view was last confirmed
+// to be the newest, or -1 if it never was.
+func (f *Follower) ConfigConfirmedAge() time.Duration {
+	l := f.currentLease()
+	if l.validAt == 0 {
+		return -1
+	}
+	return timer.BootTime() - l.validAt
+}
+
+// hear records a message of a control instance that knows a leader.
+func (f *Follower) hear() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.setLease(f.currentLease().WithHeard(timer.BootTime(), f.cfg.ConfigApply))
+}
+
 // noteConfig records that a configuration is in force, as a message reports before its
 // content is complete.
 func (f *Follower) noteConfig(index uint64) {
@@ -260,6 +314,7 @@
 			watchdog.Reset(openTimeout)
 		}
 		if u.Current {
+			f.hear()
 			watchdog.Reset(silenceTimeout)
 			select {
 			case current <- s:
@@ -334,6 +389,9 @@
 	}
 	lag := f.ConfigLag()
 	f.view.Store(next)
+	if next.ConfigIndex != old.ConfigIndex {
+		f.setLease(f.currentLease().WithConfig(next.ConfigIndex))
+	}
 	if u.Version == old.Version && !u.Whole {
 		return nil
 	}
