--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -331,6 +331,9 @@
 	control := i.follower.View().Control
 	if r.Collect && len(control) > 0 {
 		address := i.collectors.choose(i.cfg.Name, control)
+		if source := i.follower.Source(); source != "" && i.follower.ConfigConfirmedAge() > i.cfg.ConfigApply/2 {
+			address = source // it is known to answer
+		}
 		res, err := instance.Call[instance.ReportRequest, instance.ReportResponse](ctx, i.pool, address, "Report", &r)
 		if err == nil {
 			i.collectors.nearby.Learn(address, res.AvailabilityZone)
--- a/internal/view/follow.go
+++ b/internal/view/follow.go
@@ -25,6 +25,7 @@
 	confirmedAt atomic.Int64 // Unix nanoseconds of the last update with Current set
 	newerConfig atomic.Pointer[newerConfig]
 	lease       atomic.Pointer[configLease] // changed while mu is held
+	source      atomic.Pointer[string]      // address of the control instance that is followed
 	done        <-chan struct{}             // closed when the follower stops
 	mu          sync.Mutex
 	changed     chan struct{}
@@ -130,6 +131,15 @@
 	f.setLease(f.currentLease().WithConfirmation(confirmation{index: c.Index, at: sentAt - c.Age}))
 }
 
+// Source returns the address of the control instance that the entry follows, or followed
+// last; empty if it never did.
+func (f *Follower) Source() string {
+	if s := f.source.Load(); s != nil {
+		return *s
+	}
+	return ""
+}
+
 func (f *Follower) currentLease() configLease {
 	if l := f.lease.Load(); l != nil {
 		return *l
@@ -217,6 +227,7 @@
 				continue
 			}
 			followed = s
+			f.source.Store(&s.address)
 			maps.DeleteFunc(streams, func(_ string, other *stream) bool {
 				if other != s {
 					other.cancel(errNotNeeded)
