Route requests anew that waited while the configuration changed

What callers saw: a request was run by the route of version 43, 2.98 s after the acknowledgement of version 47. It had waited 0.9 s between its sending and the target. Cause: the configuration was checked when a request was admitted, and not again before it was sent. Evidence: a request that waits for its key's owner while its route is dropped was sent to the old owner; TestRequestThatWaitedIsNotSentByReplacedConfig failed before. Why the fix works: the check is made on the open connection, right before the first byte. What the newer configuration still allows is routed by it, and waits no longer than its time limit.

--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -86,6 +86,7 @@
 type call struct {
 	*request
 	route          *deployment.Route
+	configIndex    uint64 // log index that accepted the configuration by which it is routed
 	admittedConfig uint64 // version of the configuration that admitted it
 	sentConfig     uint64 // version of the configuration in the view at the last attempt
 	service        deployment.Service
@@ -190,6 +191,9 @@
 	// Gives back a slot that was not used, for example because the retry budget is exhausted.
 	defer func() { s.releaseSlot(c, dispatch.NotSent, attemptResult{}) }()
 	for {
+		if out := s.reroute(ctx, c); out != nil {
+			return *out
+		}
 		if s.mustRelay(c) {
 			if out := s.relay(ctx, c); out != nil {
 				return *out
