Take no refusal on a kept connection for the answer to another request

What callers saw (reported by other operators, shown here by a test): 503 that says not run, for a request that its target was serving; such a request may then run again at another target. Cause: an error response without an ID was taken for the answer to the request in progress. So was one with the ID of an earlier attempt of the same request, which was sent over the same connection. Why the fix works: an error without an ID counts only as the first response of its connection, and otherwise the outcome is unknown. An attempt uses no connection on which the same request was answered with an error. The leader's calls for keys carry no ID, so that this does not cover them.

--- a/internal/targethttp/exchange.go
+++ b/internal/targethttp/exchange.go
@@ -105,7 +105,8 @@
 }
 
 // exchange writes the request and reads the header of its response. It skips
-// responses with another ID; only an error response may lack the ID. It reports
+// responses with another ID. Only an error response may lack the ID, as the first one of its
+// connection: on a kept connection it may be about an earlier request. exchange reports
 // whether the connection may be reused once the body has been read.
 func (c *conn) exchange(idHeader string, r Request) (*http.Response, bool, error) {
 	c.sending = c.write(r)
@@ -117,7 +118,7 @@
 	// The response is read even after a failed write, and while a long body is written,
 	// because a target may respond before it has read the body, and then close the
 	// connection or not.
-	for range maxResponsesRead {
+	for n := range maxResponsesRead {
 		c.limiter.limited, c.limiter.remaining = true, maxHeadBytes
 		resp, err := c.readHeader(r.Method)
 		if err != nil {
@@ -132,8 +133,16 @@
 		// A body without a length ends when the connection is closed without a reset.
 		closeDelimited := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 		keepAlive := !resp.Close && !closeDelimited
-		if got := resp.Header.Get(idHeader); got == r.ID || got == "" && resp.StatusCode >= http.StatusBadRequest {
-			return resp, keepAlive, nil
+		failed := resp.StatusCode >= http.StatusBadRequest
+		got := resp.Header.Get(idHeader)
+		if got == r.ID || got == "" && failed && !c.reused && n == 0 {
+			if failed && r.ID != "" {
+				c.failed = append(c.failed, r.ID)
+			}
+			return resp, keepAlive && len(c.failed) < maxFailed, nil
+		}
+		if got == "" && failed {
+			return nil, false, fmt.Errorf("%w: an error without an ID on a kept connection", ErrIncompleteResponse)
 		}
 		if err := discardBody(resp); err != nil {
 			return nil, false, fmt.Errorf("%w: %w", ErrIncompleteResponse, err)
--- a/internal/targethttp/pool.go
+++ b/internal/targethttp/pool.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -80,8 +81,15 @@
 	maxIdle  time.Duration // longest idle time after which it is reused
 	reused   bool
 	sending  *sending // the last request, whose body may still be sent
+	// failed holds the IDs of the requests that were answered with an error. A target may
+	// write such a response once more, so that no later attempt of the same request may
+	// use the connection.
+	failed []string
 }
 
+// maxFailed bounds the failed requests of a connection that is kept.
+const maxFailed = 32
+
 // Option configures a Pool.
 type Option func(*Pool)
 
@@ -131,7 +139,7 @@
 // still usable, or else a new one.
 func (p *Pool) get(ctx context.Context, address string, maxConns int, r Request) (*conn, error) {
 	for {
-		c, err := p.reserve(address, maxConns, r.NonIdempotent)
+		c, err := p.reserve(address, maxConns, r)
 		if err != nil {
 			return nil, err
 		}
@@ -150,7 +158,7 @@
 // non-idempotent request it may have been idle for half of maxIdle at most. If there
 // is none, reserve counts a new connection, which the caller opens, and returns nil.
 // It returns ErrConnLimit if maxConns connections are open already.
-func (p *Pool) reserve(address string, maxConns int, nonIdempotent bool) (*conn, error) {
+func (p *Pool) reserve(address string, maxConns int, r Request) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h, ok := p.hosts[address]
@@ -159,11 +167,14 @@
 		p.hosts[address] = h
 	}
 	now := p.clock.Now()
-	for len(h.idle) > 0 {
-		c := h.idle[len(h.idle)-1]
-		h.idle = h.idle[:len(h.idle)-1]
+	for i := len(h.idle) - 1; i >= 0; i-- {
+		c := h.idle[i]
+		if r.ID != "" && slices.Contains(c.failed, r.ID) {
+			continue
+		}
+		h.idle = slices.Delete(h.idle, i, i+1)
 		limit := c.maxIdle
-		if nonIdempotent {
+		if r.NonIdempotent {
 			limit /= 2
 		}
 		if now.Sub(c.lastUsed) <= limit {
@@ -173,7 +184,13 @@
 		h.open--
 	}
 	if h.open >= maxConns {
-		return nil, ErrConnLimit
+		if len(h.idle) == 0 {
+			return nil, ErrConnLimit
+		}
+		// The idle connections that are left may not be used for this request.
+		_ = h.idle[0].Close()
+		h.idle = slices.Delete(h.idle, 0, 1)
+		h.open--
 	}
 	h.open++
 	return nil, nil
--- a/internal/targethttp/stale_refusal_test.go
+++ b/internal/targethttp/stale_refusal_test.go
@@ -59,6 +59,20 @@
 	}
 }
 
+// Guards against a retry without a connection while those that are kept may not be used for it.
+func TestRetryReplacesKeptConnection(t *testing.T) {
+	address := listen(t, func(_ int, c net.Conn, r *http.Request) bool { return write(c, refusal(r.Header.Get(idHeader))) })
+	p := newTestPool(t)
+	for n := range 5 {
+		resp, err := do(t, p, address, "one") // at most two connections
+		assert.NilError(t, err)
+		assert.Assert(t, !resp.Reused, "attempt %d", n)
+	}
+	resp, err := do(t, p, address, "two")
+	assert.NilError(t, err)
+	assert.Assert(t, resp.Reused)
+}
+
 // Guards against a response whose head is cut off and that is passed on as a complete one.
 func TestResponseCutInItsHead(t *testing.T) {
 	whole := map[string]string{
