Refuse what can't end in time by what a service's answers tell, not by a first guess

Late answers outnumbered rejections by four and more to one, while the number of requests held. Queues were known only of targets that had just answered. So nothing was rejected, requests in flight counted as overdue after 400 ms, and their targets as failing. Change: a target without own answers follows the service's average service time, and one without a recent answer the service's average queue. While that queue is longer than the slots, a request is rejected at once if it is expected to take more than half of its objective: work takes up to several times its mean.

--- a/internal/forward/bodies.go
+++ b/internal/forward/bodies.go
@@ -187,7 +187,7 @@
 	case c.service.Keyed || s.mustRelay(c):
 		return nil
 	default:
-		retryAfter, blocked := s.targets.allBlocked(s.cfg.View.View().Usable(c.service.Name), c.maxExpected()-bodyTime)
+		retryAfter, blocked := s.targets.allBlocked(s.cfg.View.View().Usable(c.service.Name), s.maxExpected(c)-bodyTime)
 		if !blocked {
 			return nil
 		}
--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -249,14 +249,27 @@
 // served: it would make all of them late.
 const maxLateShare = 0.25
 
+// shortageShare is the part of the objective that a request may be expected to take while its
+// service is short of slots. Work takes up to several times its mean, so that most of the
+// requests that are expected to take longer would be late, and delay all others.
+const shortageShare = 0.5
+
 // maxExpected returns the longest time that a target may be expected to take. Above
 // it the request is rejected.
-func (c *call) maxExpected() time.Duration {
-	longest := c.route.Objective
-	if late := c.route.Timeout - c.route.Objective; late > 0 {
+func (s *Server) maxExpected(c *call) time.Duration {
+	return min(maxExpected(*c.route, s.targets.short(c.service.Name)), time.Until(c.deadline))
+}
+
+// maxExpected returns the longest expected time of a request whose caller has just sent it.
+func maxExpected(r deployment.Route, short bool) time.Duration {
+	if short {
+		return time.Duration(shortageShare * float64(r.Objective))
+	}
+	longest := r.Objective
+	if late := r.Timeout - r.Objective; late > 0 {
 		longest += time.Duration(maxLateShare * float64(late))
 	}
-	return min(longest, time.Until(c.deadline))
+	return longest
 }
 
 // chooseTarget returns the target to send the request to, or a rejection.
@@ -327,7 +340,7 @@
 	expected, _ := s.targets.expected(t)
 	expected += s.bodyTime(c)
 	c.target, c.expected = t, expected
-	if expected > c.maxExpected() {
+	if expected > s.maxExpected(c) {
 		return t, expected / 2, "the chosen target would take too long"
 	}
 	if retryAfter, ok := s.targets.admit(t); !ok {
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -42,7 +42,7 @@
 	if retryAfter := out.header.Get("Retry-After"); retryAfter != "" {
 		fields = append(fields, "retry_after_s", retryAfter)
 	}
-	fields = append(fields, "may_have_run", c.mayHaveRun, "patience_ms", millis(c.maxExpected()), "reason", c.reason)
+	fields = append(fields, "may_have_run", c.mayHaveRun, "patience_ms", millis(s.maxExpected(c)), "reason", c.reason)
 	s.log.Info("request failed", append(fields, c.attemptFields()...)...)
 }
 
--- a/internal/forward/owner.go
+++ b/internal/forward/owner.go
@@ -134,7 +134,7 @@
 		return min(s.cfg.Dispatcher.ColdLeft(t), maxReturnDelay), errColdOwner
 	case s.rejectOverload(c.service.Name, c.key, t):
 		return overloadRetryAfter, errKeyOverloaded
-	case expected > c.maxExpected():
+	case expected > s.maxExpected(c):
 		return expected / 2, errOwnerBusy
 	case !withinWindow:
 		return expected / 2, errWindowFull
@@ -151,7 +151,7 @@
 // absorbs short bursts for one owner. It returns false once the request is as old as
 // windowWaitShare allows, or so old that the answer would be late.
 func (s *Server) awaitWindow(ctx context.Context, c *call, t deployment.Target) bool {
-	maxWait := min(c.maxExpected()-c.expected, time.Duration(windowWaitShare*float64(c.route.Objective)))
+	maxWait := min(s.maxExpected(c)-c.expected, time.Duration(windowWaitShare*float64(c.route.Objective)))
 	maxWait -= time.Since(c.start)
 	if maxWait <= 0 {
 		return false
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -22,6 +23,12 @@
 	// targetAverageWeight is the weight of an answer in the moving average over all
 	// targets of a service.
 	targetAverageWeight = 0.02
+	// queueAverageWeight is the weight of an answer in the average queue of a service, and
+	// queueAverageMemory the time in which that shrinks to a third without answers.
+	queueAverageWeight = 0.3
+	queueAverageMemory = 5 * time.Second
+	// queueValidity is for how long a target's own report of its queue counts.
+	queueValidity = time.Second
 	// queueDecayRate is how fast a target's queue delay is assumed to shrink after
 	// its last answer, in seconds per second.
 	queueDecayRate = 0.7
@@ -61,6 +68,7 @@
 	mu             sync.Mutex
 	byID           map[string]*targetState
 	targetAverages map[string]movingAverage // service time in seconds, averaged over a service's targets, by service
+	queueAverages  map[string]queueAverage  // by service
 	// coldRate returns how many requests a second a cold target of a service takes, or 0 if
 	// it takes as many as a warm one. Nil stands for 0.
 	coldRate func(service string) float64
@@ -72,6 +80,25 @@
 	samples int
 }
 
+// queueAverage is the queue that the answers of a service's targets report, averaged over the
+// targets. It stands for the queue of a target that this entry has not heard from lately:
+// the more entries there are, the more rarely each of them hears from a target.
+type queueAverage struct {
+	share float64 // waiting requests for each slot
+	at    timer.Instant
+}
+
+// With returns the average after an answer.
+func (q queueAverage) With(share float64, now timer.Instant) queueAverage {
+	return queueAverage{share: q.Share(now) + queueAverageWeight*(share-q.Share(now)), at: now}
+}
+
+// Share returns the waiting requests for each slot, which are assumed to get fewer while no
+// answer comes.
+func (q queueAverage) Share(now timer.Instant) float64 {
+	return q.share * math.Exp(-now.Sub(q.at).Seconds()/queueAverageMemory.Seconds())
+}
+
 // targetState holds what an entry measured of one incarnation of a target.
 type targetState struct {
 	startMillis         int64
@@ -82,7 +109,8 @@
 	slowdownAt          timer.Instant
 	queueDelay          float64 // seconds that a request waits for a slot at the usual speed, as of queueDelayAt
 	queueDelayAt        timer.Instant
-	sentSince           int // requests sent since queueDelayAt
+	averageQueue        queueAverage // of the service
+	sentSince           int          // requests sent since queueDelayAt
 	window              float64
 	windowDecreasedAt   timer.Instant
 	consecutiveFailures int
@@ -106,7 +134,7 @@
 }
 
 func newTargetStates(clock timer.Clock) *targetStates {
-	return &targetStates{clock: clock, byID: make(map[string]*targetState), targetAverages: make(map[string]movingAverage)}
+	return &targetStates{clock: clock, byID: make(map[string]*targetState), targetAverages: make(map[string]movingAverage), queueAverages: make(map[string]queueAverage)}
 }
 
 func (ts *targetStates) state(t deployment.Target) *targetState {
@@ -114,12 +142,13 @@
 	if !ok || s.startMillis != t.StartMillis {
 		s = &targetState{startMillis: t.StartMillis, firstSeen: ts.clock.Now(), serviceTime: initialServiceTime.Seconds(), window: initialWindow}
 		s.limit.part = 1.0 / defaultEntryCount
-		if average, ok := ts.targetAverages[t.Service]; ok {
-			s.serviceTime = average.value
-		}
 		s.cold = coldness{sequence: t.Sequence, left: t.WarmUp(), since: ts.clock.Now()}
 		ts.byID[t.ID] = s
 	}
+	if average, ok := ts.targetAverages[t.Service]; ok && s.samples == 0 {
+		s.serviceTime = average.value
+	}
+	s.averageQueue = ts.queueAverages[t.Service]
 	if t.Sequence > s.cold.sequence {
 		s.cold = s.cold.WithTarget(t, ts.clock.Now())
 	}
@@ -136,6 +165,9 @@
 	}
 	slots := float64(max(t.Slots, 1))
 	queue := max(0, s.queueDelay*slowdown-queueDecayRate*now.Sub(s.queueDelayAt).Seconds())
+	if s.queueDelayAt == 0 || now.Sub(s.queueDelayAt) > queueValidity {
+		queue = max(queue, s.averageQueue.Share(now)*serviceTime)
+	}
 	ahead := max(0, float64(max(s.sentSince, s.inFlight))+1-slots)
 	return serviceTime*(1+ahead/slots) + queue
 }
@@ -323,6 +355,10 @@
 	}
 	if res.loadKnown || res.ran {
 		s.updateQueue(t.Slots, res, now)
+		if res.loadKnown {
+			share := float64(res.load.Waiting) / float64(max(t.Slots, 1))
+			ts.queueAverages[t.Service] = ts.queueAverages[t.Service].With(share, now)
+		}
 	} else {
 		s.sentSince = max(0, s.sentSince-1)
 	}
@@ -383,6 +419,17 @@
 	return ts.state(t).notice.MayStillSend(ts.clock.Now(), drain)
 }
 
+// minShortQueue is the average queue of a service's targets, in requests for each slot, from
+// which on the service is short of slots. Then no choice of another target helps.
+const minShortQueue = 1.0
+
+// short reports whether a service is short of slots, as far as the answers of its targets tell.
+func (ts *targetStates) short(service string) bool {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	return ts.queueAverages[service].Share(ts.clock.Now()) >= minShortQueue
+}
+
 // updateTargetAverage adds an answer to the service time averaged over the service's
 // targets, which is assumed for targets that this entry has not seen before.
 func (ts *targetStates) updateTargetAverage(service string, serviceTime float64) {
@@ -391,7 +438,7 @@
 		avg.value = initialServiceTime.Seconds()
 	}
 	avg.samples++
-	avg.value += max(targetAverageWeight, 1/float64(assumedSamples+avg.samples)) * (serviceTime - avg.value)
+	avg.value += max(targetAverageWeight, 1/float64(avg.samples)) * (serviceTime - avg.value)
 	ts.targetAverages[service] = avg
 }
 
