Acknowledge an accepted change from any replica that has it

Cause: every resend went to the leader with the whole configuration (700 KB), and the leader was too busy to answer within the 0.7 s of an attempt. Why the fix works: what a replica has applied is committed, so that it can acknowledge the resend from its own state.

--- a/internal/deployment/commands.go
+++ b/internal/deployment/commands.go
@@ -139,12 +139,21 @@
 	}
 }
 
+// AcceptedBefore returns the result of an operator's change that is part of the state already,
+// or false if it is none.
+func (s State) AcceptedBefore(change ConfigChange) (Result, bool) {
+	if !slices.Contains(s.digests, change.Digest) {
+		return Result{}, false
+	}
+	return Result{Outcome: Accepted, Version: s.config.Version, Reason: "accepted before"}, true
+}
+
 // changeConfig puts a configuration change into force if it is valid and based on
 // the version in force. A resend of an accepted change is accepted without effect.
 func (s State) changeConfig(index uint64, change ConfigChange) (State, Result) {
 	current := s.config.Version
-	if slices.Contains(s.digests, change.Digest) {
-		return s, Result{Outcome: Accepted, Version: current, Reason: "accepted before"}
+	if result, ok := s.AcceptedBefore(change); ok {
+		return s, result
 	}
 	if change.Base != current {
 		return s, Result{Outcome: Conflict, Version: current, Reason: fmt.Sprintf("is based on version %d, but version %d is in force", change.Base, current)}
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -79,8 +79,15 @@
 	if err := c.State().Admit(deployment.Command{ConfigChange: &change}); err != nil {
 		return deployment.Result{}, err
 	}
+	// What is part of this replica's state is committed, and needs no leader to be acknowledged.
+	if result, ok := c.State().AcceptedBefore(change); ok {
+		return result, nil
+	}
 	res, err := callLeader[instance.ConfigChangeRequest, instance.ConfigChangeResponse](ctx, c, "Change", &instance.ConfigChangeRequest{Change: change}, c.ChangeConfig)
 	if err != nil {
+		if result, ok := c.State().AcceptedBefore(change); ok {
+			return result, nil
+		}
 		return deployment.Result{}, err
 	}
 	return res.Result, nil
