Keep the last confirmation while the leader can't confirm, and answer 404 by one view only

A collector forgot what the leader had confirmed when the next answer confirmed nothing. A request without a route could be answered 404 by a view that was replaced while it was admitted. Found in reading the change; the first has a test.

--- a/internal/fleet/reports.go
+++ b/internal/fleet/reports.go
@@ -97,8 +97,11 @@
 func (r *reportCollector) setDelivered(reports []instance.ReportRequest, a *instance.ReportBatchResponse, sentAt time.Duration, now timer.Instant) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.config = a.Config; a.Config != nil {
-		r.configAt = sentAt - a.Config.Age
+	switch {
+	case a.Config == nil:
+		r.config = nil
+	case r.config == nil || a.Config.Index > 0:
+		r.config, r.configAt = a.Config, sentAt-a.Config.Age
 	}
 	if a.Advice.ZoneSharesKnown {
 		if r.zoneShares == nil {
--- a/internal/fleet/reports_test.go
+++ b/internal/fleet/reports_test.go
@@ -125,3 +125,20 @@
 	deliver(later, false, "b")
 	want(later, "b", false, 0)
 }
+
+// TestCollectorKeepsConfirmation guards against confirmations that are lost while a leader can't
+// confirm, and against those of a leader whose build confirms none.
+func TestCollectorKeepsConfirmation(t *testing.T) {
+	var r reportCollector
+	confirmed := func(index uint64, age time.Duration) *instance.ReportBatchResponse {
+		return &instance.ReportBatchResponse{Config: &instance.ConfigConfirmation{Index: index, Age: age}}
+	}
+	sentAt := timer.BootTime() - time.Second
+	r.setDelivered(nil, confirmed(7, 100*time.Millisecond), sentAt, 1)
+	r.setDelivered(nil, confirmed(0, 0), sentAt+time.Second, 2)
+	res, ok := r.add(instance.ReportRequest{Instance: "e"}, 3)
+	assert.Assert(t, ok && res.Config.Index == 7 && res.Config.Age >= 1100*time.Millisecond, "%+v", res.Config)
+	r.setDelivered(nil, &instance.ReportBatchResponse{}, sentAt, 4)
+	res, ok = r.add(instance.ReportRequest{Instance: "e"}, 5)
+	assert.Assert(t, ok && res.Config == nil)
+}
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -38,7 +38,8 @@
 	}
 	route, ok := v.Routes.Find(r.host, r.path)
 	behind := s.behindPeers()
-	if !s.cfg.View.ConfigInForce() || !ok && (s.cfg.View.ConfigLag() > 0 || behind) || r.relayed && behind {
+	changed := s.cfg.View.View().ConfigIndex != v.ConfigIndex // since v was read
+	if !s.cfg.View.ConfigInForce() || !ok && (s.cfg.View.ConfigLag() > 0 || behind || changed) || r.relayed && behind {
 		return reject(unavailableHere(errConfigReplaced.Error(), configRetryAfter))
 	}
 	if !ok {
