--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -257,12 +257,16 @@
 // maxExpected returns the longest time that a target may be expected to take. Above
 // it the request is rejected.
 func (s *Server) maxExpected(c *call) time.Duration {
-	return min(maxExpected(*c.route, s.targets.short(c.service.Name)), time.Until(c.deadline))
+	return min(maxExpected(*c.route, s.targets.short(c.service.Name), c.service.Keyed), time.Until(c.deadline))
 }
 
 // maxExpected returns the longest expected time of a request whose caller has just sent it.
-func maxExpected(r deployment.Route, short bool) time.Duration {
-	if short {
+func maxExpected(r deployment.Route, short, keyed bool) time.Duration {
+	switch {
+	case short && keyed:
+		// The average says little about a key's owner: others may be short, and not this one.
+		return r.Objective
+	case short:
 		return time.Duration(shortageShare * float64(r.Objective))
 	}
 	longest := r.Objective
--- a/internal/forward/shortage_test.go
+++ b/internal/forward/shortage_test.go
@@ -82,7 +82,7 @@
 	if !ok {
 		return
 	}
-	if expected, _ := e.expected(t); expected > maxExpected(s.route, e.short(t.Service)) {
+	if expected, _ := e.expected(t); expected > maxExpected(s.route, e.short(t.Service), false) {
 		return
 	}
 	r := sentRequest{entry: e, sentAt: e.requestSent(t), work: time.Duration(math.Exp(s.random.NormFloat64()*workSpread-workSpread*workSpread/2) * float64(meanWork))}
