Confirm configurations also while the leader's quorum is slow

Cause: a confirmation needed a quorum's answer within 300 ms, which guards calls to targets; a later answer was dropped. It still proves what was the newest configuration when it was asked for, and its age is part of the confirmation. Why the fix works: confirmations of a slow group are older and not missing. Calls to targets are bound by the 300 ms as before.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -54,6 +54,8 @@
 	// shorter than the shortest election: a replaced leader sends nothing.
 	confirmInterval      = 100 * time.Millisecond
 	confirmationValidity = 300 * time.Millisecond
+	// confirmTimeout limits one confirmation. A busy group takes longer than its validity.
+	confirmTimeout = time.Second
 )
 
 // Leader runs the Model of one control instance. It acts only while that instance
@@ -244,23 +246,35 @@
 // confirmLeadership confirms every confirmInterval that this replica still leads.
 func (l *Leader) confirmLeadership(ctx context.Context) {
 	timer.Every(ctx, l.clock, confirmInterval, func() {
-		if l.group.Role().Role != replica.Leader {
-			return
-		}
-		start := timer.BootTime()
-		barrierCtx, cancel := context.WithTimeout(ctx, confirmationValidity)
-		if _, err := l.group.Barrier(barrierCtx); err == nil {
-			l.confirmedAt.Store(int64(start))
+		if l.group.Role().Role == replica.Leader {
+			go l.confirmOnce(ctx)
 		}
-		cancel()
 	})
 }
 
+// confirmOnce records when it began, once a quorum has confirmed that this replica leads. One
+// that takes longer than confirmationValidity does not confirm the leadership any more, but
+// still the newest configuration.
+func (l *Leader) confirmOnce(ctx context.Context) {
+	start := int64(timer.BootTime())
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	if _, err := l.group.Barrier(ctx); err != nil {
+		return
+	}
+	for {
+		last := l.confirmedAt.Load()
+		if start <= last || l.confirmedAt.CompareAndSwap(last, start) {
+			return
+		}
+	}
+}
+
 // ConfirmConfig returns the newest configuration that was acknowledged to an operator before
 // a quorum last confirmed this leadership.
 func (l *Leader) ConfirmConfig() instance.ConfigConfirmation {
 	confirmedAt := time.Duration(l.confirmedAt.Load())
-	if !l.leadershipConfirmed() {
+	if confirmedAt == 0 {
 		return instance.ConfigConfirmation{}
 	}
 	// What earlier leaders acknowledged, and this one until then, is in the state by now.
