Ask the leader for confirmations apart from the batches of reports

A batch waits while the leader works off earlier reports, so that a busy leader confirmed nothing for seconds, and entries in touch rejected their callers. Each other control instance now asks for a confirmation five times a second, which the leader answers from memory, while entries report to it. Builds without the call are treated as before.

--- /dev/null
+++ b/internal/fleet/confirm.go
@@ -0,0 +1,105 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/internal/instance"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
+)
+
+const (
+	// confirmPeriod is the time between two calls for the leader's confirmation of the
+	// newest configuration. They are apart from the batches of reports, which wait while the
+	// leader is busy with earlier ones.
+	confirmPeriod  = 200 * time.Millisecond
+	confirmTimeout = time.Second
+	// confirmIdle is for how long an instance asks on after the last report of an entry.
+	confirmIdle = 2 * time.Second
+)
+
+// configConfirmation is the last confirmation of the newest configuration that a control
+// instance got from the leader. Its methods are safe for concurrent use.
+type configConfirmation struct {
+	mu    sync.Mutex
+	known bool // the leader's build confirms configurations
+	index uint64
+	at    time.Duration // on the boot clock, when the configuration was the newest
+	// askedAt is when an entry last wanted it, on the boot clock.
+	askedAt time.Duration
+}
+
+// record records the answer to a call for a confirmation that was sent at the time sentAt of
+// the boot clock.
+func (c *configConfirmation) record(a instance.ConfigConfirmation, sentAt time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.known = true
+	if at := sentAt - a.Age; a.Index > 0 && at > c.at {
+		c.index, c.at = a.Index, at
+	}
+}
+
+// recordUnknown records that the leader is of a build that confirms nothing.
+func (c *configConfirmation) recordUnknown() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.known = false
+}
+
+// take returns the confirmation for an entry; nil if the leader's build confirms nothing.
+func (c *configConfirmation) take() *instance.ConfigConfirmation {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.askedAt = timer.BootTime()
+	if !c.known {
+		return nil
+	}
+	return &instance.ConfigConfirmation{Index: c.index, Age: c.askedAt - c.at}
+}
+
+// wanted reports whether entries have asked for it lately.
+func (c *configConfirmation) wanted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.askedAt > 0 && timer.BootTime()-c.askedAt <= confirmIdle
+}
+
+// ConfirmConfig returns the newest configuration. Only the leader accepts the call.
+func (c *Control) ConfirmConfig(context.Context, *instance.ConfirmConfigRequest) (*instance.ConfigConfirmation, error) {
+	if !c.isLeader() {
+		return nil, c.notLeaderError()
+	}
+	a := c.lastReplica().leader.ConfirmConfig()
+	return &a, nil
+}
+
+// confirmConfigs asks the leader for the newest configuration until ctx ends, while entries
+// report to this instance.
+func (c *Control) confirmConfigs(ctx context.Context) {
+	timer.Every(ctx, c.clock, confirmPeriod, func() {
+		if c.confirmation.wanted() && !c.isLeader() {
+			go c.confirmOnce(ctx)
+		}
+	})
+}
+
+func (c *Control) confirmOnce(ctx context.Context) {
+	address := c.lastReplica().group.LeaderAddress()
+	if address == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	sentAt := timer.BootTime()
+	a, err := instance.Call[instance.ConfirmConfigRequest, instance.ConfigConfirmation](ctx, c.pool, address, "ConfirmConfig", &instance.ConfirmConfigRequest{})
+	switch {
+	case err == nil:
+		c.confirmation.record(*a, sentAt)
+	case errors.Is(err, deployment.ErrFeatureLevel):
+		c.confirmation.recordUnknown()
+	}
+}
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -34,6 +34,7 @@
 	publisher      *view.Publisher
 	heartbeatBatch heartbeatBatch
 	collector      reportCollector
+	confirmation   configConfirmation
 	announcing     *announcing
 	openReplica    atomic.Pointer[openReplica]
 	fs             disk.FS // nil for the operating system's file system
@@ -281,7 +282,7 @@
 	}
 	if req.Collect && c.Current() {
 		if res, ok := c.collector.add(*req, c.clock.Now()); ok {
-			res.AvailabilityZone = c.cfg.AvailabilityZone
+			res.AvailabilityZone, res.Config = c.cfg.AvailabilityZone, c.confirmation.take()
 			return res, nil
 		}
 	}
@@ -302,10 +303,7 @@
 	if !c.isLeader() {
 		return nil, c.notLeaderError()
 	}
-	l := c.lastReplica().leader
-	res := l.ReportBatch(*req)
-	confirmation := l.ConfirmConfig()
-	res.Config = &confirmation
+	res := c.lastReplica().leader.ReportBatch(*req)
 	return &res, nil
 }
 
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -52,6 +52,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	go c.forwardHeartbeats(ctx)
 	go c.forwardReports(ctx)
+	go c.confirmConfigs(ctx)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/fleet/reports.go
+++ b/internal/fleet/reports.go
@@ -35,10 +35,6 @@
 	dispatchers        []instance.DispatcherZone
 	dispatchersVersion uint64
 	zoneShares         map[string]advisedShares // by zone of entries
-	// config is the leader's last confirmation of a configuration, made at the time
-	// configAt of the boot clock; nil if the leader's build confirms none.
-	config   *instance.ConfigConfirmation
-	configAt time.Duration
 }
 
 // advisedShares are the last shares that the leader sent for the entries of a zone.
@@ -58,10 +54,9 @@
 	}
 	r.reports = append(r.reports, report)
 	if !recent {
-		return &instance.ReportResponse{NoAdvice: true, Config: r.confirmation()}, true
+		return &instance.ReportResponse{NoAdvice: true}, true
 	}
 	out := r.advice.Advice
-	out.Config = r.confirmation()
 	if out.DispatchersVersion == r.dispatchersVersion {
 		out.Dispatchers = r.dispatchers
 	}
@@ -74,15 +69,6 @@
 	return &out, true
 }
 
-// confirmation returns the leader's last confirmation of a configuration with its present
-// age. The caller holds r.mu.
-func (r *reportCollector) confirmation() *instance.ConfigConfirmation {
-	if r.config == nil {
-		return nil
-	}
-	return &instance.ConfigConfirmation{Index: r.config.Index, Age: timer.BootTime() - r.configAt}
-}
-
 // take returns the collected reports and empties the collector.
 func (r *reportCollector) take() []instance.ReportRequest {
 	r.mu.Lock()
@@ -92,17 +78,10 @@
 	return out
 }
 
-// setDelivered records the leader's advice to the batch of reports, which was sent at the
-// time sentAt of the boot clock.
-func (r *reportCollector) setDelivered(reports []instance.ReportRequest, a *instance.ReportBatchResponse, sentAt time.Duration, now timer.Instant) {
+// setDelivered records the leader's advice to the batch of reports.
+func (r *reportCollector) setDelivered(reports []instance.ReportRequest, a *instance.ReportBatchResponse, now timer.Instant) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	switch {
-	case a.Config == nil:
-		r.config = nil
-	case r.config == nil || a.Config.Index > 0:
-		r.config, r.configAt = a.Config, sentAt-a.Config.Age
-	}
 	if a.Advice.ZoneSharesKnown {
 		if r.zoneShares == nil {
 			r.zoneShares = make(map[string]advisedShares)
@@ -151,7 +130,6 @@
 			return
 		}
 		req := &instance.ReportBatchRequest{Reports: reports, DispatchersVersion: c.collector.knownDispatchers(reports)}
-		sentAt := timer.BootTime()
 		advice, err := callLeader[instance.ReportBatchRequest, instance.ReportBatchResponse](ctx, c, "ReportBatch", req, c.ReportBatch)
 		if err != nil {
 			if !c.collector.hasFailed() {
@@ -160,7 +138,7 @@
 			c.collector.setFailed()
 			return
 		}
-		c.collector.setDelivered(reports, advice, sentAt, c.clock.Now())
+		c.collector.setDelivered(reports, advice, c.clock.Now())
 	})
 }
 
--- a/internal/fleet/reports_test.go
+++ b/internal/fleet/reports_test.go
@@ -26,7 +26,7 @@
 	})
 	t.Run("passes on the advice for the entry", func(t *testing.T) {
 		var r reportCollector
-		r.setDelivered(nil, advice, 0, start)
+		r.setDelivered(nil, advice, start)
 		res, ok := r.add(report("a"), start)
 		assert.Assert(t, ok && res.Entries == 3 && res.Parts["shelf"] == 0.4)
 		res, ok = r.add(report("b"), start)
@@ -34,7 +34,7 @@
 	})
 	t.Run("takes no reports while they can't be delivered and the advice is old", func(t *testing.T) {
 		var r reportCollector
-		r.setDelivered(nil, advice, 0, start)
+		r.setDelivered(nil, advice, start)
 		r.setFailed()
 		_, ok := r.add(report("a"), start.Add(maxAdviceAge/2))
 		assert.Assert(t, ok)
@@ -42,7 +42,7 @@
 		_, ok = r.add(report("a"), start.Add(2*maxAdviceAge))
 		assert.Assert(t, !ok)
 		assert.Equal(t, len(r.take()), 0, "a rejected report is sent elsewhere and must not count twice")
-		r.setDelivered(nil, advice, 0, start.Add(2*maxAdviceAge))
+		r.setDelivered(nil, advice, start.Add(2*maxAdviceAge))
 		_, ok = r.add(report("a"), start.Add(2*maxAdviceAge))
 		assert.Assert(t, ok)
 	})
@@ -59,8 +59,8 @@
 	}
 	assert.Equal(t, r.knownDispatchers([]instance.ReportRequest{report(0)}), uint64(0), "no entry needs the list")
 	assert.Equal(t, r.knownDispatchers([]instance.ReportRequest{report(version)}), uint64(instance.NoDispatchers))
-	r.setDelivered(nil, &instance.ReportBatchResponse{Advice: instance.ReportResponse{DispatchersVersion: version, Dispatchers: list}}, 0, 1)
-	r.setDelivered(nil, &instance.ReportBatchResponse{Advice: instance.ReportResponse{DispatchersVersion: version}}, 0, 2)
+	r.setDelivered(nil, &instance.ReportBatchResponse{Advice: instance.ReportResponse{DispatchersVersion: version, Dispatchers: list}}, 1)
+	r.setDelivered(nil, &instance.ReportBatchResponse{Advice: instance.ReportResponse{DispatchersVersion: version}}, 2)
 	assert.Equal(t, r.knownDispatchers([]instance.ReportRequest{report(version)}), uint64(version))
 	for known, want := range map[uint64]int{0: 0, instance.NoDispatchers: 1, version - 1: 1, version: 0} {
 		res, ok := r.add(report(known), 2)
@@ -68,7 +68,7 @@
 		assert.Equal(t, len(res.Dispatchers), want, "version %d", known)
 		assert.Equal(t, res.DispatchersVersion, uint64(version))
 	}
-	r.setDelivered(nil, &instance.ReportBatchResponse{Advice: instance.ReportResponse{DispatchersVersion: version + 1}}, 0, 3)
+	r.setDelivered(nil, &instance.ReportBatchResponse{Advice: instance.ReportResponse{DispatchersVersion: version + 1}}, 3)
 	res, _ := r.add(report(version), 3)
 	assert.Equal(t, len(res.Dispatchers), 0, "an older list under the new version")
 }
@@ -106,7 +106,7 @@
 		if zones[0] == "a" {
 			res.ZoneShares = map[string]instance.ZoneShares{"a": {"readings": {"b": 0.5}}}
 		}
-		r.setDelivered(reports, res, 0, at)
+		r.setDelivered(reports, res, at)
 	}
 	want := func(at timer.Instant, zone string, known bool, shares int) {
 		t.Helper()
@@ -125,20 +125,3 @@
 	deliver(later, false, "b")
 	want(later, "b", false, 0)
 }
-
-// TestCollectorKeepsConfirmation guards against confirmations that are lost while a leader can't
-// confirm, and against those of a leader whose build confirms none.
-func TestCollectorKeepsConfirmation(t *testing.T) {
-	var r reportCollector
-	confirmed := func(index uint64, age time.Duration) *instance.ReportBatchResponse {
-		return &instance.ReportBatchResponse{Config: &instance.ConfigConfirmation{Index: index, Age: age}}
-	}
-	sentAt := timer.BootTime() - time.Second
-	r.setDelivered(nil, confirmed(7, 100*time.Millisecond), sentAt, 1)
-	r.setDelivered(nil, confirmed(0, 0), sentAt+time.Second, 2)
-	res, ok := r.add(instance.ReportRequest{Instance: "e"}, 3)
-	assert.Assert(t, ok && res.Config.Index == 7 && res.Config.Age >= 1100*time.Millisecond, "%+v", res.Config)
-	r.setDelivered(nil, &instance.ReportBatchResponse{}, sentAt, 4)
-	res, ok = r.add(instance.ReportRequest{Instance: "e"}, 5)
-	assert.Assert(t, ok && res.Config == nil)
-}
--- a/internal/instance/deployment_messages.go
+++ b/internal/instance/deployment_messages.go
@@ -120,8 +120,6 @@
 	// ZoneShares holds the shares by the availability zone of entries. A zone is left out if
 	// it has no shares, or if no report of the batch is from it.
 	ZoneShares map[string]ZoneShares `msgpack:"zone_shares,omitempty"`
-	// Config is the newest configuration; nil from a build that confirms none.
-	Config *ConfigConfirmation `msgpack:"config,omitempty"`
 }
 
 // KeyLoad counts the requests for one bucket of a service's keys.
@@ -190,6 +188,9 @@
 	Config *ConfigConfirmation `msgpack:"config,omitempty"`
 }
 
+// ConfirmConfigRequest asks the leader for the newest configuration.
+type ConfirmConfigRequest struct{}
+
 // ConfigConfirmation names the newest configuration that was acknowledged to an operator at
 // a moment before the message was sent.
 type ConfigConfirmation struct {
--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -50,6 +50,7 @@
 	AnnounceTarget(ctx context.Context, req *AnnounceTargetRequest) (*AnnounceTargetResponse, error)
 	Barrier(ctx context.Context, req *BarrierRequest) (*BarrierResponse, error)
 	Report(ctx context.Context, req *ReportRequest) (*ReportResponse, error)
+	ConfirmConfig(ctx context.Context, req *ConfirmConfigRequest) (*ConfigConfirmation, error)
 	ReportBatch(ctx context.Context, req *ReportBatchRequest) (*ReportBatchResponse, error)
 	ReportHeartbeats(ctx context.Context, req *HeartbeatsRequest) (*Empty, error)
 	KeyHeartbeat(ctx context.Context, req *KeyHeartbeatRequest) (*KeyHeartbeatResponse, error)
@@ -134,6 +135,7 @@
 			unary("Barrier", DeploymentHandler.Barrier),
 			unary("Report", DeploymentHandler.Report),
 			unary("ReportBatch", DeploymentHandler.ReportBatch),
+			unary("ConfirmConfig", DeploymentHandler.ConfirmConfig),
 			unary("Heard", DeploymentHandler.ReportHeartbeats),
 			unary("KeyHeartbeat", DeploymentHandler.KeyHeartbeat),
 			unary("Features", DeploymentHandler.Features),
