--- a/internal/forward/config_test.go
+++ b/internal/forward/config_test.go
@@ -48,7 +48,7 @@
 func TestUnconfirmedConfigIsNotServed(t *testing.T) {
 	e := startEntry(t, nil, respondOK("old"))
 	e.unconfirmed.Store(true) // the control instance keeps sending its view
-	limit := time.Now().Add(maxConfigLag + time.Second)
+	limit := time.Now().Add(testConfigApply + time.Second)
 	for {
 		resp, _, err := e.request(http.MethodGet, "/look/1").readBody()
 		assert.NilError(t, err)
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -166,8 +166,8 @@
 // testDrain is for how long a leaving target serves requests in tests.
 const testDrain = 400 * time.Millisecond
 
-// maxConfigLag is the longest lag of the configuration at a testEntry.
-const maxConfigLag = time.Second
+// testConfigApply is the time within which a configuration has to be in force at a testEntry.
+const testConfigApply = time.Second
 
 func (e *testEntry) serveEntry(control string, link *limit.Link) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -179,7 +179,7 @@
 	e.t.Cleanup(closeTargets)
 	quiet := log.New(io.Discard)
 	l, peers := listenLocal(e.t), listenLocal(e.t)
-	follower := view.Follow(ctx, view.FollowerConfig{Name: "entry", Seeds: []string{control}, Pool: pool, Log: quiet, ConfigApply: maxConfigLag})
+	follower := view.Follow(ctx, view.FollowerConfig{Name: "entry", Seeds: []string{control}, Pool: pool, Log: quiet, ConfigApply: testConfigApply})
 	dispatch := listenLocal(e.t)
 	d := dispatcher.New(ctx, dispatcher.Config{
 		Name: "entry", Address: dispatch.Addr().String(), View: follower, Clock: clock, Log: quiet, Open: pool.OpenDispatch,
@@ -189,7 +189,7 @@
 	server, stop := Serve(ctx, l, Config{
 		Name: "entry", AvailabilityZone: "a", Headers: testHeaderNames(), View: follower, Pool: targetPool, Clock: clock, Log: quiet, RoutineLog: quiet,
 		Observer: nopObserver{}, Report: e.recordReport,
-		RetryRatio: 1, RetrySlack: 10, RetryShare: 1, ConfigApply: maxConfigLag, TargetDrain: testDrain, Link: link, RelayAddress: peers.Addr().String(),
+		RetryRatio: 1, RetrySlack: 10, RetryShare: 1, ConfigApply: testConfigApply, TargetDrain: testDrain, Link: link, RelayAddress: peers.Addr().String(),
 		Dispatcher: d,
 	})
 	e.t.Cleanup(stop)
@@ -422,7 +422,7 @@
 	}
 	assertAnswer("/new/1", http.StatusServiceUnavailable, true)
 	assertAnswer("/look/1", http.StatusOK, false)
-	time.Sleep(maxConfigLag)
+	time.Sleep(testConfigApply)
 	assertAnswer("/look/1", http.StatusServiceUnavailable, true)
 }
 
--- a/internal/targethttp/stale_refusal_test.go
+++ b/internal/targethttp/stale_refusal_test.go
@@ -34,18 +34,21 @@
 			return write(c, rawResponse(r.Header.Get(idHeader), "served"))
 		}
 	}
-	for name, x := range map[string]struct{ repeated, first, second string }{
-		"without an ID":                         {"", "one", "two"},
-		"with the ID of another request":        {"one", "one", "two"},
-		"with the ID of the attempt before":     {"one", "one", "one"},
-		"with the ID of an attempt before that": {"one", "one", "one"},
+	for name, x := range map[string]struct {
+		repeated, second string // IDs of the repeated refusal and of the second request
+		between          bool   // another request is sent between the two
+	}{
+		"without an ID":                         {repeated: "", second: "two"},
+		"with the ID of another request":        {repeated: "one", second: "two"},
+		"with the ID of the attempt before":     {repeated: "one", second: "one"},
+		"with the ID of an attempt before that": {repeated: "one", second: "one", between: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p, address := newTestPool(t), listen(t, repeat(x.repeated))
-			first, err := do(t, p, address, x.first)
+			first, err := do(t, p, address, "one")
 			assert.NilError(t, err)
 			assert.Equal(t, first.Status, http.StatusServiceUnavailable)
-			if name == "with the ID of an attempt before that" {
+			if x.between {
 				_, err = do(t, p, address, "between") // on the kept connection
 				assert.NilError(t, err)
 			}
