Give each grant and release an ID and log it

The log tells that a grant was not confirmed or that a release ended, but not which call that was, so that a response that belongs to another call can't be recognized in it. Each call now has an ID of its own, which the two log lines name. Nothing else changes.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
 	"github.com/cranberrywind/cranberrywind/internal/group"
@@ -32,6 +33,7 @@
 // KeyCall holds the parameters of a grant or a release of keys. LeaseDuration and
 // Handover are zero for a release.
 type KeyCall struct {
+	ID            string // of this call alone; a response with another ID does not answer it
 	Target        string // ID; another target at the address must reject the call
 	From, To      deployment.Key
 	Fence         uint64
@@ -316,10 +318,11 @@
 }
 
 func (l *Leader) grant(e SendGrant) {
+	id := uuid.NewString()
 	done := GrantEnded{Range: e.Range}
 	if l.leadershipConfirmed() {
 		ctx, cancel := context.WithTimeout(l.ctx, grantTimeout)
-		call := KeyCall{Target: e.Target.ID, From: e.Range.From, To: e.Range.To, Fence: e.Range.Fence, LeaseDuration: e.LeaseDuration, Handover: e.Handover, Allowed: l.leadershipConfirmed}
+		call := KeyCall{ID: id, Target: e.Target.ID, From: e.Range.From, To: e.Range.To, Fence: e.Range.Fence, LeaseDuration: e.LeaseDuration, Handover: e.Handover, Allowed: l.leadershipConfirmed}
 		done.Sent = true
 		done.Err = l.targets.Grant(ctx, e.Target.Address, call)
 		cancel()
@@ -328,22 +331,23 @@
 	}
 	done.At = l.clock.Now()
 	if done.Err != nil {
-		l.log.Warn("grant not confirmed", "target", e.Target.ID, "service", e.Range.Service, "from", e.Range.From,
+		l.log.Warn("grant not confirmed", "call", id, "target", e.Target.ID, "service", e.Range.Service, "from", e.Range.From,
 			"to", e.Range.To, "fence", e.Range.Fence, "sent", done.Sent, "error", done.Err)
 	}
 	_ = l.loop.Send(done)
 }
 
 func (l *Leader) release(e SendRelease) {
+	id := uuid.NewString()
 	done := ReleaseEnded{Range: e.Range, Err: replica.ErrNotLeader}
 	if l.leadershipConfirmed() {
 		ctx, cancel := context.WithTimeout(l.ctx, releaseTimeout)
-		call := KeyCall{Target: e.Target.ID, From: e.Range.From, To: e.Range.To, Fence: e.Range.Fence, Allowed: l.leadershipConfirmed}
+		call := KeyCall{ID: id, Target: e.Target.ID, From: e.Range.From, To: e.Range.To, Fence: e.Range.Fence, Allowed: l.leadershipConfirmed}
 		done.Handover, done.Err = l.targets.Release(ctx, e.Target.Address, call)
 		cancel()
 	}
 	done.At = l.clock.Now()
-	l.log.Info("release ended", "target", e.Target.ID, "service", e.Range.Service, "from", e.Range.From,
+	l.log.Info("release ended", "call", id, "target", e.Target.ID, "service", e.Range.Service, "from", e.Range.From,
 		"to", e.Range.To, "fence", e.Range.Fence, "error", done.Err)
 	_ = l.loop.Send(done)
 }
