Keep the address of a stopping entry bound in TestRequestsOfCutEntry

The test failed once with "go to another entry if one can't serve them" and was listed as known red. The trace names the entry that was stopping: it had no open connection, so that its shutdown closed the listener at once, and another listener got its port. The request then reached a target of the same or of another test process, which answered 200, or a gRPC server, whose answer was malformed; a target that was reached from another process counted a request too many. The fault is in the test; its shutdown window of 200 ms is not the cause.

An unfinished request now holds up the shutdown, so that the entry itself rejects the request. The test is stricter than before: it also checks that each of the three entries was asked and rejected the request once. The other tests of the package that connect to a closed listener's address use a port that stays bound and refuses connections.

--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
@@ -33,12 +36,22 @@
 	assert.Assert(e.t, e.server.path.check())
 }
 
+// refusingAddress returns an address that refuses connections until the test ends: its port
+// is bound, so that no other listener gets it, and nothing listens there.
+func refusingAddress(t *testing.T) string {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	assert.NilError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	bound, err := unix.Getsockname(fd)
+	assert.NilError(t, err)
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(bound.(*unix.SockaddrInet4).Port))
+}
+
 // hideTarget makes the entry know a target by an address that refuses connections.
 func (e *testEntry) hideTarget(id string) {
-	closed := listenLocal(e.t)
-	assert.NilError(e.t, closed.Close())
 	target, _ := e.server.cfg.View.View().Target(id)
-	target.Address = closed.Addr().String()
+	target.Address = refusingAddress(e.t)
 	e.updateView(&instance.ViewUpdate{Version: 2, ConfigIndex: 1, Current: true, Targets: []deployment.Target{target}})
 }
 
@@ -133,12 +146,8 @@
 	t.Run("go to another entry if one can't serve them", func(t *testing.T) {
 		cut, stopping, old := startEntry(t, nil, respondOK("cut")), startEntry(t, nil, respondOK("stopping")), startEntry(t, nil, respondOK("old"))
 		cut.cut()
-		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
-		defer cancel()
-		go func() { _ = stopping.server.Shutdown(ctx) }()
-		for !stopping.server.isStopping() {
-			time.Sleep(time.Millisecond)
-		}
+		stopping.holdUpShutdown()
+		stopping.shutDown(10 * time.Second)
 		for _, unable := range []*testEntry{cut, stopping, old} {
 			e := startCutEntry(t, unable)
 			if unable == old {
@@ -148,6 +157,8 @@
 			assert.Assert(t, e.server.relay(t.Context(), c) == nil)
 			assert.Assert(t, !c.mayHaveRun)
 			assert.Equal(t, unable.receivedCount(), 0)
+			_, _, rejected := unable.server.RelayedRequests()
+			assert.Equal(t, rejected, uint64(1))
 		}
 	})
 }
@@ -239,10 +250,8 @@
 // TestRefusedConnectionsOfCutEntryAreNoCrashes checks that an entry which reaches no target
 // doesn't report that one crashed.
 func TestRefusedConnectionsOfCutEntryAreNoCrashes(t *testing.T) {
-	closed := listenLocal(t)
-	assert.NilError(t, closed.Close())
 	r := newCrashRecorder()
-	target := deployment.Target{ID: "t", Address: closed.Addr().String()}
+	target := deployment.Target{ID: "t", Address: refusingAddress(t)}
 	r.recordIfCrashed(t.Context(), target, "f", func(string) bool { return false })
 	assert.Equal(t, len(r.take()), 0)
 	r.recordIfCrashed(t.Context(), target, "f", func(string) bool { return true })
