--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -253,6 +253,20 @@
 	c.callLeader(c.proposals.propose)
 }
 
+// addBefore proposes commands to the current leader until one is acknowledged or ctx ends.
+func (c *cluster) addBefore(ctx context.Context) error {
+	for {
+		if g := c.currentLeader(); g != nil && c.proposals.propose(ctx, g) == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
 // assertApplied checks behind a read barrier that every acknowledged command was applied
 // exactly once, every one of unknown outcome at most once, and no other one.
 func (c *cluster) assertApplied() {
@@ -403,15 +417,13 @@
 	c.add()
 	stopped := c.follower()
 	c.stop[stopped]()
-	g := c.leader()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
 	var wg sync.WaitGroup
 	for range 50 {
 		wg.Go(func() {
 			for range 100 {
-				if err := c.proposals.propose(context.Background(), g); err != nil {
-					t.Errorf("propose: %v", err)
-					return
-				}
+				assert.Check(t, c.addBefore(ctx))
 			}
 		})
 	}
