Show where a late confirmation of the leadership spends its time

A leader that nobody contested sent no grants on a large site, and neither logs nor metrics could tell its loops from its disk, its network and its processor. A confirmation now records when its heartbeats were sent and when a quorum's answers were read, and the leader logs one that took longer than its validity, at most once a second. Gauges show the queues of the replica and of the model, the time of disk writes and applied commands, each kind of event of the model with its count and time, the calls in flight, and how many updates of the view are made anew. No decision changes.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -145,6 +145,9 @@
 		i.metrics.addGauge("feature_level", c.featureGauge)
 		i.metrics.addGauge("targets", func() any { return countTargets(c.State().Targets()) })
 		i.metrics.addGauge("evacuated_zones", func() any { return len(c.State().Evacuated()) })
+		i.metrics.addGauge("replica_load", func() any { return c.lastReplica().group.Load() })
+		i.metrics.addGauge("leader_load", func() any { return c.lastReplica().leader.Load() })
+		i.metrics.addGauge("view_updates", func() any { return c.publisher.Load() })
 		i.metrics.addGauge("zone_shares", func() any { return c.zoneShares() })
 	}
 	if v := i.follower; v != nil {
--- a/internal/group/calls.go
+++ b/internal/group/calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/cranberrywind/cranberrywind/pkg/replica"
 )
@@ -16,9 +17,17 @@
 
 // outcome is the value that a waiter receives.
 type outcome struct {
-	result Result
-	status replica.Status
-	err    error
+	result       Result
+	status       replica.Status
+	confirmation Confirmation
+	err          error
+}
+
+// Confirmation tells when the steps of confirming the leadership were taken, on the boot
+// clock.
+type Confirmation struct {
+	Sent     time.Duration // the round of heartbeats to the voters was sent
+	Answered time.Duration // a quorum's answers were read
 }
 
 // waiters holds the calls that wait for an effect, by token.
@@ -107,6 +116,14 @@
 	return g.State(), nil
 }
 
+// Confirm is like Barrier, and tells how long the steps took instead of the state.
+func (g *Group[S]) Confirm(ctx context.Context) (Confirmation, error) {
+	o, err := g.request(ctx, func(token uint64) replica.Event {
+		return replica.ReadRequested{Token: token}
+	})
+	return o.confirmation, err
+}
+
 // Status returns what the replica knows about its group.
 func (g *Group[S]) Status(ctx context.Context) (replica.Status, error) {
 	o, err := g.request(ctx, func(token uint64) replica.Event {
--- a/internal/group/effects.go
+++ b/internal/group/effects.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/cranberrywind/cranberrywind/pkg/replica"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
 // runEffects carries out a batch of effects. All Persist effects are written to
@@ -44,7 +45,8 @@
 	case replica.Rejected:
 		g.waiters.resolve(e.Token, outcome{err: e.Err})
 	case replica.ReadReady:
-		g.pendingReads = append(g.pendingReads, e)
+		c := Confirmation{Sent: g.roundSentAt, Answered: timer.BootTime()}
+		g.pendingReads = append(g.pendingReads, confirmedRead{ReadReady: e, confirmation: c})
 	case replica.StatusReported:
 		g.waiters.resolve(e.Token, outcome{status: e.Status})
 	case replica.MembersChanged:
@@ -74,6 +76,7 @@
 	if len(batch) == 0 {
 		return nil
 	}
+	defer g.syncs.start()()
 	if newSnapshot {
 		return g.store.Replace(g.frame(g.fullRecord()))
 	}
@@ -87,6 +90,9 @@
 }
 
 func (g *Group[S]) send(m replica.Message) {
+	if m.Kind == replica.MsgHeartbeat && m.Round != g.round {
+		g.round, g.roundSentAt = m.Round, timer.BootTime()
+	}
 	g.mu.Lock()
 	address := g.addressOf(m.To)
 	g.mu.Unlock()
@@ -97,6 +103,7 @@
 }
 
 func (g *Group[S]) apply(entries []replica.Entry) error {
+	defer g.applies.start()()
 	state := g.State().State
 	for _, e := range entries {
 		var value []byte
@@ -157,11 +164,11 @@
 // resolveReads resolves the barriers whose index is applied.
 func (g *Group[S]) resolveReads() {
 	applied := g.State().Index
-	g.pendingReads = slices.DeleteFunc(g.pendingReads, func(r replica.ReadReady) bool {
+	g.pendingReads = slices.DeleteFunc(g.pendingReads, func(r confirmedRead) bool {
 		if r.Index > applied {
 			return false
 		}
-		g.waiters.resolve(r.Token, outcome{})
+		g.waiters.resolve(r.Token, outcome{confirmation: r.confirmation})
 		return true
 	})
 }
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -113,7 +113,17 @@
 	fileLevel    uint64 // feature level of the log file's frames
 	compacting   atomic.Bool
 	proposals    map[uint64]proposal // appended and not yet applied, by index
-	pendingReads []replica.ReadReady // barriers whose index is not yet applied
+	pendingReads []confirmedRead     // barriers whose index is not yet applied
+	round        uint64              // last round of heartbeats that confirms reads
+	roundSentAt  time.Duration       // on the boot clock
+
+	syncs, applies durations
+}
+
+// confirmedRead is a barrier of a confirmed leader.
+type confirmedRead struct {
+	replica.ReadReady
+	confirmation Confirmation
 }
 
 // proposal is an appended command: its waiter's token and the term of its entry.
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -63,24 +63,27 @@
 // Leader runs the Model of one control instance. It acts only while that instance
 // leads the control group.
 type Leader struct {
-	group       *group.Group[deployment.State]
-	targets     Targets
-	clock       timer.Clock
-	log         *log.Logger
-	loop        *loop.Loop[*Model, Event, Effect]
-	ctx         context.Context
-	advice      atomic.Pointer[Advise]
-	levels      atomic.Pointer[LevelReport]
-	confirmedAt atomic.Int64 // boot-clock time at which the last successful barrier began
-	heartbeatID atomic.Uint64
-	answers     sync.Map // channels for answers to heartbeats, by their ID
+	group        *group.Group[deployment.State]
+	targets      Targets
+	clock        timer.Clock
+	log          *log.Logger
+	loop         eventLoop
+	meter        *meter
+	ctx          context.Context
+	advice       atomic.Pointer[Advise]
+	levels       atomic.Pointer[LevelReport]
+	confirmedAt  atomic.Int64 // boot-clock time at which the last successful barrier began
+	lateLoggedAt atomic.Int64 // boot-clock time of the last log line about a late confirmation
+	calls        atomic.Int64 // grants and releases in flight
+	heartbeatID  atomic.Uint64
+	answers      sync.Map // channels for answers to heartbeats, by their ID
 }
 
 // Start runs a leader until the returned function is called.
 func Start(ctx context.Context, g *group.Group[deployment.State], targets Targets, clock timer.Clock, model *Model, logger *log.Logger) (*Leader, func()) {
 	ctx, cancel := context.WithCancel(ctx)
-	l := &Leader{group: g, targets: targets, clock: clock, log: logger, ctx: ctx}
-	lp, stopLoop := loop.New(ctx, model, l.runEffects)
+	l := &Leader{group: g, targets: targets, clock: clock, log: logger, ctx: ctx, meter: newMeter()}
+	lp, stopLoop := loop.New(ctx, measuredModel{Model: model, meter: l.meter}, l.runEffects)
 	l.loop = lp
 	go l.feedModel(ctx)
 	go l.confirmLeadership(ctx)
@@ -261,7 +264,9 @@
 	start := int64(timer.BootTime())
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	if _, err := l.group.Barrier(ctx); err != nil {
+	steps, err := l.group.Confirm(ctx)
+	l.logIfLate(time.Duration(start), steps, err)
+	if err != nil {
 		return
 	}
 	for {
@@ -319,6 +324,8 @@
 
 func (l *Leader) grant(e SendGrant) {
 	id := uuid.NewString()
+	l.calls.Add(1)
+	defer l.calls.Add(-1)
 	done := GrantEnded{Range: e.Range}
 	if l.leadershipConfirmed() {
 		ctx, cancel := context.WithTimeout(l.ctx, grantTimeout)
@@ -339,6 +346,8 @@
 
 func (l *Leader) release(e SendRelease) {
 	id := uuid.NewString()
+	l.calls.Add(1)
+	defer l.calls.Add(-1)
 	done := ReleaseEnded{Range: e.Range, Err: replica.ErrNotLeader}
 	if l.leadershipConfirmed() {
 		ctx, cancel := context.WithTimeout(l.ctx, releaseTimeout)
--- a/internal/view/publish.go
+++ b/internal/view/publish.go
@@ -49,6 +49,9 @@
 	return &Publisher{source: source, clock: clock, packer: newPacker()}
 }
 
+// Load counts the updates that the publisher sent.
+func (p *Publisher) Load() PublisherLoad { return p.deltas.read() }
+
 // Publish sends an entry the changes since its view, and then an update after each
 // batch of changes and in each ping period, until send fails or ctx ends. It returns
 // the error of send or ctx.
--- a/pkg/loop/loop.go
+++ b/pkg/loop/loop.go
@@ -78,6 +78,9 @@
 	}
 }
 
+// Queued returns the number of events that wait to be applied.
+func (l *Loop[M, E, F]) Queued() int { return len(l.events) }
+
 // Done returns a channel that is closed when the loop has ended.
 func (l *Loop[M, E, F]) Done() <-chan struct{} { return l.done }
 
