Bound the share of its time that a leader spends on plans

On a large site a leader that nobody contested sent no grants and ended no release for twelve seconds while keyed targets were replaced, and entries refused more and more requests for their keys. The model made a whole plan for each release that ended, also for one that was not sent because the leadership was not confirmed; it was asked for again 0.4 s later. Now a release that ends is planned for with the others, by the loop that plans only for a confirmed leader, a command no longer adds a plan of its own, and after a plan the leader plans nothing for nine times as long, at most 150 ms.

--- a/internal/leader/grants.go
+++ b/internal/leader/grants.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
@@ -42,7 +43,7 @@
 // that have waited longest. A leader that sends all at once has no time left to
 // confirm its leadership.
 func (m *Model) sendGrants(due []dueGrant, ranges int) []Effect {
-	perPlan := int(math.Ceil(float64(ranges) * float64(planInterval) / (renewalSpread * float64(m.timing.RenewalInterval))))
+	perPlan := int(math.Ceil(float64(ranges) * float64(m.sinceLastPlan()) / (renewalSpread * float64(m.timing.RenewalInterval))))
 	if limit := max(minGrantsPerPlan, perPlan); len(due) > limit {
 		slices.SortStableFunc(due, func(a, b dueGrant) int { return cmp.Compare(a.sendOrder(), b.sendOrder()) })
 		due = due[:limit]
@@ -56,6 +57,15 @@
 	return out
 }
 
+// sinceLastPlan returns the time since the last plan. Plans are at least about planInterval
+// apart, and without a confirmed leadership there are none.
+func (m *Model) sinceLastPlan() time.Duration {
+	if m.plannedAt == 0 {
+		return planInterval
+	}
+	return min(max(planInterval, m.now.Sub(m.plannedAt)), planInterval+maxPlanPause)
+}
+
 // sendOrder returns the sort key of a due grant: 0 for one that was never sent, else
 // when it became due.
 func (g dueGrant) sendOrder() timer.Instant {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -48,9 +48,13 @@
 	planInterval = 50 * time.Millisecond
 	// planDelayPerTarget is several times what a plan takes for each target.
 	planDelayPerTarget = 20 * time.Microsecond
-	grantTimeout       = 500 * time.Millisecond
-	releaseTimeout     = 3 * time.Second // a release waits for running requests
-	proposeTimeout     = 2 * time.Second
+	// Plans take at most maxPlanShare of the leader's time, unless they would be more than
+	// maxPlanPause apart: with plans alone it has no time left to confirm its leadership.
+	maxPlanShare   = 0.1
+	maxPlanPause   = 3 * planInterval
+	grantTimeout   = 500 * time.Millisecond
+	releaseTimeout = 3 * time.Second // a release waits for running requests
+	proposeTimeout = 2 * time.Second
 	// The leader confirms its leadership every confirmInterval. It stops sending
 	// calls once the last confirmation is older than confirmationValidity, which is
 	// shorter than the shortest election: a replaced leader sends nothing.
@@ -72,9 +76,10 @@
 	ctx          context.Context
 	advice       atomic.Pointer[Advise]
 	levels       atomic.Pointer[LevelReport]
-	confirmedAt  atomic.Int64 // boot-clock time at which the last successful barrier began
-	lateLoggedAt atomic.Int64 // boot-clock time of the last log line about a late confirmation
-	calls        atomic.Int64 // grants and releases in flight
+	confirmedAt  atomic.Int64  // boot-clock time at which the last successful barrier began
+	lateLoggedAt atomic.Int64  // boot-clock time of the last log line about a late confirmation
+	calls        atomic.Int64  // grants and releases in flight
+	planRequests chan struct{} // a plan is wanted before the next interval
 	heartbeatID  atomic.Uint64
 	answers      sync.Map // channels for answers to heartbeats, by their ID
 }
@@ -82,7 +87,7 @@
 // Start runs a leader until the returned function is called.
 func Start(ctx context.Context, g *group.Group[deployment.State], targets Targets, clock timer.Clock, model *Model, logger *log.Logger) (*Leader, func()) {
 	ctx, cancel := context.WithCancel(ctx)
-	l := &Leader{group: g, targets: targets, clock: clock, log: logger, ctx: ctx, meter: newMeter()}
+	l := &Leader{group: g, targets: targets, clock: clock, log: logger, ctx: ctx, meter: newMeter(), planRequests: make(chan struct{}, 1)}
 	lp, stopLoop := loop.New(ctx, measuredModel{Model: model, meter: l.meter}, l.runEffects)
 	l.loop = lp
 	go l.feedModel(ctx)
@@ -196,6 +201,7 @@
 	ticks, stop := l.clock.Subscribe(planInterval)
 	defer stop()
 	term := uint64(0)
+	var plannedAt, pause time.Duration // the last plan's end on the boot clock, and the pause after it
 	for {
 		changed := l.group.Watch()
 		role := l.group.Role()
@@ -208,22 +214,59 @@
 			l.log.Info("control leadership lost", "term", role.Term, "leader", role.Leader)
 		}
 		if term != 0 && l.leadershipConfirmed() {
-			_ = l.loop.Send(Ticked{At: l.clock.Now(), State: l.group.State().State, Members: l.group.MemberLevels()})
+			took := l.tick(ctx)
+			plannedAt, pause = timer.BootTime(), planPause(took)
 		}
+		collect := time.Duration(0)
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
 			// A plan takes longer the more targets there are. Changes that come
 			// together are planned for together.
-			if !timer.Sleep(ctx, planDelay(len(l.group.State().State.Targets()))) {
-				return
-			}
+			collect = planDelay(len(l.group.State().State.Targets()))
+		case <-l.planRequests:
+			collect = planDelay(len(l.group.State().State.Targets()))
 		case <-ticks:
 		}
+		if !timer.Sleep(ctx, max(collect, pause-(timer.BootTime()-plannedAt))) {
+			return
+		}
+	}
+}
+
+// tick makes the model plan, and returns how long the model was at it.
+func (l *Leader) tick(ctx context.Context) time.Duration {
+	select {
+	case <-l.planRequests: // met by this plan
+	default:
+	}
+	if l.loop.Send(Ticked{At: l.clock.Now(), State: l.group.State().State, Members: l.group.MemberLevels()}) != nil {
+		return 0 // the instance is stopping
+	}
+	select {
+	case took := <-l.meter.ticked:
+		return took
+	case <-l.loop.Done():
+	case <-ctx.Done():
+	}
+	return 0
+}
+
+// requestPlan asks for a plan soon. Requests that come together are planned for together.
+func (l *Leader) requestPlan() {
+	select {
+	case l.planRequests <- struct{}{}:
+	default:
 	}
 }
 
+// planPause returns for how long the leader plans nothing after a plan, given how long that
+// took.
+func planPause(took time.Duration) time.Duration {
+	return min(time.Duration(float64(took)*(1/maxPlanShare-1)), maxPlanPause)
+}
+
 // planDelay returns how long changes are collected before the leader plans for them.
 func planDelay(targets int) time.Duration {
 	return min(time.Duration(targets)*planDelayPerTarget, planInterval)
@@ -359,6 +402,9 @@
 	l.log.Info("release ended", "call", id, "target", e.Target.ID, "service", e.Range.Service, "from", e.Range.From,
 		"to", e.Range.To, "fence", e.Range.Fence, "error", done.Err)
 	_ = l.loop.Send(done)
+	if done.Err == nil {
+		l.requestPlan()
+	}
 }
 
 func (l *Leader) propose(e Propose) {
@@ -372,7 +418,7 @@
 	l.log.Info("control command", "reason", e.Reason, "index", result.Index, "change", commandDetails(e.Command), "error", err)
 	_ = l.loop.Send(ProposeEnded{Err: err})
 	if err == nil {
-		_ = l.loop.Send(Ticked{At: l.clock.Now(), State: l.group.State().State})
+		l.requestPlan()
 	}
 }
 
--- a/internal/leader/meter.go
+++ b/internal/leader/meter.go
@@ -39,9 +39,12 @@
 type meter struct {
 	mu     sync.Mutex
 	events map[reflect.Type]EventLoad
+	ticked chan time.Duration // how long the last tick took
 }
 
-func newMeter() *meter { return &meter{events: make(map[reflect.Type]EventLoad)} }
+func newMeter() *meter {
+	return &meter{events: make(map[reflect.Type]EventLoad), ticked: make(chan time.Duration, 1)}
+}
 
 func (m *meter) record(event Event, took time.Duration) {
 	m.mu.Lock()
@@ -75,6 +78,13 @@
 	start := timer.BootTime()
 	model, effects := m.Model.Update(event)
 	m.Model = model
-	m.meter.record(event, timer.BootTime()-start)
+	took := timer.BootTime() - start
+	m.meter.record(event, took)
+	if _, ok := event.(Ticked); ok {
+		select {
+		case m.meter.ticked <- took:
+		default:
+		}
+	}
 	return m, effects
 }
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -36,6 +36,7 @@
 	byAddressVersion uint64                                     // state version that byAddress was built from
 	stats            map[string]*serviceStats                   // by service
 	planCount        uint64                                     // number of plans made
+	plannedAt        timer.Instant                              // when the last plan was made
 	commandPending   bool                                       // a command is being committed
 	lastRebalance    timer.Instant
 	lastLoadLog      timer.Instant
@@ -140,7 +141,6 @@
 	case ReleaseEnded:
 		m.handleReleaseEnded(e)
 		m.now = max(m.now, e.At)
-		return m, m.plan()
 	case ProposeEnded:
 		m.commandPending = false
 	case KeyHeartbeatReceived:
@@ -277,6 +277,7 @@
 	m.dropStaleRangeStates()
 	effects = append(effects, m.sendGrants(due, ranges)...)
 	effects = append(effects, m.logLoad()...)
+	m.plannedAt = m.now
 	effects = append(effects, m.advise()...)
 	return append(effects, m.nextCommand(reassignable, moves)...)
 }
