Publish removals after a replica was reopened in an older state

Such an entry kept sending requests to a target that had left, until it followed another control instance.

The publisher now keeps the newest state that it has sent as the base of the next update. Entries ignore the older versions that are sent in between, as before.

TestRemovedTargetIsPublishedByReopenedReplica failed before ("the entry still knows a target that was removed") and passes now; the tests of the package pass with the race detector.

--- a/internal/view/publish.go
+++ b/internal/view/publish.go
@@ -67,8 +67,9 @@
 		}
 		// Delta finds removed routes, services and targets by comparison with the
 		// sent state. If that were older than the entry's view, it could lack some
-		// that the entry has, and their removal would be missed.
-		if state.Version() >= have.Version {
+		// that the entry has, and their removal would be missed. A replica that is
+		// reopened after a disk failure starts with an older state.
+		if state.Version() >= have.Version && (sent == nil || state.Version() >= sent.Version()) {
 			sent = &state
 		}
 		if !awaitUpdate(ctx, p.source, state.Version(), changed, pings) {
--- a/internal/view/publish_test.go
+++ b/internal/view/publish_test.go
@@ -1,7 +1,9 @@
 package view
 
 import (
+	"context"
 	"fmt"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -48,3 +50,64 @@
 
 func (idleSource) Current() bool              { return true }
 func (idleSource) ControlAddresses() []string { return nil }
+
+// changingSource is a replica whose state can be set.
+type changingSource struct {
+	idleSource
+	mu      sync.Mutex
+	state   deployment.State
+	changed chan struct{}
+}
+
+func (s *changingSource) set(state deployment.State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.changed)
+	s.state, s.changed = state, make(chan struct{})
+}
+
+func (s *changingSource) State() deployment.State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state
+}
+
+func (s *changingSource) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// Guards against targets that entries keep for good after the replica was reopened in an older state.
+func TestRemovedTargetIsPublishedByReopenedReplica(t *testing.T) {
+	apply := func(state deployment.State, index uint64, c deployment.Command) deployment.State {
+		next, _ := state.Apply(index, wire.Encode(c))
+		return next
+	}
+	target := deployment.Incarnation{ID: "b", StartMillis: 1}
+	older := apply(deployment.State{}, 1, deployment.Command{Announce: &deployment.Target{ID: "a", StartMillis: 1, Service: "catalog", Address: "a", Status: deployment.Live, Sequence: 1}})
+	published := apply(older, 2, deployment.Command{Announce: &deployment.Target{ID: "b", StartMillis: 1, Service: "catalog", Address: "b", Status: deployment.Live, Sequence: 1}})
+	newer := apply(apply(published, 3, deployment.Command{Withdraw: &target}), 4, deployment.Command{Forget: []deployment.Incarnation{target}})
+	source := &changingSource{state: published, changed: make(chan struct{})}
+	ctx, cancel := context.WithCancel(context.Background())
+	updates := make(chan *instance.ViewUpdate)
+	ended := make(chan error, 1)
+	go func() {
+		ended <- NewPublisher(source, timer.NewManual()).Publish(ctx, &instance.WatchRequest{}, func(u *instance.ViewUpdate) error {
+			updates <- u
+			return nil
+		})
+	}()
+	view := (&View{}).With(<-updates)
+	for _, state := range []deployment.State{older, newer} {
+		source.set(state)
+		if u := <-updates; u.Version >= view.Version { // an entry ignores older ones
+			view = view.With(u)
+		}
+	}
+	cancel()
+	<-ended
+	assert.Equal(t, view.Version, newer.Version())
+	_, known := view.Target("b")
+	assert.Assert(t, !known, "the entry still knows a target that was removed")
+}
