Sync a log when it is opened

A replica that is opened again takes all records that it reads for durable, and confirms them to its leader. The sync of the last record, or of the folder after a new log was renamed, may have failed or may not have happened before the process ended. After a power loss, acknowledged changes were then missing on that disk: in the worst case the renamed log lost its name while the removal of the old one was kept, and the replica started without any state. The class is durability that is assumed of what another run of the code wrote.

Open now syncs the file that it has read, and the names of the log files before it removes older ones.

TestReopenSyncsRecords and TestReopenSyncsNameOfLog failed before (the last record was missing; the log was empty) and pass now.

--- a/pkg/disk/disk.go
+++ b/pkg/disk/disk.go
@@ -181,6 +181,10 @@
 	if len(numbers) == 0 {
 		return nil, s.create()
 	}
+	// The sync after the file was created or renamed may have failed.
+	if err := s.syncNames(); err != nil {
+		return nil, err
+	}
 	last := len(numbers) - 1
 	s.number = numbers[last]
 	for _, n := range numbers[:last] {
@@ -199,6 +203,11 @@
 		return fmt.Errorf("create log: %w", err)
 	}
 	s.file = file
+	return s.syncNames()
+}
+
+// syncNames makes the names of the log files and of their folder durable.
+func (s *Store) syncNames() error {
 	for _, dir := range []string{s.dir, filepath.Dir(s.dir)} {
 		if err := s.fs.SyncDir(dir); err != nil {
 			return fmt.Errorf("sync folder %s: %w", dir, err)
@@ -208,7 +217,8 @@
 }
 
 // read returns the records of the current log file and opens it for appending. It
-// truncates a torn last record.
+// truncates a torn last record, and syncs the others: the process may have ended before it did,
+// or failed to.
 func (s *Store) read() ([][]byte, error) {
 	path := s.path(s.number)
 	data, err := s.fs.ReadFile(path)
@@ -225,22 +235,14 @@
 	}
 	s.file, s.bytes = file, int64(end)
 	if end < len(data) {
-		if err := s.truncate(int64(end)); err != nil {
-			return nil, err
+		if err := s.file.Truncate(int64(end)); err != nil {
+			return nil, fmt.Errorf("truncate torn record: %w", err)
 		}
 	}
-	return records, nil
-}
-
-// truncate shortens the current log file to the given size in bytes and syncs it.
-func (s *Store) truncate(end int64) error {
-	if err := s.file.Truncate(end); err != nil {
-		return fmt.Errorf("truncate torn record: %w", err)
-	}
 	if err := s.file.Sync(); err != nil {
-		return fmt.Errorf("sync after truncating a torn record: %w", err)
+		return nil, fmt.Errorf("sync log: %w", err)
 	}
-	return nil
+	return records, nil
 }
 
 // writeFrame writes the payload as one frame, in a single write, and syncs the file.
