Close the file of a log that could not be opened

A control instance whose disk fails opens its log again every half second. Each attempt that failed after the file had been opened or created, for example while a torn record was truncated, left that file open. Descriptors are shared with the connections of the instance.

TestFailedOpenLeavesNoFileOpen failed before in both of its cases (one file open) and passes now.

--- a/pkg/disk/disk.go
+++ b/pkg/disk/disk.go
@@ -67,7 +67,7 @@
 	}
 	records, err := s.load(numbers)
 	if err != nil {
-		return nil, nil, nil, err
+		return nil, nil, nil, errors.Join(err, s.close())
 	}
 	return s, records, s.close, nil
 }
--- a/pkg/disk/reopen_test.go
+++ b/pkg/disk/reopen_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"path/filepath"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -127,3 +128,25 @@
 	fs.losePower(t)
 	assertRecords(t, dir, records...)
 }
+
+// Guards against a file that stays open for each attempt to open a log whose disk fails.
+func TestFailedOpenLeavesNoFileOpen(t *testing.T) {
+	t.Run("torn record", func(t *testing.T) {
+		dir := newLog(t)
+		path := logFile(t, dir)
+		intact, err := os.ReadFile(path)
+		assert.NilError(t, err)
+		assert.NilError(t, os.WriteFile(path, intact[:len(intact)-1], 0o600))
+		assertNoneOpen(t, dir, &unsyncedFS{failTruncate: true})
+	})
+	t.Run("new log", func(t *testing.T) {
+		assertNoneOpen(t, filepath.Join(t.TempDir(), "group"), &unsyncedFS{failSyncDir: true})
+	})
+}
+
+func assertNoneOpen(t *testing.T, dir string, fs *unsyncedFS) {
+	t.Helper()
+	_, _, err := open(t, dir, disk.WithFS(fs))
+	assert.Assert(t, errors.Is(err, errFault))
+	assert.Equal(t, fs.open, 0)
+}
