Send each release on a connection of its own

Callers' keys could be given to a new owner while the last one still served them. The leader takes any 200 on a kept connection for the answer to its release, so a target that writes an earlier response once more ends a release that it has not carried out, and its keys are assigned at once, some with the data of other keys. A conflict that was written once more fenced a sound range in the same way.

So a release, whose response proves that the owner stopped, goes out on a new connection that serves nothing else, and a conflict without an ID on a kept connection is confirmed by the same grant on a new one.

TestCallIsEndedByNoOtherResponse failed before on three of its cases: a release was ended by the grant before it and by another release, and a grant was fenced by the conflict of another one.

--- a/internal/targethttp/exchange.go
+++ b/internal/targethttp/exchange.go
@@ -18,6 +18,12 @@
 	Body          []byte
 	ID            string // expected in the response's ID header
 	NonIdempotent bool   // must not run twice: avoids connections that may be closing
+	// IDOptional accepts a response without an ID as well. On a kept connection it may be
+	// that of an earlier request once more.
+	IDOptional bool
+	// OwnConn sends the request on a new connection that serves no other one, so that its
+	// first response is about no other request.
+	OwnConn bool
 	// ConnectTimeout bounds the time to open a new connection; zero means
 	// defaultConnectTimeout.
 	ConnectTimeout time.Duration
@@ -135,11 +141,11 @@
 		keepAlive := !resp.Close && !closeDelimited
 		failed := resp.StatusCode >= http.StatusBadRequest
 		got := resp.Header.Get(idHeader)
-		if got == r.ID || got == "" && failed && !c.reused && n == 0 {
+		if got == r.ID || got == "" && (r.IDOptional || failed && !c.reused && n == 0) {
 			if failed && r.ID != "" {
 				c.failed = append(c.failed, r.ID)
 			}
-			return resp, keepAlive && len(c.failed) < maxFailed, nil
+			return resp, keepAlive && !r.OwnConn && len(c.failed) < maxFailed, nil
 		}
 		if got == "" && failed {
 			return nil, false, fmt.Errorf("%w: an error without an ID on a kept connection", ErrIncompleteResponse)
--- a/internal/targethttp/pool.go
+++ b/internal/targethttp/pool.go
@@ -156,7 +156,7 @@
 
 // reserve removes a connection from the idle ones and returns it; for a
 // non-idempotent request it may have been idle for half of maxIdle at most. If there
-// is none, reserve counts a new connection, which the caller opens, and returns nil.
+// is none, or the request wants a connection of its own, reserve counts a new connection, which the caller opens, and returns nil.
 // It returns ErrConnLimit if maxConns connections are open already.
 func (p *Pool) reserve(address string, maxConns int, r Request) (*conn, error) {
 	p.mu.Lock()
@@ -167,7 +167,7 @@
 		p.hosts[address] = h
 	}
 	now := p.clock.Now()
-	for i := len(h.idle) - 1; i >= 0; i-- {
+	for i := len(h.idle) - 1; i >= 0 && !r.OwnConn; i-- {
 		c := h.idle[i]
 		if r.ID != "" && slices.Contains(c.failed, r.ID) {
 			continue
