Give keys to another owner only on a proof that the last one stopped

A key was given to a new owner while a later start of its last owner held it. A renewal that is sent after the owner restarted under its ID and before its first heartbeat is committed reaches the new process, which then holds the keys under the old fence; the planner took the later start as the end of the owner and assigned the keys at once. The same happened without a restart: an owner that had rejected a grant was to get its keys under a new fence, and if that command was lost or the owner drained before its first grant under it, the keys went to another target while grants under the earlier fence still ran. "A new owner was proposed" counted as a proof by itself.

The planner now names its proof for each range: the answer to a release, the end of all leases, or an end of the process. A later start counts as one only where grants answer heartbeats, which reach no other process. With grants by calls its keys go back to it under a new fence, which replaces whatever it holds, or wait for its release or for the end of the leases. Keys that go back to their target without a proof inherit the leases of the fences before. The proofs are logged beside the command that they allow.

--- a/internal/leader/commands.go
+++ b/internal/leader/commands.go
@@ -10,7 +10,7 @@
 )
 
 // nextCommand returns the most urgent command, or nothing while one is pending.
-func (m *Model) nextCommand(reassignable []deployment.Assignment, moves []deployment.RangeRef) []Effect {
+func (m *Model) nextCommand(free placements, moves []deployment.RangeRef) []Effect {
 	if m.commandPending {
 		return nil
 	}
@@ -25,7 +25,7 @@
 	if t, ok := m.nextLeaving(); ok {
 		return m.propose(deployment.Command{Announce: &t}, "target says that it is leaving")
 	}
-	if assign := m.placeRanges(reassignable); len(assign) > 0 {
+	if assign := m.placeRanges(free); len(assign) > 0 {
 		return m.proposeAssign(assign)
 	}
 	if len(moves) > 0 {
@@ -77,7 +77,8 @@
 			rs.reassigned = rs.reassigned || a.Range.From <= from && from <= a.Range.To
 		}
 	}
-	return m.propose(deployment.Command{Assign: &deployment.Assign{Ranges: assign}}, "keys without an owner")
+	effects := m.propose(deployment.Command{Assign: &deployment.Assign{Ranges: assign}}, "keys without an owner")
+	return append(effects, LogProofs{Ranges: assign, Proofs: m.proofs(assign)})
 }
 
 // planTargetStatus proposes to mark a target without a recent heartbeat as silent, or
--- a/internal/leader/events.go
+++ b/internal/leader/events.go
@@ -180,6 +180,12 @@
 	Reason  string
 }
 
+// LogProofs logs why ranges may get the owners that are proposed.
+type LogProofs struct {
+	Ranges []deployment.Assignment
+	Proofs []proof // by range; empty for keys that never had an owner
+}
+
 // AnswerKeyHeartbeat answers a KeyHeartbeatReceived.
 type AnswerKeyHeartbeat struct {
 	ID      uint64
@@ -239,3 +245,4 @@
 func (SendGrant) isEffect()          {}
 func (SendRelease) isEffect()        {}
 func (Propose) isEffect()            {}
+func (LogProofs) isEffect()          {}
--- a/internal/leader/granter.go
+++ b/internal/leader/granter.go
@@ -14,8 +14,8 @@
 	keep(m *Model, t deployment.Target, ref deployment.RangeRef, rs *rangeState, handover string) rangeStep
 	// release returns what is due for the owner of a range to release it.
 	release(m *Model, t deployment.Target, ref deployment.RangeRef, rs *rangeState) rangeStep
-	// place returns the assignments to make now, of keys that may get a new owner.
-	place(m *Model, reassignable []deployment.Assignment) []deployment.Assignment
+	// place returns the assignments to make now, of keys that may get a new fence.
+	place(m *Model, free placements) []deployment.Assignment
 	// rebalance returns the keys that their owners are to release now so that the load
 	// becomes even.
 	rebalance(m *Model) []deployment.RangeRef
@@ -26,6 +26,9 @@
 	// lateGrants reports whether a grant may still take effect after its target has
 	// released the keys.
 	lateGrants() bool
+	// reachesLaterStart reports whether a grant to a target may take effect at a later start
+	// of it, whose announcement the leader has not heard of.
+	reachesLaterStart() bool
 }
 
 // callGranter sends calls to targets: one for each grant, renewal and release.
@@ -41,10 +44,10 @@
 	return m.releaseIfDue(t, ref, rs)
 }
 
-func (callGranter) place(m *Model, reassignable []deployment.Assignment) []deployment.Assignment {
+func (callGranter) place(m *Model, free placements) []deployment.Assignment {
 	planned := make(map[string]float64) // utilization already planned, by target ID
-	var out []deployment.Assignment
-	for _, a := range reassignable {
+	out := free.regrants
+	for _, a := range free.reassignable {
 		out = append(out, m.placeRange(a, planned)...)
 	}
 	return out
@@ -60,3 +63,6 @@
 func (callGranter) timing(base Timing, ranges int) Timing { return base.withRanges(ranges) }
 
 func (callGranter) lateGrants() bool { return true }
+
+// reachesLaterStart returns true: calls are addressed to an ID.
+func (callGranter) reachesLaterStart() bool { return true }
--- a/internal/leader/grants.go
+++ b/internal/leader/grants.go
@@ -50,7 +50,7 @@
 	}
 	out := make([]Effect, 0, len(due))
 	for _, g := range due {
-		g.state.inFlight = true
+		g.state.inFlight, g.state.granted = true, true
 		m.grantsInFlight = append(m.grantsInFlight, g.Range)
 		out = append(out, g.SendGrant)
 	}
@@ -69,7 +69,7 @@
 // sendOrder returns the sort key of a due grant: 0 for one that was never sent, else
 // when it became due.
 func (g dueGrant) sendOrder() timer.Instant {
-	if g.state.expiry == 0 {
+	if !g.state.granted {
 		return 0
 	}
 	return g.state.nextGrant
--- a/internal/leader/heartbeat_granter.go
+++ b/internal/leader/heartbeat_granter.go
@@ -114,18 +114,20 @@
 // heartbeat, so that one that reports a release has no other answer outstanding.
 func (*heartbeatGranter) lateGrants() bool { return false }
 
+// reachesLaterStart returns false: an answer goes to the process that sent the heartbeat.
+func (*heartbeatGranter) reachesLaterStart() bool { return false }
+
 // place returns the keys that must go back to their owner under a new fence, and
 // remembers the others until a target sends a heartbeat.
-func (g *heartbeatGranter) place(m *Model, reassignable []deployment.Assignment) []deployment.Assignment {
+func (g *heartbeatGranter) place(m *Model, free placements) []deployment.Assignment {
 	g.dropUnknown(m)
 	var out []deployment.Assignment
+	for _, a := range free.regrants {
+		out = append(out, g.assignment(a.Range, a.To, a.Handover))
+	}
 	before := g.free
 	g.free = nil
-	for _, a := range reassignable {
-		if t, ok := m.state.Target(a.To.ID); ok && m.ownsRange(a.To, a.Range) && !m.mustLeave(t) {
-			out = append(out, g.assignment(a.Range, a.To, a.Handover))
-			continue
-		}
+	for _, a := range free.reassignable {
 		since := m.now
 		for _, f := range before {
 			if f.Range.Service == a.Range.Service && f.Range.Fence == a.Range.Fence && f.Range.From <= a.Range.From && a.Range.To <= f.Range.To {
@@ -292,7 +294,8 @@
 			lease.Handover = r.Handover
 		}
 		leases.Ranges = append(leases.Ranges, lease)
-		rs.expiry = m.timing.latestExpiry(m.now)
+		rs.expiry = max(rs.expiry, m.timing.latestExpiry(m.now))
+		rs.granted = true
 		rs.lastAnswered = e.Sequence
 		if rs.firstAnswered == 0 {
 			rs.firstAnswered = e.Sequence
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -354,6 +354,8 @@
 		case LevelReport:
 			l.levels.Store(&e)
 			l.log.Info("feature level", "agreed", e.Agreed, "held_back_by", e.HeldBackBy)
+		case LogProofs:
+			l.log.Info("keys may get new owners", "ranges", abbreviate(e.Ranges), "proofs", abbreviate(e.Proofs))
 		case LogZoneShares:
 			l.log.Info("requests that leave their zone", "service", e.Service, "began", e.Began, "stopped", e.Stopped,
 				"shares", e.Shares, "zones", e.Zones)
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -91,6 +91,10 @@
 	fenced           bool          // the target has seen a higher fence
 	released         bool
 	reassigned       bool                   // a new owner was proposed; the command may be committed at any time
+	granted          bool                   // a grant was sent, or may have been by an earlier leader
+	proof            proof                  // why the keys may get a new fence
+	to               deployment.Key         // last key of the range at the last plan
+	owner            string                 // ID of the owner at the last plan
 	handover         string                 // data that the owner handed over
 	nextOwner        deployment.Incarnation // zero if none was chosen
 	lastPlan         uint64                 // number of the last plan that included the range
@@ -230,26 +234,51 @@
 
 // rangeStateOf returns the state of a range, creating it if needed. Grants by an
 // earlier leader are assumed to have been renewed just before this leader's term. A
-// part that was split off a range inherits the latest expiry under its fence.
+// part that was split off a range inherits the latest expiry under its fence, and keys
+// that went back to the same target that of the fences before.
 func (m *Model) rangeStateOf(service string, r deployment.Range) *rangeState {
 	if rs := m.lookupRangeState(service, r.From, r.Fence); rs != nil {
 		return rs
 	}
 	rs := &rangeState{nextGrant: m.now}
 	if r.Fence <= m.startIndex {
+		rs.granted = true
 		rs.expiry = m.timing.latestExpiry(m.leadingSince)
 		if m.granter.lateGrants() {
 			rs.unansweredExpiry = rs.expiry
 		}
 	}
 	for _, other := range m.rangeStates[fenceID{service: service, fence: r.Fence}] {
-		rs.expiry = max(rs.expiry, other.expiry)
-		rs.unansweredExpiry = max(rs.unansweredExpiry, other.unansweredExpiry)
+		rs.granted = rs.granted || other.granted
+		rs.inheritExpiry(other)
+	}
+	if r.Fence > m.startIndex {
+		m.inheritFromEarlierFences(rs, service, r)
 	}
 	m.setRangeState(service, r.From, r.Fence, rs)
 	return rs
 }
 
+func (rs *rangeState) inheritExpiry(other *rangeState) {
+	rs.expiry = max(rs.expiry, other.expiry)
+	rs.unansweredExpiry = max(rs.unansweredExpiry, other.unansweredExpiry)
+}
+
+// inheritFromEarlierFences extends the expiry of a range by grants under earlier fences that
+// its owner may still hold, because the keys went back to it without a proof that it stopped.
+func (m *Model) inheritFromEarlierFences(rs *rangeState, service string, r deployment.Range) {
+	for id, ranges := range m.rangeStates {
+		if id.service != service || id.fence >= r.Fence {
+			continue
+		}
+		for from, other := range ranges {
+			if other.owner == r.Target && from <= r.To && r.From <= other.to {
+				rs.inheritExpiry(other)
+			}
+		}
+	}
+}
+
 // plan returns the calls that are due, the log and advice effects, and at most one
 // command.
 func (m *Model) plan() []Effect {
@@ -258,7 +287,7 @@
 	m.indexAddresses()
 	m.timing = m.granter.timing(m.base, m.countRanges())
 	effects := append(m.planLevel(), m.planTargetStatus()...)
-	var reassignable []deployment.Assignment
+	var free placements
 	var moves []deployment.RangeRef
 	var due []dueGrant
 	ranges := 0
@@ -273,7 +302,8 @@
 			if step.grant != nil {
 				due = append(due, *step.grant)
 			}
-			reassignable = append(reassignable, step.reassignable...)
+			free.regrants = append(free.regrants, step.regrants...)
+			free.reassignable = append(free.reassignable, step.reassignable...)
 			moves = append(moves, step.moves...)
 		}
 	}
@@ -282,7 +312,7 @@
 	effects = append(effects, m.logLoad()...)
 	m.plannedAt = m.now
 	effects = append(effects, m.advise()...)
-	return append(effects, m.nextCommand(reassignable, moves)...)
+	return append(effects, m.nextCommand(free, moves)...)
 }
 
 func (m *Model) countRanges() int {
@@ -317,49 +347,42 @@
 type rangeStep struct {
 	effects      []Effect
 	grant        *dueGrant
+	regrants     []deployment.Assignment // keys that only this target may get, under a new fence
 	reassignable []deployment.Assignment // keys that may get a new owner
 	moves        []deployment.RangeRef   // keys that the owner is to release
 }
 
 // planRange decides whether a range is granted or renewed, is released, or gets a new
-// owner.
+// owner. It gets another owner only on a proof that its owner has stopped.
 func (m *Model) planRange(table deployment.KeyTable, r deployment.Range) rangeStep {
 	ref := deployment.RangeRef{Service: table.Service, From: r.From, To: r.To, Fence: r.Fence}
 	rs := m.rangeStateOf(table.Service, r)
 	rs.lastPlan = m.planCount
+	rs.to, rs.owner = r.To, r.Target
 	t, known := m.state.Target(r.Target)
-	reassign := rangeStep{reassignable: []deployment.Assignment{{Range: ref, To: rs.nextOwner, Handover: rs.handover}}}
+	restarted := known && t.StartMillis != r.StartMillis
 	switch {
-	case !known || t.StartMillis != r.StartMillis || m.addressTaken(t):
-		// The target was forgotten, or a later start of it or of another target at its
-		// address proves that the owner's process has ended.
-		return reassign
+	case restarted && !m.granter.reachesLaterStart():
+		return reassign(ref, rs, provenByLaterStart)
+	case known && m.addressTaken(t):
+		return reassign(ref, rs, provenByAddress)
 	case m.grantInFlight(ref):
 		return rangeStep{}
-	case rs.reassigned:
-		return reassign
 	case rs.released && m.now > rs.unansweredExpiry:
-		return reassign
-	case rs.fenced && t.Status == deployment.Live && m.recentHeartbeat(t) && !m.mustLeave(t):
-		// The owner itself, under a newer fence.
-		reassign.reassignable[0].To = incarnationOf(t)
-		return reassign
-	case rs.fenced && t.Usable() && m.now <= rs.expiry:
-		// The owner may still hold the keys, and rejects this fence.
-		return rangeStep{}
-	case rs.fenced && t.Usable():
-		reassign.reassignable[0].Handover = ""
-		return reassign
-	case m.now > rs.expiry && !rs.inFlight && (r.Phase == deployment.Releasing || !m.granter.responsive(m, t, rs)):
-		reassign.reassignable[0].Handover = ""
-		return reassign
-	case r.Phase == deployment.Releasing && rs.released:
+		return reassign(ref, rs, provenByRelease)
+	case (restarted || rs.fenced) && t.Service == table.Service && t.Status == deployment.Live && m.recentHeartbeat(t) && !m.mustLeave(t):
+		// Whatever the target may hold under this fence, a new one replaces it.
+		rs.proof = sameTarget
+		return rangeStep{regrants: []deployment.Assignment{{Range: ref, To: incarnationOf(t), Handover: rs.handover}}}
+	case m.now > rs.expiry && !rs.inFlight && (!known || restarted || rs.fenced || rs.reassigned || r.Phase == deployment.Releasing || !m.granter.responsive(m, t, rs)):
+		return reassign(ref, rs, provenByExpiry)
+	case !known || r.Phase == deployment.Releasing && rs.released:
 		return rangeStep{}
 	case r.Phase == deployment.Releasing:
 		return m.granter.release(m, t, ref, rs)
 	case m.mustLeave(t) && m.graceOver():
 		return rangeStep{moves: []deployment.RangeRef{ref}}
-	case !m.granter.responsive(m, t, rs):
+	case restarted || rs.fenced || rs.reassigned || !m.granter.responsive(m, t, rs):
 		return rangeStep{}
 	}
 	return m.granter.keep(m, t, ref, rs, r.Handover)
--- a/internal/leader/model_test.go
+++ b/internal/leader/model_test.go
@@ -68,7 +68,7 @@
 		change(&t)
 	}
 	s.commit(deployment.Command{Announce: &t})
-	s.heartbeat(n)
+	s.send(HeartbeatReceived{At: s.now, Incarnation: incarnationOf(t)})
 }
 
 func (s *sim) heartbeat(n int) { s.send(HeartbeatReceived{At: s.now, Incarnation: incarnation(n)}) }
--- a/internal/leader/placement.go
+++ b/internal/leader/placement.go
@@ -7,16 +7,16 @@
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
 )
 
-// placeRanges chooses owners for the ranges that may be reassigned, and for services
+// placeRanges chooses owners for the ranges that may get a new fence, and for services
 // whose keys were never assigned.
-func (m *Model) placeRanges(reassignable []deployment.Assignment) []deployment.Assignment {
+func (m *Model) placeRanges(free placements) []deployment.Assignment {
 	var out []deployment.Assignment
 	for _, table := range m.state.Tables() {
 		if len(table.Ranges) == 1 && table.Ranges[0].Phase == deployment.Unowned {
 			out = append(out, m.assignInitially(table)...)
 		}
 	}
-	return append(out, m.granter.place(m, reassignable)...)
+	return append(out, m.granter.place(m, free)...)
 }
 
 // placeRange assigns a range to its planned owner if that is live and may be given keys, or
@@ -27,10 +27,6 @@
 		return nil
 	}
 	isPlanned := func(u targetUsage) bool { return incarnationOf(u.target) == a.To }
-	// An owner that rejects the range's fence is given its own keys again, also a cold one.
-	if m.ownsRange(a.To, a.Range) && slices.ContainsFunc(usages, isPlanned) {
-		return []deployment.Assignment{a}
-	}
 	usages = placeable(usages)
 	if slices.ContainsFunc(usages, isPlanned) {
 		return []deployment.Assignment{a}
