Keep heartbeats of unnamed services from ending targets

Callers lost a sound owner of their keys, and two targets could hold them, after a heartbeat named a service that no configuration has. Such a heartbeat comes from another writer, and its time of start from another clock. With a later start at the address of a target it marked that target as left, and counted as a proof that its process had ended, so that its keys were given on at once; with the ID of a target it replaced it.

The leader now answers such an announcement without recording it if a target of another service has the ID or the address, after a barrier has shown that no newer configuration names the service. One that harms nobody is recorded as before, since its service may be configured later. Records of earlier builds keep their meaning in the replicated state, but prove nothing about an owner.

--- a/internal/fleet/targets.go
+++ b/internal/fleet/targets.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
@@ -92,6 +93,17 @@
 			return nil, err
 		}
 		c.log.Info("target withdrew", "target", t.ID, "service", old.Service, "address", old.Address)
+	case unnamedIntruder(c.lastReplica().group.State().State, t):
+		// A later configuration may have named the service, if this instance was replaced.
+		applied, err := c.lastReplica().group.Barrier(ctx)
+		if err != nil {
+			return nil, err
+		}
+		if !unnamedIntruder(applied.State, t) {
+			return c.AnnounceTarget(ctx, req)
+		}
+		c.log.Warn("announcement ignored: its service is not configured, and a target has its ID or address",
+			"target", t.ID, "born", t.StartMillis, "service", t.Service, "address", t.Address)
 	case !known || c.changesTarget(t, old):
 		end, err := c.announcing.begin(ctx, incarnation)
 		if err != nil {
@@ -114,6 +126,19 @@
 	return &instance.AnnounceTargetResponse{}, nil
 }
 
+// unnamedIntruder reports whether an announcement of a service that is not configured would
+// end or change a target of another service, with its ID or its address. Heartbeats may come
+// from other writers, and these are not targets to use.
+func unnamedIntruder(s deployment.State, t deployment.Target) bool {
+	cfg, index := s.Config()
+	if _, named := cfg.Service(t.Service); named || index == 0 {
+		return false
+	}
+	return slices.ContainsFunc(s.Targets(), func(other deployment.Target) bool {
+		return other.Service != t.Service && other.Status != deployment.Left && (other.ID == t.ID || other.Address == t.Address)
+	})
+}
+
 // changesTarget reports whether the announcement t must be committed, given the target's
 // record old.
 func (c *Control) changesTarget(t, old deployment.Target) bool {
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -419,7 +419,11 @@
 		return
 	}
 	m.byAddress, m.byAddressVersion = make(map[string]deployment.Target, len(m.state.Targets())), m.state.Version()
+	cfg, _ := m.state.Config()
 	for _, t := range m.state.Targets() {
+		if _, named := cfg.Service(t.Service); !named {
+			continue // it proves nothing about others
+		}
 		if latest, ok := m.byAddress[t.Address]; !ok || t.StartMillis > latest.StartMillis {
 			m.byAddress[t.Address] = t
 		}
--- a/internal/leader/proof_test.go
+++ b/internal/leader/proof_test.go
@@ -179,3 +179,15 @@
 		s.assertKeptUntil(key, incarnation(1).ID, mayHoldUntil(granted), 2)
 	})
 }
+
+// Guards against keys that are given on because a service that nobody configured announced their owner's address.
+func TestUnnamedServiceAtAddressProvesNothing(t *testing.T) {
+	s := newSim(t)
+	s.announce(1, nil)
+	s.announce(2, nil)
+	s.settle(1, 2)
+	granted := s.renewed(1, 1, 2)
+	key := s.ownedBy(1).From
+	s.announce(3, func(t *deployment.Target) { t.Service, t.Address = "unnamed", "10.0.0.1:80" })
+	s.assertKeptUntil(key, incarnation(1).ID, mayHoldUntil(granted), 2)
+}
