Count the leases of owners as long as they may last

Keys of a target that had fallen silent could be given on before its lease had ended. A new leader took the grants of earlier ones to have been sent before its own term, but a leader that hands over its leadership may send until its last confirmation is 300 ms old; the slack that is there for the delivery of a call was used up by that. And the lease of a grant was computed from what a lease lasts now, not from what the call carried, which is longer after a count of fewer ranges.

Grants of earlier leaders now count from the end of the last confirmation that they may have had, with both ways of granting keys, and the end of a grant carries its lease. Keys of a target that is lost beside a change of the leader are free 300 ms later than before.

TestLeaseCountsAsLongAsItMayLast failed before: 260 ms too short for an earlier leader, and 4.04 s for a lease of 8 s that was granted before leases of 4 s.

--- a/internal/leader/events.go
+++ b/internal/leader/events.go
@@ -49,7 +49,13 @@
 // latestExpiry returns the time by which a grant that was sent no later than at has
 // certainly expired.
 func (t Timing) latestExpiry(at timer.Instant) timer.Instant {
-	return at.Add(t.LeaseDuration*leaseMarginNumerator/leaseMarginDenominator + deliverySlack)
+	return leaseExpiry(at, t.LeaseDuration)
+}
+
+// leaseExpiry returns the time by which a lease that was granted no later than at has
+// certainly expired.
+func leaseExpiry(at timer.Instant, lease time.Duration) timer.Instant {
+	return at.Add(lease*leaseMarginNumerator/leaseMarginDenominator + deliverySlack)
 }
 
 // leasePeriods is the duration of a lease in periods of targets' heartbeats, if leases are
@@ -129,10 +135,11 @@
 
 // GrantEnded reports that a SendGrant has ended, successfully or not.
 type GrantEnded struct {
-	At    timer.Instant
-	Range deployment.RangeRef
-	Sent  bool // the call may have reached the target
-	Err   error
+	At            timer.Instant
+	Range         deployment.RangeRef
+	LeaseDuration time.Duration // that the call carried
+	Sent          bool          // the call may have reached the target
+	Err           error
 }
 
 // ReleaseEnded reports that a SendRelease has ended, successfully or not.
--- a/internal/leader/grants.go
+++ b/internal/leader/grants.go
@@ -131,9 +131,10 @@
 }
 
 func (m *Model) extendExpiry(rs *rangeState, e GrantEnded) {
-	rs.expiry = max(rs.expiry, m.timing.latestExpiry(e.At))
+	expiry := leaseExpiry(e.At, max(e.LeaseDuration, m.timing.LeaseDuration))
+	rs.expiry = max(rs.expiry, expiry)
 	if e.Err != nil && !errors.Is(e.Err, ErrFenced) {
-		rs.unansweredExpiry = max(rs.unansweredExpiry, m.timing.latestExpiry(e.At))
+		rs.unansweredExpiry = max(rs.unansweredExpiry, expiry)
 	}
 }
 
--- a/internal/leader/heartbeat_granter.go
+++ b/internal/leader/heartbeat_granter.go
@@ -231,7 +231,7 @@
 // reports whether the keys are known to be released.
 func (g *heartbeatGranter) handleMissing(m *Model, r ownedRange, rs *rangeState) bool {
 	rs.missing++
-	if r.Phase == deployment.Releasing && m.now > m.timing.latestExpiry(m.leadingSince) {
+	if r.Phase == deployment.Releasing && m.now > m.earlierExpiry() {
 		// The lease has expired, and no earlier leader's answer can still renew it.
 		rs.released = true
 		return true
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -371,7 +371,7 @@
 	id := uuid.NewString()
 	l.calls.Add(1)
 	defer l.calls.Add(-1)
-	done := GrantEnded{Range: e.Range}
+	done := GrantEnded{Range: e.Range, LeaseDuration: e.LeaseDuration}
 	if l.leadershipConfirmed() {
 		ctx, cancel := context.WithTimeout(l.ctx, grantTimeout)
 		call := KeyCall{ID: id, Target: e.Target.ID, From: e.Range.From, To: e.Range.To, Fence: e.Range.Fence, LeaseDuration: e.LeaseDuration, Handover: e.Handover, Allowed: l.leadershipConfirmed}
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -233,7 +233,7 @@
 }
 
 // rangeStateOf returns the state of a range, creating it if needed. Grants by an
-// earlier leader are assumed to have been renewed just before this leader's term. A
+// earlier leader are assumed to have been renewed as late as it may have been able to. A
 // part that was split off a range inherits the latest expiry under its fence, and keys
 // that went back to the same target that of the fences before.
 func (m *Model) rangeStateOf(service string, r deployment.Range) *rangeState {
@@ -243,7 +243,7 @@
 	rs := &rangeState{nextGrant: m.now}
 	if r.Fence <= m.startIndex {
 		rs.granted = true
-		rs.expiry = m.timing.latestExpiry(m.leadingSince)
+		rs.expiry = m.earlierExpiry()
 		if m.granter.lateGrants() {
 			rs.unansweredExpiry = rs.expiry
 		}
@@ -259,6 +259,12 @@
 	return rs
 }
 
+// earlierExpiry returns the time by which all grants of earlier leaders have expired. One
+// that has handed over its leadership may send until its last confirmation is too old.
+func (m *Model) earlierExpiry() timer.Instant {
+	return m.timing.latestExpiry(m.leadingSince.Add(confirmationValidity))
+}
+
 func (rs *rangeState) inheritExpiry(other *rangeState) {
 	rs.expiry = max(rs.expiry, other.expiry)
 	rs.unansweredExpiry = max(rs.unansweredExpiry, other.unansweredExpiry)
--- a/internal/leader/proof_test.go
+++ b/internal/leader/proof_test.go
@@ -191,3 +191,32 @@
 	s.announce(3, func(t *deployment.Target) { t.Service, t.Address = "unnamed", "10.0.0.1:80" })
 	s.assertKeptUntil(key, incarnation(1).ID, mayHoldUntil(granted), 2)
 }
+
+// Guards against leases that are taken for shorter than they may be, so that keys are given on before they end.
+func TestLeaseCountsAsLongAsItMayLast(t *testing.T) {
+	start := func(t *testing.T) (*sim, deployment.RangeRef) {
+		s := newSim(t)
+		s.announce(1, nil)
+		s.announce(2, nil)
+		s.settle(1, 2)
+		r := s.ownedBy(1)
+		return s, deployment.RangeRef{Service: testService, From: r.From, To: r.To, Fence: r.Fence}
+	}
+	// The slack for the delivery of a call is not there for the time at which it is sent.
+	assertExpiry := func(s *sim, ref deployment.RangeRef, sent timer.Instant, lease time.Duration) {
+		s.tick(10 * time.Millisecond)
+		end := sent.Add(time.Duration(clockSlowdown*float64(lease)) + deliverySlack)
+		expiry := s.model.lookupRangeState(testService, ref.From, ref.Fence).expiry
+		assert.Assert(s.t, expiry >= end, "%v too short", end.Sub(expiry))
+	}
+	t.Run("granted by a leader that goes on while its confirmation is valid", func(t *testing.T) {
+		s, ref := start(t)
+		s.startTerm()
+		assertExpiry(s, ref, s.now.Add(confirmationValidity), DefaultTiming().LeaseDuration)
+	})
+	t.Run("granted for longer than leases last now", func(t *testing.T) {
+		s, ref := start(t)
+		s.send(GrantEnded{At: s.now, Range: ref, LeaseDuration: 2 * DefaultTiming().LeaseDuration, Sent: true})
+		assertExpiry(s, ref, s.now, 2*DefaultTiming().LeaseDuration)
+	})
+}
