Move the keys of a cold later start to warm targets

Since a later start of an owner is no proof any more, its keys go back to it under a new fence. Where the configuration names a cold rate, a target that has just started serves only a few requests a second, so that callers of these keys would be rejected until the load is rebalanced. A cold later start is now asked to release the keys of the earlier one, like a target that leaves, and warm targets get them. The case "of its earlier start" of TestColdTargetTakesNoKeys failed before (the keys went back to the cold target at once) and passes now; the tests of the package pass.

--- a/internal/leader/cold_test.go
+++ b/internal/leader/cold_test.go
@@ -68,6 +68,22 @@
 		assert.Equal(t, s.keysOf(1), 0)
 		assert.Assert(t, s.keysOf(2) <= before)
 	})
+	t.Run("of its earlier start", func(t *testing.T) {
+		s := newColdSim(t, 3)
+		s.settle(1, 2, 3)
+		assert.Assert(t, s.keysOf(1) > 0)
+		s.announce(1, func(x *deployment.Target) { x.StartMillis, x.WarmUpMillis = x.StartMillis+500, 6000 })
+		for range 10 {
+			s.heartbeat(2)
+			s.heartbeat(3)
+			s.answer(s.tick(100 * time.Millisecond))
+			for _, r := range s.ranges() {
+				assert.Assert(t, r.Target != incarnation(1).ID || r.StartMillis == incarnation(1).StartMillis)
+			}
+		}
+		assert.Equal(t, s.keysOf(1), 0)
+		s.assertOwned()
+	})
 	t.Run("unless all are cold", func(t *testing.T) {
 		s := newColdSim(t, 0)
 		s.announce(1, cold(1))
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -367,6 +367,7 @@
 	rs.to, rs.owner = r.To, r.Target
 	t, known := m.state.Target(r.Target)
 	restarted := known && t.StartMillis != r.StartMillis
+	mustLeave := known && (m.mustLeave(t) || restarted && t.Cold() && m.coldRate(table.Service) > 0)
 	switch {
 	case restarted && !m.granter.reachesLaterStart():
 		return reassign(ref, rs, provenByLaterStart)
@@ -376,7 +377,7 @@
 		return rangeStep{}
 	case rs.released && m.now > rs.unansweredExpiry:
 		return reassign(ref, rs, provenByRelease)
-	case (restarted || rs.fenced) && t.Service == table.Service && t.Status == deployment.Live && m.recentHeartbeat(t) && !m.mustLeave(t):
+	case (restarted || rs.fenced) && t.Service == table.Service && t.Status == deployment.Live && m.recentHeartbeat(t) && !mustLeave:
 		// Whatever the target may hold under this fence, a new one replaces it.
 		rs.proof = sameTarget
 		return rangeStep{regrants: []deployment.Assignment{{Range: ref, To: incarnationOf(t), Handover: rs.handover}}}
@@ -386,7 +387,7 @@
 		return rangeStep{}
 	case r.Phase == deployment.Releasing:
 		return m.granter.release(m, t, ref, rs)
-	case m.mustLeave(t) && m.graceOver():
+	case mustLeave && m.graceOver():
 		return rangeStep{moves: []deployment.RangeRef{ref}}
 	case restarted || rs.fenced || rs.reassigned || !m.granter.responsive(m, t, rs):
 		return rangeStep{}
