Confirm the leadership without waiting for an earlier confirmation

A busy leader that nobody contested took its leadership for unconfirmed most of the time, and sent no grants and no releases. Reads wait for a round of heartbeats, and only one round was in progress at a time: a confirmation that was asked for just after a round began took two rounds. Its validity was counted from the request, so that with a round trip of 180 ms the last confirmation was up to 355 ms old, of which 300 ms are valid.

--- a/internal/group/calls.go
+++ b/internal/group/calls.go
@@ -26,7 +26,7 @@
 // Confirmation tells when the steps of confirming the leadership were taken, on the boot
 // clock.
 type Confirmation struct {
-	Sent     time.Duration // the round of heartbeats to the voters was sent
+	Sent     time.Duration // the heartbeats were sent; 0 if this replica is the only voter
 	Answered time.Duration // a quorum's answers were read
 }
 
--- a/internal/group/effects.go
+++ b/internal/group/effects.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
+	"time"
 
 	"github.com/cranberrywind/cranberrywind/pkg/replica"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
@@ -45,7 +47,8 @@
 	case replica.Rejected:
 		g.waiters.resolve(e.Token, outcome{err: e.Err})
 	case replica.ReadReady:
-		c := Confirmation{Sent: g.roundSentAt, Answered: timer.BootTime()}
+		c := Confirmation{Sent: g.roundsSentAt[e.Round], Answered: timer.BootTime()}
+		maps.DeleteFunc(g.roundsSentAt, func(round uint64, _ time.Duration) bool { return round < e.Round })
 		g.pendingReads = append(g.pendingReads, confirmedRead{ReadReady: e, confirmation: c})
 	case replica.StatusReported:
 		g.waiters.resolve(e.Token, outcome{status: e.Status})
@@ -90,8 +93,8 @@
 }
 
 func (g *Group[S]) send(m replica.Message) {
-	if m.Kind == replica.MsgHeartbeat && m.Round != g.round {
-		g.round, g.roundSentAt = m.Round, timer.BootTime()
+	if _, known := g.roundsSentAt[m.Round]; m.Kind == replica.MsgHeartbeat && !known {
+		g.roundsSentAt[m.Round] = timer.BootTime()
 	}
 	g.mu.Lock()
 	address := g.addressOf(m.To)
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -114,8 +114,9 @@
 	compacting   atomic.Bool
 	proposals    map[uint64]proposal // appended and not yet applied, by index
 	pendingReads []confirmedRead     // barriers whose index is not yet applied
-	round        uint64              // last round of heartbeats that confirms reads
-	roundSentAt  time.Duration       // on the boot clock
+	// roundsSentAt holds when the rounds of heartbeats that confirm reads were sent, on the boot
+	// clock. Rounds before the last confirmed one are dropped.
+	roundsSentAt map[uint64]time.Duration
 
 	syncs, applies durations
 }
@@ -145,6 +146,8 @@
 		addresses: make(map[replica.ID]string),
 		levels:    make(map[replica.ID]announcedLevel),
 		proposals: make(map[uint64]proposal),
+
+		roundsSentAt: make(map[uint64]time.Duration),
 	}
 	closeStore, err := g.recover()
 	if err != nil {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -76,7 +76,7 @@
 	ctx          context.Context
 	advice       atomic.Pointer[Advise]
 	levels       atomic.Pointer[LevelReport]
-	confirmedAt  atomic.Int64  // boot-clock time at which the last successful barrier began
+	confirmedAt  atomic.Int64  // boot-clock time of the heartbeats that a quorum answered last
 	lateLoggedAt atomic.Int64  // boot-clock time of the last log line about a late confirmation
 	calls        atomic.Int64  // grants and releases in flight
 	planRequests chan struct{} // a plan is wanted before the next interval
@@ -300,21 +300,22 @@
 	})
 }
 
-// confirmOnce records when it began, once a quorum has confirmed that this replica leads. One
-// that takes longer than confirmationValidity does not confirm the leadership any more, but
+// confirmOnce records when the heartbeats were sent by which a quorum has confirmed that this
+// replica leads. One that takes longer than confirmationValidity does not confirm the leadership any more, but
 // still the newest configuration.
 func (l *Leader) confirmOnce(ctx context.Context) {
-	start := int64(timer.BootTime())
+	start := timer.BootTime()
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	steps, err := l.group.Confirm(ctx)
-	l.logIfLate(time.Duration(start), steps, err)
+	l.logIfLate(start, steps, err)
 	if err != nil {
 		return
 	}
+	sent := int64(max(start, steps.Sent))
 	for {
 		last := l.confirmedAt.Load()
-		if start <= last || l.confirmedAt.CompareAndSwap(last, start) {
+		if sent <= last || l.confirmedAt.CompareAndSwap(last, sent) {
 			return
 		}
 	}
--- a/pkg/replica/types.go
+++ b/pkg/replica/types.go
@@ -224,8 +224,9 @@
 	Err   error
 }
 
-// ReadReady reports that the read may run once the state machine has applied Index.
-type ReadReady struct{ Token, Index uint64 }
+// ReadReady reports that the read may run once the state machine has applied Index. Round is
+// that of the heartbeats by which a majority confirmed the leadership.
+type ReadReady struct{ Token, Index, Round uint64 }
 
 // RoleChanged reports a change of role, term or leader.
 type RoleChanged struct {
