Judge a key's owner by its own queue, not by the average of its service

Callers were rejected with "the key's owner would take too long" although their owner was idle.

An entry among many hears from one owner about once a minute, and took the average queue of all owners for the queue of those that it had not heard from. One owner of a busy key with 24 waiting requests raised that average so far that the entry rejected requests for every other owner. No other target can serve such a request, so that a wrong rejection costs the caller the answer. Owners are now expected to have the queue that their own answers told of, and none without such an answer. Targets of services without keys still use the average, since a request can go to any of them.

--- a/internal/forward/owner.go
+++ b/internal/forward/owner.go
@@ -126,7 +126,7 @@
 		c.target, c.expected, c.fence = t, 0, r.Fence
 		return 0, errAskDispatcher
 	}
-	expected, withinWindow := s.targets.expected(t)
+	expected, withinWindow := s.targets.expectedOfOwner(t)
 	expected += s.bodyTime(c)
 	c.target, c.expected, c.fence = t, expected, r.Fence
 	switch {
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -156,8 +156,15 @@
 }
 
 // expected returns the estimated time until the answer to a request sent now, in
-// seconds.
+// seconds. A target that this entry has not heard from lately is assumed to have the
+// average queue of its service.
 func (s *targetState) expected(t deployment.Target, now timer.Instant) float64 {
+	return s.expectedWith(t, now, s.averageQueue.Share(now))
+}
+
+// expectedWith is expected with the given queue, in requests for each slot, of a target that
+// this entry has not heard from lately.
+func (s *targetState) expectedWith(t deployment.Target, now timer.Instant, unheardQueue float64) float64 {
 	slowdown := s.slowdownNow(now)
 	serviceTime := s.serviceTime * slowdown
 	if now.Sub(s.firstSeen) < time.Duration(t.WarmUpMillis)*time.Millisecond {
@@ -166,7 +173,7 @@
 	slots := float64(max(t.Slots, 1))
 	queue := max(0, s.queueDelay*slowdown-queueDecayRate*now.Sub(s.queueDelayAt).Seconds())
 	if s.queueDelayAt == 0 || now.Sub(s.queueDelayAt) > queueValidity {
-		queue = max(queue, s.averageQueue.Share(now)*serviceTime)
+		queue = max(queue, unheardQueue*serviceTime)
 	}
 	ahead := max(0, float64(max(s.sentSince, s.inFlight))+1-slots)
 	return serviceTime*(1+ahead/slots) + queue
@@ -294,6 +301,16 @@
 	return time.Duration(ts.state(t).serviceTime * float64(time.Second))
 }
 
+// expectedOfOwner is expected for the owner of a key. The average queue of the service says
+// nothing about it: a few owners of busy keys have long queues while others are idle, and
+// requests for their keys have no other target that would make up for a wrong rejection.
+func (ts *targetStates) expectedOfOwner(t deployment.Target) (time.Duration, bool) {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	s := ts.state(t)
+	return time.Duration(s.expectedWith(t, ts.clock.Now(), 0) * float64(time.Second)), !s.windowFull()
+}
+
 // windowFreed returns a channel that is closed when one of this entry's requests at
 // the target ends.
 func (ts *targetStates) windowFreed(t deployment.Target) <-chan struct{} {
