Limit the owners of keys by the queues that entries report together

Callers got late answers, or none until the timeout, from owners with full queues, and were rejected for owners that had none.

The leader advised which share of the requests to admit by rates and average service times alone, up to 1.3 times what the owner can serve. With that much a queue always grows until it is full, and where the estimates are wrong nothing corrects them. Entries now report the queue that a target's last answer told, and the leader averages it per target. A queue shorter than the slots limits nothing. With a longer one the admitted utilization falls with the time that a request would wait beyond what leaves half of the objective for its work. A queue that no answer told of for 2 s is not known, and the estimates decide as before, so that a limit can't prevent the answers that would end it. Up to 16 entries ignore the advice as before, and targets that report no load are limited as before.

TestOwnersInShortage plays 185 entries, 60 owners of three speeds and the leader, with 1.6 times what the owners can serve for 14 s.

--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -123,6 +123,7 @@
 	totalServiceTime    time.Duration // of these answers
 	failures            uint32        // failed, missing or overdue answers since the last report
 	pending             []pendingRequest
+	waiting             *uint32 // requests that the last answer since the last report told to wait; nil for none
 	advisedFailureShare float64 // share of failed requests over all entries, advised by the leader
 	targetLimits
 }
@@ -382,6 +383,8 @@
 		if res.loadKnown {
 			share := float64(res.load.Waiting) / float64(max(t.Slots, 1))
 			ts.queueAverages[t.Service] = ts.queueAverages[t.Service].With(share, now)
+			waiting := uint32(max(0, res.load.Waiting))
+			s.waiting = &waiting
 		}
 	} else {
 		s.sentSince = max(0, s.sentSince-1)
@@ -591,8 +594,8 @@
 		s.countOverdue(now)
 		// A notice is repeated while it holds, since a report may be lost.
 		noticed := s.notice.Leaving() || s.notice.RestLeft(now) > 0
-		if s.answers > 0 || s.failures > 0 || s.limit.heard || noticed {
-			tl := instance.TargetLoad{ID: id, Successes: s.answers, ServiceTime: s.totalServiceTime, Failures: s.failures}
+		if s.answers > 0 || s.failures > 0 || s.limit.heard || s.waiting != nil || noticed {
+			tl := instance.TargetLoad{ID: id, Successes: s.answers, ServiceTime: s.totalServiceTime, Failures: s.failures, Waiting: s.waiting}
 			if noticed {
 				tl.StartMillis, tl.Leaving, tl.Rest = s.startMillis, s.notice.Leaving(), s.notice.RestLeft(now)
 			}
@@ -601,7 +604,7 @@
 				tl.RateLimit = &named
 			}
 			out = append(out, tl)
-			s.answers, s.totalServiceTime, s.failures, s.limit = 0, 0, 0, s.limit.WithReport()
+			s.answers, s.totalServiceTime, s.failures, s.waiting, s.limit = 0, 0, 0, nil, s.limit.WithReport()
 		}
 		if s.inFlight == 0 && !known(id) {
 			delete(ts.byID, id)
--- a/internal/instance/deployment_messages.go
+++ b/internal/instance/deployment_messages.go
@@ -141,6 +141,9 @@
 	// RateLimit is the rate limit that the target's last answer named, in requests a
 	// second, or 0 if the limit has ended. It is nil if no answer told.
 	RateLimit *float64 `msgpack:"rate_limit,omitempty"`
+	// Waiting is the number of requests that waited at the target when it gave its last
+	// answer. It is nil if no answer told.
+	Waiting *uint32 `msgpack:"waiting,omitempty"`
 	// StartMillis, Leaving and Rest tell what the target said of itself: that it is
 	// leaving, and for how long it wants no requests. StartMillis is 0 if it said
 	// neither.
--- a/internal/leader/advice.go
+++ b/internal/leader/advice.go
@@ -18,8 +18,8 @@
 	// entryCountDelay is the time after which a new leader has heard from all entries.
 	entryCountDelay = time.Second
 	// maxAdmittedUtilization is the utilization of a target up to which entries
-	// together admit requests. It is above 1 so that the target's queue never
-	// runs empty.
+	// together admit requests, if its queue is not known. It is above 1 so that the
+	// target's queue never runs empty.
 	maxAdmittedUtilization = 1.3
 	// maxAdvisedPeers bounds the peers that entries are advised of at a time, since advice
 	// is sent to every entry.
@@ -51,10 +51,13 @@
 	if m.now.Sub(m.leadingSince) > dispatcherListDelay {
 		advice.Dispatchers, advice.DispatchersVersion = m.dispatchers.list()
 	}
+	m.dropStaleQueues()
+	cfg, _ := m.state.Config()
+	objectives := shortestObjectives(cfg)
 	for _, table := range m.state.Tables() {
 		for _, u := range m.usagesInPlan(table.Service) {
-			if u.utilization() > maxAdmittedUtilization && !u.boundByLimit() {
-				m.adviseOverload(&advice, table, u)
+			if admitted, limited := m.limitedUtilization(u, objectives[table.Service]); limited {
+				m.adviseOverload(&advice, table, u, admitted)
 			}
 		}
 	}
@@ -100,9 +103,10 @@
 	return out
 }
 
-// adviseOverload adds an overloaded target to the advice. If one key causes most of its load
-// and the target can serve all others, only that key is limited, else all of its keys.
-func (m *Model) adviseOverload(advice *instance.ReportResponse, table deployment.KeyTable, u targetUsage) {
+// adviseOverload adds an overloaded target to the advice, such that it gets requests up to the
+// admitted utilization. If one key causes most of its load and the target can serve all others,
+// only that key is limited, else all of its keys.
+func (m *Model) adviseOverload(advice *instance.ReportResponse, table deployment.KeyTable, u targetUsage, admitted float64) {
 	stats := m.statsOf(table.Service)
 	busiest, busiestRate := deployment.Key(0), 0.0
 	for _, r := range table.Ranges {
@@ -116,11 +120,11 @@
 		}
 	}
 	if others := (u.rate - busiestRate) * u.perRequest(); busiestRate > u.rate/2 && others < maxAdmittedUtilization {
-		share := max(minBusiestKeyShare, (maxAdmittedUtilization-others)/(busiestRate*u.perRequest()))
+		share := max(minBusiestKeyShare, (admitted-others)/(busiestRate*u.perRequest()))
 		advice.Overloads = append(advice.Overloads, instance.Overload{Service: table.Service, From: busiest, To: busiest, Share: share})
 		return
 	}
 	advice.OverloadedOwners = append(advice.OverloadedOwners, instance.OverloadedOwner{
-		Target: u.target.ID, StartMillis: u.target.StartMillis, Share: maxAdmittedUtilization / u.utilization(),
+		Target: u.target.ID, StartMillis: u.target.StartMillis, Share: admitted / u.utilization(),
 	})
 }
--- a/internal/leader/load.go
+++ b/internal/leader/load.go
@@ -92,6 +92,7 @@
 			continue
 		}
 		m.recordHealth(incarnationOf(t), tl)
+		m.recordQueue(incarnationOf(t), tl)
 		m.recordNotice(t, tl)
 		if _, keyed := m.state.Table(t.Service); !keyed {
 			load.requests[t.Service] += float64(tl.Successes + tl.Failures)
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -53,6 +53,7 @@
 	suspectedSince   map[string]timer.Instant // when a suspect was first seen, by fingerprint
 	suspectsIndex    uint64                   // log index of the suspects that suspectedSince was last matched with
 	health           map[deployment.Incarnation]health
+	queues           map[deployment.Incarnation]ownerQueue
 	limits           map[deployment.Incarnation]namedLimit
 	entryLoads       map[string]*entryLoad // by entry
 	notices          map[deployment.Incarnation]*targetNotice
@@ -212,6 +213,7 @@
 		dispatchers:    make(dispatchers),
 		suspectedSince: make(map[string]timer.Instant),
 		health:         make(map[deployment.Incarnation]health),
+		queues:         make(map[deployment.Incarnation]ownerQueue),
 		limits:         make(map[deployment.Incarnation]namedLimit),
 		entryLoads:     make(map[string]*entryLoad),
 		drainingSince:  make(map[deployment.Incarnation]timer.Instant),
