Show why entries reject requests, and what is known of owners' queues

Operators could not tell rejections for a busy owner from those for an owner that is falsely taken for busy. The reasons stood in single log lines only, and neither these nor the leader's load lines told of queues. Entries now count rejections by service and reason in the metric "rejections", and the log line of a failed request has the age of the entry's own knowledge of the target's queue ("queue_age_ms"). The leader's lines of a service's load name the queue of the busiest targets. TestRejectionsAreCountedByReason and TestQueueOfOneOwnerIsNotAnothers cover the count and the age.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -170,6 +170,7 @@
 		i.metrics.addGauge("responses_not_written", func() any { return i.entry.NotWritten() })
 		i.metrics.addGauge("request_body_bytes", func() any { return i.entry.HeldBodyBytes() })
 		i.metrics.addGauge("rate_limits", func() any { return i.entry.RateLimits() })
+		i.metrics.addGauge("rejections", func() any { return i.entry.Rejections() })
 		i.metrics.addGauge("dispatch", func() any { return i.dispatchGauge() })
 		i.metrics.addGauge("zone_requests", func() any {
 			stayed, left := i.entry.ZoneRequests()
--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -279,6 +279,7 @@
 // chooseTarget returns the target to send the request to, or a rejection.
 func (s *Server) chooseTarget(ctx context.Context, c *call) (deployment.Target, *response) {
 	reject := func(reason string, retryAfter time.Duration) (deployment.Target, *response) {
+		s.rejections.add(c.service.Name, reason)
 		if c.reason != "" {
 			reason = c.reason + "; " + reason
 		}
--- a/internal/forward/log.go
+++ b/internal/forward/log.go
@@ -43,6 +43,9 @@
 		fields = append(fields, "retry_after_s", retryAfter)
 	}
 	fields = append(fields, "may_have_run", c.mayHaveRun, "patience_ms", millis(s.maxExpected(c)), "reason", c.reason)
+	if age, ok := s.targets.queueAge(c.target); ok {
+		fields = append(fields, "queue_age_ms", age.Milliseconds())
+	}
 	s.log.Info("request failed", append(fields, c.attemptFields()...)...)
 }
 
--- a/internal/forward/owner_queue_test.go
+++ b/internal/forward/owner_queue_test.go
@@ -31,4 +31,20 @@
 	}
 	assert.ErrorIs(t, check(busy), errOwnerBusy)
 	assert.NilError(t, check(other))
+	_, known := s.targets.queueAge(other)
+	assert.Assert(t, !known)
+	age, known := s.targets.queueAge(busy)
+	assert.Assert(t, known && age == 0, "%v", age)
+}
+
+// Guards against rejections that metrics can't tell apart.
+func TestRejectionsAreCountedByReason(t *testing.T) {
+	s := &Server{}
+	for _, err := range []error{errOwnerBusy, errOwnerBusy, errKeyOverloaded} {
+		s.rejections.add("catalog", err.Error())
+	}
+	s.rejections.add("ledger", errWindowFull.Error())
+	assert.DeepEqual(t, s.Rejections(), map[string]map[string]uint64{
+		"catalog": {errOwnerBusy.Error(): 2, errKeyOverloaded.Error(): 1}, "ledger": {errWindowFull.Error(): 1},
+	})
 }
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -73,6 +73,7 @@
 	relays  relayCounts
 
 	dispatched *dispatchCounts
+	rejections rejectionCounts
 	demand     *demandCounts
 	zoneAdvice atomic.Pointer[zoneAdvice] // nil until the leader advises it
 	returns    *returnTimes
--- a/internal/leader/events.go
+++ b/internal/leader/events.go
@@ -225,6 +225,7 @@
 	Rate              float64 `json:"rate"`    // requests a second
 	ServiceTimeMillis float64 `json:"work_ms"` // time for one request, without waiting for a slot
 	RateLimit         float64 `json:"rate_limit,omitempty"`
+	Waiting           float64 `json:"waiting"`     // requests in its queue; -1 if not known
 	Utilization       float64 `json:"utilization"` // of the target's slots, or of its rate limit if that is less
 }
 
--- a/internal/leader/load_log.go
+++ b/internal/leader/load_log.go
@@ -34,7 +34,7 @@
 			}
 			effect.BusiestTargets = append(effect.BusiestTargets, TargetUsage{
 				Target: u.target.ID, Keys: u.width, Rate: u.rate, ServiceTimeMillis: 1000 * u.serviceTime,
-				RateLimit: u.limit.PerSecond, Utilization: u.utilization(),
+				RateLimit: u.limit.PerSecond, Waiting: m.loggedQueue(u.target), Utilization: u.utilization(),
 			})
 		}
 		effect.BusiestBuckets = m.busiestBuckets(table)
--- a/internal/leader/owner_queues.go
+++ b/internal/leader/owner_queues.go
@@ -76,6 +76,14 @@
 	return admitted, u.utilization() > admitted && !u.boundByLimit()
 }
 
+// loggedQueue returns the number of requests that wait at a target, or -1 if it is not known.
+func (m *Model) loggedQueue(t deployment.Target) float64 {
+	if q := m.queues[incarnationOf(t)]; q.known(m.now) {
+		return q.waiting
+	}
+	return -1
+}
+
 // shortestObjectives returns the shortest objective of the routes to each service.
 func shortestObjectives(cfg deployment.Config) map[string]time.Duration {
 	out := make(map[string]time.Duration)
