--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -38,6 +38,7 @@
 	announcing     *announcing
 	openReplica    atomic.Pointer[openReplica]
 	fs             disk.FS // nil for the operating system's file system
+	compactEntries uint64  // see group.Config
 	seeds          atomic.Pointer[[]string]
 	refusals       refusals
 
--- /dev/null
+++ b/internal/fleet/full_disks_test.go
@@ -0,0 +1,211 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/internal/instance"
+	"github.com/cranberrywind/cranberrywind/internal/settings"
+	"github.com/cranberrywind/cranberrywind/internal/view"
+	"github.com/cranberrywind/cranberrywind/internal/wire"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
+)
+
+// ackBound is the time within which a valid change has to be acknowledged.
+const ackBound = 4 * time.Second
+
+// catchUpBound is the time after which an instance that is back counts again.
+const catchUpBound = 4 * time.Second
+
+// within retries until try returns no error, for no longer than the limit.
+func within(t *testing.T, limit time.Duration, try func() error) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if err := try(); err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(limit), poll.WithDelay(20*time.Millisecond))
+}
+
+// testGroup is the control instances of a deployment in one process.
+type testGroup struct {
+	t        *testing.T
+	controls []*Control
+	disks    []*faultyDisk
+	version  uint64 // of the last change that was acknowledged
+}
+
+// startTestGroup starts control instances, of which the first three form the group.
+func startTestGroup(t *testing.T, instances int) *testGroup {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	g := &testGroup{t: t}
+	var listeners []net.Listener
+	var seeds []string
+	for i := range instances {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		listeners = append(listeners, l)
+		if i < 3 {
+			seeds = append(seeds, l.Addr().String())
+		}
+	}
+	for i, l := range listeners {
+		pool, closePool := instance.NewPool(ctx, instance.Security{}, &instance.Traffic{})
+		t.Cleanup(closePool)
+		address := l.Addr().String()
+		fs := &faultyDisk{}
+		c := &Control{
+			cfg: settings.Routed{Name: address, Address: address, Seeds: seeds, Bootstrap: i < 3, Control: true, DataDir: t.TempDir()}, targets: failingTargets{},
+			pool: pool, clock: timer.NewSystem(ctx), log: log.New(io.Discard), fs: fs, announcing: newAnnouncing(), compactEntries: 100,
+		}
+		c.publisher = view.NewPublisher(c, c.clock)
+		stop, err := c.start(ctx)
+		assert.NilError(t, err)
+		t.Cleanup(stop)
+		t.Cleanup(instance.ServeDeployment(l, c, instance.Security{}, &instance.Traffic{}))
+		g.controls, g.disks = append(g.controls, c), append(g.disks, fs)
+	}
+	return g
+}
+
+// awaitVoters waits until the group has the number of voters.
+func (g *testGroup) awaitVoters(voters int) {
+	g.t.Helper()
+	eventually(g.t, func() error {
+		if n := len(g.controls[0].lastReplica().group.Members().Voters); n != voters {
+			return fmt.Errorf("%d voters, want %d", n, voters)
+		}
+		return nil
+	})
+}
+
+// changeAt sends the next change to an instance, again after an error, as an operator does.
+func (g *testGroup) changeAt(i int) {
+	g.t.Helper()
+	began := time.Now()
+	change := deployment.ConfigChange{Digest: fmt.Sprint(g.version + 1), Version: g.version + 1, Base: g.version, Whole: true}
+	var result deployment.Result
+	within(g.t, ackBound, func() error {
+		var err error
+		if result, err = g.controls[i].SubmitChange(context.Background(), change); err != nil {
+			err = fmt.Errorf("instance %d: %w", i, err)
+		}
+		return err
+	})
+	assert.Equal(g.t, result.Outcome, deployment.Accepted, "instance %d: %s", i, result.Reason)
+	assert.Assert(g.t, time.Since(began) <= ackBound, "instance %d: acknowledged after %v", i, time.Since(began))
+	g.version++
+}
+
+// assertReadEverywhere checks that every instance reads back the last change.
+func (g *testGroup) assertReadEverywhere() {
+	g.t.Helper()
+	var want deployment.Config
+	for i, c := range g.controls {
+		within(g.t, catchUpBound, func() error {
+			cfg, _, err := c.Configuration(context.Background())
+			if err == nil && cfg.Version != g.version {
+				err = fmt.Errorf("version %d, want %d", cfg.Version, g.version)
+			}
+			if err != nil {
+				return fmt.Errorf("instance %d: %w", i, err)
+			}
+			if i == 0 {
+				want = cfg
+			}
+			assert.DeepEqual(g.t, cfg, want)
+			return nil
+		})
+	}
+}
+
+// propose keeps proposing commands that change nothing, until ctx ends.
+func (g *testGroup) propose(ctx context.Context) {
+	command := wire.Encode(deployment.Command{Withdraw: &deployment.Incarnation{ID: "unknown"}})
+	for ctx.Err() == nil {
+		proposed := false
+		for _, c := range g.controls {
+			if c.isLeader() {
+				_, err := c.lastReplica().group.Propose(ctx, command)
+				proposed = err == nil
+			}
+		}
+		if !proposed {
+			timer.Sleep(ctx, 5*time.Millisecond)
+		}
+	}
+}
+
+// fail lets an operation fail on the disk of an instance for some time, counted from the first
+// failure.
+func (g *testGroup) fail(i int, op operation) {
+	g.t.Helper()
+	d := g.disks[i]
+	g.awaitFailure(d, op)
+	timer.Sleep(context.Background(), 700*time.Millisecond) // the replica is opened at least once
+	d.failing.Store(int32(none))
+}
+
+func (g *testGroup) awaitFailure(d *faultyDisk, op operation) {
+	g.t.Helper()
+	failed := d.failed.Load()
+	d.failing.Store(int32(op))
+	eventually(g.t, func() error {
+		if d.failed.Load() == failed {
+			return errors.New("no operation has failed")
+		}
+		return nil
+	})
+}
+
+// Guards against control instances that stay out of use after their disks were full in turn.
+func TestChangesAreAcknowledgedAfterFullDisks(t *testing.T) {
+	cases := map[string][]operation{"five disks": {opWrite, opShortWrite, opSync, opRename, opTruncate}}
+	for op, name := range map[operation]string{
+		opMkdir: "mkdir", opList: "list", opRead: "read", opCreate: "create", opOpen: "open", opRename: "rename", opRemove: "remove",
+		opSyncDir: "sync of the folder", opWrite: "write", opShortWrite: "short write", opSync: "sync", opTruncate: "truncate", opClose: "close",
+	} {
+		cases[name] = []operation{op, op, op}
+	}
+	for name, failures := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := startTestGroup(t, len(failures))
+			g.awaitVoters(len(failures))
+			g.changeAt(0)
+			ctx, cancel := context.WithCancel(context.Background())
+			var load sync.WaitGroup
+			for range 2 {
+				load.Go(func() { g.propose(ctx) })
+			}
+			for i, op := range failures {
+				g.fail(i, op)
+				eventually(t, func() error {
+					if !g.controls[i].Current() {
+						return fmt.Errorf("replica %d does not follow", i)
+					}
+					return nil
+				})
+			}
+			cancel()
+			load.Wait()
+			for i := range g.controls {
+				g.changeAt(i)
+			}
+			g.assertReadEverywhere()
+		})
+	}
+}
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -113,6 +113,8 @@
 		Timing:    groupTiming(),
 		FS:        c.fs,
 		Level:     deployment.FeatureLevel,
+
+		CompactEntries: c.compactEntries,
 	})
 	if err != nil {
 		cancel()
--- a/internal/group/effects.go
+++ b/internal/group/effects.go
@@ -188,11 +188,11 @@
 	g.role = e
 }
 
-// compactIfLong takes a snapshot when compactEntries entries were applied since
+// compactIfLong takes a snapshot when Config.CompactEntries entries were applied since
 // the last one. It encodes the state in a goroutine, so as not to block the loop.
 func (g *Group[S]) compactIfLong() {
 	applied := g.State()
-	if applied.Index-g.stored.Snapshot.Index < compactEntries || !g.compacting.CompareAndSwap(false, true) {
+	if applied.Index-g.stored.Snapshot.Index < g.cfg.CompactEntries || !g.compacting.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -66,6 +66,8 @@
 	FS        disk.FS // nil for the operating system's
 	// Level is the feature level that this build supports and announces; 0 for none.
 	Level uint64
+	// CompactEntries is the number of applied entries between two snapshots; 0 for 4096.
+	CompactEntries uint64
 }
 
 // Timing holds a replica's tick and its timeouts in ticks.
@@ -84,7 +86,7 @@
 
 const (
 	maxAppendBytes = 1 << 20 // payload bytes of one append message
-	compactEntries = 4096    // applied entries between two snapshots
+	compactEntries = 4096    // default of Config.CompactEntries
 )
 
 // Applied is a state and the index of the last entry applied to it.
@@ -139,6 +141,9 @@
 // Open starts the replica with the log in cfg.Dir and returns it with a function
 // that stops it. Without a log, the replica gets a new ID.
 func Open[S Machine[S]](ctx context.Context, cfg Config[S]) (*Group[S], func(), error) {
+	if cfg.CompactEntries == 0 {
+		cfg.CompactEntries = compactEntries
+	}
 	g := &Group[S]{
 		cfg:       cfg,
 		waiters:   newWaiters(),
