Pass calls on to the leader from outside of the control group

A control instance found the leader only through its own replica. One that is not a member of the group never acknowledged a change or a withdrawal, refused every heartbeat after 0.9 s, and could not be read from. That is the case for each instance beyond the seventh, of which the large deployment has three, and for one whose disk was full for more than six seconds: its replica is replaced by a waiting instance, and finds all places taken once its disk has room again.

While its replica has stopped, is no member, or has had no leader for a second, an instance now asks the others for the leader five times a second, and passes calls on to it if a quorum has confirmed it within the last second. A read returns the configuration with which the leader answers, since there is no state to read. Members call their leader as before, and deployments with up to seven control instances are served as before.

TestChangesAreAcknowledgedOutsideOfTheGroup and TestChangesAreAcknowledgedAfterAReplicaWasReplaced failed before: no acknowledgement within 4 s (ack_ms) at the instance outside. Both pass now. The tests of internal/fleet and internal/group passed with the race detector.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -41,6 +41,7 @@
 	compactEntries uint64  // see group.Config
 	seeds          atomic.Pointer[[]string]
 	refusals       refusals
+	found          atomic.Pointer[foundLeader] // nil while the replica follows the leader itself
 
 	invalidKeyReports atomic.Uint64
 	invalidKeysOf     sync.Map // targets whose invalid reports were logged
@@ -78,7 +79,7 @@
 // the decision. It may be called at any control instance.
 func (c *Control) SubmitChange(ctx context.Context, change deployment.ConfigChange) (deployment.Result, error) {
 	// The leader may be of an earlier build, which does not check the level.
-	if err := c.State().Admit(deployment.Command{ConfigChange: &change}); err != nil {
+	if err := c.admit(deployment.Command{ConfigChange: &change}); err != nil {
 		return deployment.Result{}, err
 	}
 	// What is part of this replica's state is committed, and needs no leader to be acknowledged.
@@ -128,10 +129,14 @@
 func (c *Control) Configuration(ctx context.Context) (deployment.Config, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	res, err := callLeader[instance.BarrierRequest, instance.BarrierResponse](ctx, c, "Barrier", &instance.BarrierRequest{}, c.Barrier)
+	req := &instance.BarrierRequest{WithConfig: c.found.Load() != nil}
+	res, err := callLeader[instance.BarrierRequest, instance.BarrierResponse](ctx, c, "Barrier", req, c.Barrier)
 	if err != nil {
 		return deployment.Config{}, false, err
 	}
+	if res.Config != nil {
+		return *res.Config, true, nil
+	}
 	for {
 		changed := c.lastReplica().group.Watch()
 		applied := c.lastReplica().group.State()
@@ -181,7 +186,7 @@
 
 // callRemoteLeader calls the method once at the known leader.
 func callRemoteLeader[Req, Res any](ctx context.Context, c *Control, method string, req *Req) (*Res, error) {
-	address := c.lastReplica().group.LeaderAddress()
+	address := c.leaderAddress()
 	if address == "" {
 		return nil, &instance.NotLeaderError{}
 	}
@@ -260,7 +265,7 @@
 
 // Barrier returns a log index that is at or after that of every command acknowledged
 // before the call.
-func (c *Control) Barrier(ctx context.Context, _ *instance.BarrierRequest) (*instance.BarrierResponse, error) {
+func (c *Control) Barrier(ctx context.Context, req *instance.BarrierRequest) (*instance.BarrierResponse, error) {
 	if !c.isLeader() {
 		return nil, c.notLeaderError()
 	}
@@ -268,7 +273,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &instance.BarrierResponse{Index: applied.Index}, nil
+	res := &instance.BarrierResponse{Index: applied.Index}
+	if cfg, index := applied.State.Config(); req.WithConfig && index > 0 {
+		res.Config = &cfg
+	}
+	return res, nil
 }
 
 // Report records an entry's measurements and returns the leader's advice. An instance that
--- a/internal/fleet/full_disks_test.go
+++ b/internal/fleet/full_disks_test.go
@@ -132,6 +132,38 @@
 	}
 }
 
+// Guards against instances beyond the largest number of voters that acknowledge nothing.
+func TestChangesAreAcknowledgedOutsideOfTheGroup(t *testing.T) {
+	g := startTestGroup(t, 8)
+	g.awaitVoters(7)
+	for i := range g.controls {
+		g.changeAt(i)
+	}
+	g.assertReadEverywhere()
+}
+
+// Guards against an instance that acknowledges nothing any more once its replica was replaced.
+func TestChangesAreAcknowledgedAfterAReplicaWasReplaced(t *testing.T) {
+	g := startTestGroup(t, 8)
+	g.awaitVoters(7)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go g.propose(ctx)
+	const full = 1 // one of the first members
+	g.awaitFailure(g.disks[full], opOpen)
+	id := g.controls[full].lastReplica().group.Self().ID
+	eventually(t, func() error {
+		if _, member := g.controls[0].lastReplica().group.Members().Find(id); member {
+			return errors.New("the replica was not replaced")
+		}
+		return nil
+	})
+	g.changeAt(full)
+	g.disks[full].failing.Store(int32(none))
+	g.changeAt(full)
+	g.assertReadEverywhere()
+}
+
 // propose keeps proposing commands that change nothing, until ctx ends.
 func (g *testGroup) propose(ctx context.Context) {
 	command := wire.Encode(deployment.Command{Withdraw: &deployment.Incarnation{ID: "unknown"}})
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -53,6 +53,7 @@
 	go c.forwardHeartbeats(ctx)
 	go c.forwardReports(ctx)
 	go c.confirmConfigs(ctx)
+	go c.searchLeader(ctx)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/instance/deployment_messages.go
+++ b/internal/instance/deployment_messages.go
@@ -54,11 +54,16 @@
 
 // BarrierRequest asks the leader for a log index that covers everything
 // acknowledged before the call.
-type BarrierRequest struct{}
+type BarrierRequest struct {
+	// WithConfig asks for the configuration too. The caller has no current state.
+	WithConfig bool `msgpack:"with_config,omitempty"`
+}
 
 // BarrierResponse holds the index.
 type BarrierResponse struct {
 	Index uint64 `msgpack:"index"`
+	// Config is the configuration in force, if one is and it was asked for.
+	Config *deployment.Config `msgpack:"config,omitempty"`
 }
 
 // ReportRequest reports to the leader what an entry measured since its last report.
