Let the leader tell from outside of the group which services are keyed

Where keys are granted in the answers to heartbeats, an instance outside of the group acknowledged the heartbeat of a target without renewing its keys, since its own state names no keyed service.

Such an instance now passes every heartbeat on as one that may be granted keys, and the leader answers without leases for a service that has no keys.

TestKeysAreGrantedOutsideOfTheGroup failed before ("instance 5 grants no keys") and passes now.

--- a/internal/fleet/full_disks_test.go
+++ b/internal/fleet/full_disks_test.go
@@ -48,7 +48,7 @@
 }
 
 // startTestGroup starts control instances, of which the first three form the group.
-func startTestGroup(t *testing.T, instances int) *testGroup {
+func startTestGroup(t *testing.T, instances int, change ...func(*settings.Routed)) *testGroup {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	g := &testGroup{t: t}
@@ -71,6 +71,9 @@
 			cfg: settings.Routed{Name: address, Address: address, Seeds: seeds, Bootstrap: i < 3, Control: true, DataDir: t.TempDir()}, targets: failingTargets{},
 			pool: pool, clock: timer.NewSystem(ctx), log: log.New(io.Discard), fs: fs, announcing: newAnnouncing(), compactEntries: 100,
 		}
+		for _, f := range change {
+			f(&c.cfg)
+		}
 		c.publisher = view.NewPublisher(c, c.clock)
 		stop, err := c.start(ctx)
 		assert.NilError(t, err)
@@ -142,6 +145,42 @@
 	g.assertReadEverywhere()
 }
 
+// Guards against heartbeats that are acknowledged outside of the group without renewing keys.
+func TestKeysAreGrantedOutsideOfTheGroup(t *testing.T) {
+	g := startTestGroup(t, 8, func(cfg *settings.Routed) {
+		cfg.Grants, cfg.Heartbeat, cfg.MaxLease = settings.GrantByHeartbeat, 200*time.Millisecond, 5*time.Second
+	})
+	g.awaitVoters(7)
+	change := deployment.ConfigChange{Digest: "a", Version: 1, Whole: true, Services: []deployment.Service{{Name: "shelf", Keyed: true, Connections: 10}, {Name: "catalog", Connections: 10}}}
+	eventually(t, func() error {
+		_, err := g.controls[0].SubmitChange(context.Background(), change)
+		return err
+	})
+	heartbeat := func(c *Control, service string, sequence uint64) (*deployment.KeyLeases, error) {
+		return c.AnnounceWithKeys(context.Background(), deployment.Target{
+			ID: service, StartMillis: 1, Service: service, Address: "127.0.0.1:1", Status: deployment.Live, Slots: 1, Sequence: sequence,
+		}, deployment.KeyReport{})
+	}
+	for i, c := range g.controls {
+		within(t, ackBound, func() error {
+			leases, err := heartbeat(c, "catalog", uint64(1+i))
+			if err == nil && leases != nil {
+				err = fmt.Errorf("instance %d grants keys of a service without keys", i)
+			}
+			return err
+		})
+		sequence := uint64(1 + 1000*i)
+		within(t, ackBound, func() error {
+			sequence++
+			leases, err := heartbeat(c, "shelf", sequence)
+			if err == nil && (leases == nil || len(leases.Ranges) == 0) {
+				err = fmt.Errorf("instance %d grants no keys", i)
+			}
+			return err
+		})
+	}
+}
+
 // Guards against an instance that acknowledges nothing any more once its replica was replaced.
 func TestChangesAreAcknowledgedAfterAReplicaWasReplaced(t *testing.T) {
 	g := startTestGroup(t, 8)
--- a/internal/fleet/targets.go
+++ b/internal/fleet/targets.go
@@ -36,7 +36,8 @@
 // keys that the target is to hold, or nil to renew nothing, if the deployment grants keys
 // in the responses to heartbeats.
 func (c *Control) AnnounceWithKeys(ctx context.Context, t deployment.Target, keys deployment.KeyReport) (*deployment.KeyLeases, error) {
-	if _, keyed := c.State().Table(t.Service); !keyed || c.cfg.Grants != settings.GrantByHeartbeat {
+	// Outside of the group it is not known which services are keyed; the leader tells.
+	if _, keyed := c.State().Table(t.Service); !keyed && c.found.Load() == nil || c.cfg.Grants != settings.GrantByHeartbeat {
 		return nil, c.Announce(ctx, t)
 	}
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
@@ -55,6 +56,9 @@
 	if _, err := c.AnnounceTarget(ctx, &instance.AnnounceTargetRequest{Target: req.Target}); err != nil {
 		return nil, err
 	}
+	if _, keyed := c.State().Table(req.Target.Service); !keyed {
+		return &instance.KeyHeartbeatResponse{}, nil
+	}
 	incarnation := deployment.Incarnation{ID: req.Target.ID, StartMillis: req.Target.StartMillis}
 	leases, err := c.lastReplica().leader.KeyHeartbeat(ctx, incarnation, req.Target.Sequence, req.Keys)
 	if errors.Is(err, replica.ErrNotLeader) {
