Don't count a replica as current that was removed from its group

A replica that receives its own removal keeps the address of its last leader, since only voters start an election. Control instances judged by that address alone whether they are current, so that entries went on following a state that changes no more, until the replica joined again, which it can't while all places are taken. Membership is checked now too.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -349,9 +349,10 @@
 // the replica's role changes next.
 func (c *Control) Changed() <-chan struct{} { return c.lastReplica().group.Watch() }
 
-// Current reports whether this replica is running and leads or knows its leader.
+// Current reports whether this replica is running and leads or follows a leader. A replica that
+// was removed from the group hears no more of its last leader.
 func (c *Control) Current() bool {
-	return !c.stopped() && c.lastReplica().group.Role().Leader != ""
+	return !c.stopped() && c.isMember() && c.lastReplica().group.Role().Leader != ""
 }
 
 // ControlAddresses returns the addresses of the control instances: those of the
--- a/internal/fleet/full_disks_test.go
+++ b/internal/fleet/full_disks_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -181,6 +182,25 @@
 	}
 }
 
+// Guards against entries that go on following a replica that was removed from the group.
+func TestRemovedReplicaIsNotCurrent(t *testing.T) {
+	g := startTestGroup(t, 3)
+	g.awaitVoters(3)
+	g.changeAt(0)
+	leads := slices.IndexFunc(g.controls, (*Control).isLeader)
+	removed := g.controls[(leads+1)%3]
+	id := removed.lastReplica().group.Self().ID
+	lead := g.controls[leads].lastReplica().group
+	assert.NilError(t, lead.ProposeMembers(context.Background(), lead.Members().Without(id)))
+	eventually(t, func() error { // it joins again soon
+		if _, member := removed.lastReplica().group.Members().Find(id); member {
+			return errors.New("the replica does not know yet that it was removed")
+		}
+		return nil
+	})
+	assert.Assert(t, !removed.Current())
+}
+
 // Guards against an instance that acknowledges nothing any more once its replica was replaced.
 func TestChangesAreAcknowledgedAfterAReplicaWasReplaced(t *testing.T) {
 	g := startTestGroup(t, 8)
