Confirm the leadership before the disk is written to

A busy leader took its leadership for unconfirmed although all replicas followed it. A replica's loop wrote the entries of a batch to disk before it sent or answered heartbeats, so that a confirmation waited for writes at the leader, at a follower and at the leader again. Heartbeats, their answers and confirmed reads now come first in a batch: what they say rests on the term alone, and where a batch changes the term or the vote, they wait for the disk as before. A write in progress still holds up the loop.

--- a/internal/group/effects.go
+++ b/internal/group/effects.go
@@ -12,8 +12,13 @@
 )
 
 // runEffects carries out a batch of effects. All Persist effects are written to
-// disk with one sync before any message is sent or any command applied.
+// disk with one sync before any command is applied, and before any message is sent but those
+// that confirm a leadership.
 func (g *Group[S]) runEffects(_ context.Context, effects []replica.Effect) error {
+	effects, err := g.runConfirmations(effects)
+	if err != nil {
+		return err
+	}
 	if err := g.persist(effects); err != nil {
 		return err
 	}
@@ -32,6 +37,40 @@
 	return nil
 }
 
+// runConfirmations carries out the effects that confirm a leadership and returns the others.
+// A leader that waits for disks to confirm its leadership can't act while they are busy.
+func (g *Group[S]) runConfirmations(effects []replica.Effect) ([]replica.Effect, error) {
+	termStored := !slices.ContainsFunc(effects, func(effect replica.Effect) bool {
+		p, ok := effect.(replica.Persist)
+		return ok && p.Hard != g.stored.Hard
+	})
+	var others []replica.Effect
+	for _, effect := range effects {
+		if !termStored || !confirms(effect) {
+			others = append(others, effect)
+			continue
+		}
+		if _, err := g.runEffect(effect); err != nil {
+			return nil, err
+		}
+	}
+	g.resolveReads()
+	return others, nil
+}
+
+// confirms reports whether an effect is a part of confirming a leadership that needs nothing on
+// disk but the term.
+func confirms(effect replica.Effect) bool {
+	switch e := effect.(type) {
+	case replica.Send:
+		return e.Message.Kind == replica.MsgHeartbeat || e.Message.Kind == replica.MsgHeartbeatResponse
+	case replica.ReadReady:
+		return true
+	default:
+		return false
+	}
+}
+
 // runEffect carries out one effect and reports whether it changed what Watch
 // reports.
 func (g *Group[S]) runEffect(effect replica.Effect) (bool, error) {
