Let the estimate of an owner's service time fade while it does not answer

Callers of one entry got 503 "the key's owner would take too long" for each key of an idle owner, for 20 s and more. The entry's estimate of the service time changes only with answers of that owner; once it exceeds what the route allows, no request is sent, so that no answer corrects it. The class is a refusal that prevents the measurement that would end it, as with the queues of owners. An estimate above the average of the service now approaches it while the owner does not answer, and that average shrinks while no target of the service answers; an answer after a pause counts for more. How much all entries together send to a slow owner is limited by its queue, which the leader advises of.

The tests of internal/forward pass.

--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -74,31 +73,6 @@
 	coldRate func(service string) float64
 }
 
-// movingAverage is an exponential moving average with its number of samples.
-type movingAverage struct {
-	value   float64
-	samples int
-}
-
-// queueAverage is the queue that the answers of a service's targets report, averaged over the
-// targets. It stands for the queue of a target that this entry has not heard from lately:
-// the more entries there are, the more rarely each of them hears from a target.
-type queueAverage struct {
-	share float64 // waiting requests for each slot
-	at    timer.Instant
-}
-
-// With returns the average after an answer.
-func (q queueAverage) With(share float64, now timer.Instant) queueAverage {
-	return queueAverage{share: q.Share(now) + queueAverageWeight*(share-q.Share(now)), at: now}
-}
-
-// Share returns the waiting requests for each slot, which are assumed to get fewer while no
-// answer comes.
-func (q queueAverage) Share(now timer.Instant) float64 {
-	return q.share * math.Exp(-now.Sub(q.at).Seconds()/queueAverageMemory.Seconds())
-}
-
 // targetState holds what an entry measured of one incarnation of a target.
 type targetState struct {
 	startMillis         int64
@@ -119,6 +93,7 @@
 	openUntil           timer.Instant
 	freed               chan struct{} // closed when a request ends; nil unless one waits for it
 	samples             int           // answers averaged in serviceTime
+	answeredAt          timer.Instant // last answer in serviceTime, or when this entry first saw the target
 	answers             uint32        // successes since the last report
 	totalServiceTime    time.Duration // of these answers
 	failures            uint32        // failed, missing or overdue answers since the last report
@@ -141,7 +116,7 @@
 func (ts *targetStates) state(t deployment.Target) *targetState {
 	s, ok := ts.byID[t.ID]
 	if !ok || s.startMillis != t.StartMillis {
-		s = &targetState{startMillis: t.StartMillis, firstSeen: ts.clock.Now(), serviceTime: initialServiceTime.Seconds(), window: initialWindow}
+		s = &targetState{startMillis: t.StartMillis, firstSeen: ts.clock.Now(), answeredAt: ts.clock.Now(), serviceTime: initialServiceTime.Seconds(), window: initialWindow}
 		s.limit.part = 1.0 / defaultEntryCount
 		s.cold = coldness{sequence: t.Sequence, left: t.WarmUp(), since: ts.clock.Now()}
 		ts.byID[t.ID] = s
@@ -160,14 +135,14 @@
 // seconds. A target that this entry has not heard from lately is assumed to have the
 // average queue of its service.
 func (s *targetState) expected(t deployment.Target, now timer.Instant) float64 {
-	return s.expectedWith(t, now, s.averageQueue.Share(now))
+	return s.expectedWith(t, now, s.serviceTime, s.averageQueue.Share(now))
 }
 
-// expectedWith is expected with the given queue, in requests for each slot, of a target that
-// this entry has not heard from lately.
-func (s *targetState) expectedWith(t deployment.Target, now timer.Instant, unheardQueue float64) float64 {
+// expectedWith is expected with the given service time in seconds and, for a target that this
+// entry has not heard from lately, with the given queue in requests for each slot.
+func (s *targetState) expectedWith(t deployment.Target, now timer.Instant, serviceTime, unheardQueue float64) float64 {
 	slowdown := s.slowdownNow(now)
-	serviceTime := s.serviceTime * slowdown
+	serviceTime *= slowdown
 	if now.Sub(s.firstSeen) < time.Duration(t.WarmUpMillis)*time.Millisecond {
 		serviceTime *= warmUpFactor
 	}
@@ -308,8 +283,8 @@
 func (ts *targetStates) expectedOfOwner(t deployment.Target) (time.Duration, bool) {
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
-	s := ts.state(t)
-	return time.Duration(s.expectedWith(t, ts.clock.Now(), 0) * float64(time.Second)), !s.windowFull()
+	s, now := ts.state(t), ts.clock.Now()
+	return time.Duration(s.expectedWith(t, now, ts.agedServiceTime(t, now), 0) * float64(time.Second)), !s.windowFull()
 }
 
 // windowFreed returns a channel that is closed when one of this entry's requests at
@@ -402,8 +377,10 @@
 		s.answers++
 		s.totalServiceTime += serviceTime
 		s.samples++
-		s.serviceTime += max(serviceTimeWeight, 1/float64(assumedSamples+s.samples)) * (serviceTime.Seconds() - s.serviceTime)
-		ts.updateTargetAverage(t.Service, serviceTime.Seconds())
+		weight := max(serviceTimeWeight, 1/float64(assumedSamples+s.samples), staleWeight(now.Sub(s.answeredAt)))
+		s.serviceTime += weight * (serviceTime.Seconds() - s.serviceTime)
+		s.answeredAt = now
+		ts.targetAverages[t.Service] = ts.targetAverages[t.Service].With(serviceTime.Seconds(), now)
 	}
 }
 
@@ -457,18 +434,6 @@
 	return ts.queueAverages[service].Share(ts.clock.Now()) >= minShortQueue
 }
 
-// updateTargetAverage adds an answer to the service time averaged over the service's
-// targets, which is assumed for targets that this entry has not seen before.
-func (ts *targetStates) updateTargetAverage(service string, serviceTime float64) {
-	avg, ok := ts.targetAverages[service]
-	if !ok {
-		avg.value = initialServiceTime.Seconds()
-	}
-	avg.samples++
-	avg.value += max(targetAverageWeight, 1/float64(avg.samples)) * (serviceTime - avg.value)
-	ts.targetAverages[service] = avg
-}
-
 // serviceTimeOf returns the service time of a request at the target's usual speed, as part
 // of the time until its answer. It assumes that the request waited in a queue as long as the
 // one that the answer reports, and ran at the speed that it reports.
