Tie calls, their results and commands to the term of the leader

A call that was decided in one term of a leader could be sent in a later one of the same instance, after another leader had moved the keys: the check before the write asks how old the last confirmation is, not for which term, and a loss that was made good between two looks at the role never reached the model, which went on planning with the state of the old term while the new one waited for its barrier. The results of such calls were applied to the new term as well: a release of an earlier term counted as released, and the end of an earlier command let two commands run.

Calls, releases and commands now carry their term. They are sent only while the instance leads in it, confirmed by a quorum; the model hears of a loss also if the leadership was regained at once; and results of an earlier term end nothing, but a grant of one still extends the lease of its keys. TestNoCallsOfAnEarlierTerm fails without the check of the term: both calls were sent.

--- a/internal/leader/commands.go
+++ b/internal/leader/commands.go
@@ -66,7 +66,7 @@
 
 func (m *Model) propose(c deployment.Command, reason string) []Effect {
 	m.commandPending = true
-	return []Effect{Propose{Command: c, Reason: reason}}
+	return []Effect{Propose{Term: m.term, Command: c, Reason: reason}}
 }
 
 // proposeAssign proposes new owners. From then on the previous owners are granted nothing
--- a/internal/leader/events.go
+++ b/internal/leader/events.go
@@ -89,6 +89,7 @@
 // LeadershipTaken reports that this instance became the leader.
 type LeadershipTaken struct {
 	At    timer.Instant
+	Term  uint64
 	Index uint64 // last log index of earlier leaders
 	State deployment.State
 }
@@ -136,6 +137,7 @@
 // GrantEnded reports that a SendGrant has ended, successfully or not.
 type GrantEnded struct {
 	At            timer.Instant
+	Term          uint64 // in which it was decided
 	Range         deployment.RangeRef
 	LeaseDuration time.Duration // that the call carried
 	Sent          bool          // the call may have reached the target
@@ -145,13 +147,17 @@
 // ReleaseEnded reports that a SendRelease has ended, successfully or not.
 type ReleaseEnded struct {
 	At       timer.Instant
+	Term     uint64 // in which it was decided
 	Range    deployment.RangeRef
 	Handover string
 	Err      error
 }
 
 // ProposeEnded reports that a Propose has ended, successfully or not.
-type ProposeEnded struct{ Err error }
+type ProposeEnded struct {
+	Term uint64 // in which it was decided
+	Err  error
+}
 
 func (LeadershipTaken) isEvent()      {}
 func (HeartbeatsReceived) isEvent()   {}
@@ -169,6 +175,7 @@
 
 // SendGrant grants keys to a target, or renews the grant.
 type SendGrant struct {
+	Term          uint64 // nothing may be sent in another one
 	Target        deployment.Target
 	Range         deployment.RangeRef
 	LeaseDuration time.Duration
@@ -177,12 +184,14 @@
 
 // SendRelease asks a target to give keys back.
 type SendRelease struct {
+	Term   uint64 // nothing may be sent in another one
 	Target deployment.Target
 	Range  deployment.RangeRef
 }
 
 // Propose proposes a command to the control group.
 type Propose struct {
+	Term    uint64 // nothing may be proposed in another one
 	Command deployment.Command
 	Reason  string
 }
--- a/internal/leader/grants.go
+++ b/internal/leader/grants.go
@@ -22,7 +22,7 @@
 		// under the fence of the previous one.
 		return rangeStep{}
 	}
-	grant := SendGrant{Target: t, Range: ref, LeaseDuration: m.timing.LeaseDuration, Handover: handover}
+	grant := SendGrant{Term: m.term, Target: t, Range: ref, LeaseDuration: m.timing.LeaseDuration, Handover: handover}
 	return rangeStep{grant: &dueGrant{SendGrant: grant, state: rs}}
 }
 
@@ -81,11 +81,18 @@
 		return rangeStep{}
 	}
 	rs.inFlight = true
-	return rangeStep{effects: []Effect{SendRelease{Target: t, Range: ref}}}
+	return rangeStep{effects: []Effect{SendRelease{Term: m.term, Target: t, Range: ref}}}
 }
 
-// handleGrantEnded applies the result of a grant.
+// handleGrantEnded applies the result of a grant. One of an earlier term tells only how long
+// the keys may be held.
 func (m *Model) handleGrantEnded(e GrantEnded) {
+	if e.Term != m.term {
+		if e.Sent {
+			m.extendExpiries(e)
+		}
+		return
+	}
 	if i := slices.Index(m.grantsInFlight, e.Range); i >= 0 {
 		m.grantsInFlight = slices.Delete(m.grantsInFlight, i, i+1)
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/google/uuid"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
 	"github.com/cranberrywind/cranberrywind/internal/group"
@@ -68,6 +67,7 @@
 // leads the control group.
 type Leader struct {
 	group        *group.Group[deployment.State]
+	role         func() replica.RoleChanged // of the instance in the group
 	targets      Targets
 	clock        timer.Clock
 	log          *log.Logger
@@ -87,7 +87,7 @@
 // Start runs a leader until the returned function is called.
 func Start(ctx context.Context, g *group.Group[deployment.State], targets Targets, clock timer.Clock, model *Model, logger *log.Logger) (*Leader, func()) {
 	ctx, cancel := context.WithCancel(ctx)
-	l := &Leader{group: g, targets: targets, clock: clock, log: logger, ctx: ctx, meter: newMeter(), planRequests: make(chan struct{}, 1)}
+	l := &Leader{group: g, role: g.Role, targets: targets, clock: clock, log: logger, ctx: ctx, meter: newMeter(), planRequests: make(chan struct{}, 1)}
 	lp, stopLoop := loop.New(ctx, measuredModel{Model: model, meter: l.meter}, l.runEffects)
 	l.loop = lp
 	go l.feedModel(ctx)
@@ -205,14 +205,15 @@
 	for {
 		changed := l.group.Watch()
 		role := l.group.Role()
-		if role.Role == replica.Leader && role.Term != term {
-			term = l.startTerm(ctx, role.Term)
-		}
-		if role.Role != replica.Leader && term != 0 {
+		if term != 0 && (role.Role != replica.Leader || role.Term != term) {
+			// Also if it was regained at once: another leader may have moved keys in between.
 			term = 0
 			_ = l.loop.Send(LeadershipLost{})
 			l.log.Info("control leadership lost", "term", role.Term, "leader", role.Leader)
 		}
+		if role.Role == replica.Leader && term == 0 {
+			term = l.startTerm(ctx, role.Term)
+		}
 		if term != 0 && l.leadershipConfirmed() {
 			took := l.tick(ctx)
 			plannedAt, pause = timer.BootTime(), planPause(took)
@@ -286,7 +287,7 @@
 	l.confirmedAt.Store(int64(start))
 	l.advice.Store(nil) // that of an earlier term
 	l.levels.Store(nil)
-	_ = l.loop.Send(LeadershipTaken{At: l.clock.Now(), Index: applied.Index, State: l.group.State().State})
+	_ = l.loop.Send(LeadershipTaken{At: l.clock.Now(), Term: term, Index: applied.Index, State: l.group.State().State})
 	l.log.Info("control leadership taken", "term", term, "applied", applied.Index)
 	return term
 }
@@ -368,58 +369,19 @@
 	return nil
 }
 
-func (l *Leader) grant(e SendGrant) {
-	id := uuid.NewString()
-	l.calls.Add(1)
-	defer l.calls.Add(-1)
-	done := GrantEnded{Range: e.Range, LeaseDuration: e.LeaseDuration}
-	if l.leadershipConfirmed() {
-		ctx, cancel := context.WithTimeout(l.ctx, grantTimeout)
-		call := KeyCall{ID: id, Target: e.Target.ID, From: e.Range.From, To: e.Range.To, Fence: e.Range.Fence, LeaseDuration: e.LeaseDuration, Handover: e.Handover, Allowed: l.leadershipConfirmed}
-		done.Sent = true
-		done.Err = l.targets.Grant(ctx, e.Target.Address, call)
-		cancel()
-	} else {
-		done.Err = replica.ErrNotLeader
-	}
-	done.At = l.clock.Now()
-	if done.Err != nil {
-		l.log.Warn("grant not confirmed", "call", id, "target", e.Target.ID, "service", e.Range.Service, "from", e.Range.From,
-			"to", e.Range.To, "fence", e.Range.Fence, "sent", done.Sent, "error", done.Err)
-	}
-	_ = l.loop.Send(done)
-}
-
-func (l *Leader) release(e SendRelease) {
-	id := uuid.NewString()
-	l.calls.Add(1)
-	defer l.calls.Add(-1)
-	done := ReleaseEnded{Range: e.Range, Err: replica.ErrNotLeader}
-	if l.leadershipConfirmed() {
-		ctx, cancel := context.WithTimeout(l.ctx, releaseTimeout)
-		call := KeyCall{ID: id, Target: e.Target.ID, From: e.Range.From, To: e.Range.To, Fence: e.Range.Fence, Allowed: l.leadershipConfirmed}
-		done.Handover, done.Err = l.targets.Release(ctx, e.Target.Address, call)
-		cancel()
-	}
-	done.At = l.clock.Now()
-	l.log.Info("release ended", "call", id, "target", e.Target.ID, "service", e.Range.Service, "from", e.Range.From,
-		"to", e.Range.To, "fence", e.Range.Fence, "error", done.Err)
-	_ = l.loop.Send(done)
-	if done.Err == nil {
-		l.requestPlan()
-	}
-}
-
 func (l *Leader) propose(e Propose) {
 	ctx, cancel := context.WithTimeout(l.ctx, proposeTimeout)
 	defer cancel()
 	var result group.Result
 	err := l.group.State().State.Admit(e.Command)
+	if l.role().Term != e.Term {
+		err = replica.ErrNotLeader
+	}
 	if err == nil {
 		result, err = l.group.Propose(ctx, wire.Encode(e.Command))
 	}
 	l.log.Info("control command", "reason", e.Reason, "index", result.Index, "change", commandDetails(e.Command), "error", err)
-	_ = l.loop.Send(ProposeEnded{Err: err})
+	_ = l.loop.Send(ProposeEnded{Term: e.Term, Err: err})
 	if err == nil {
 		l.requestPlan()
 	}
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
 	"github.com/cranberrywind/cranberrywind/pkg/loop"
+	"github.com/cranberrywind/cranberrywind/pkg/replica"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
@@ -38,20 +39,8 @@
 // TestNoCallsWithoutConfirmedLeadership checks that a leader that was suspended sends
 // none of the calls that it decided on before. The monotonic clock doesn't count the suspension.
 func TestNoCallsWithoutConfirmedLeadership(t *testing.T) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	targets := &countingTargets{}
-	l := &Leader{targets: targets, clock: timer.NewManual(), log: log.New(io.Discard), ctx: ctx}
-	lp, stop := loop.New(ctx, NewModel(DefaultTiming()), l.runEffects)
-	defer stop()
-	l.loop = lp
-	ref := deployment.RangeRef{Service: testService, To: deployment.MaxKey, Fence: 7}
-	calls := func() int32 {
-		before := targets.calls.Load()
-		l.grant(SendGrant{Range: ref})
-		l.release(SendRelease{Range: ref})
-		return targets.calls.Load() - before
-	}
+	l, targets := newTestLeader(t)
+	calls := callCounter(l, targets)
 	l.confirmedAt.Store(int64(timer.BootTime()))
 	assert.Equal(t, calls(), int32(2))
 	expireConfirmation := func() { l.confirmedAt.Store(int64(timer.BootTime() - confirmationValidity - time.Millisecond)) }
@@ -62,3 +51,42 @@
 	targets.onConnect = expireConfirmation
 	assert.Equal(t, calls(), int32(0))
 }
+
+// Guards against calls that were decided in an earlier term: another leader may have moved the keys since.
+func TestNoCallsOfAnEarlierTerm(t *testing.T) {
+	l, targets := newTestLeader(t)
+	calls := callCounter(l, targets)
+	l.confirmedAt.Store(int64(timer.BootTime()))
+	assert.Equal(t, calls(), int32(2))
+	regain := func() {
+		l.role = func() replica.RoleChanged { return replica.RoleChanged{Role: replica.Leader, Term: testTerm + 2} }
+	}
+	targets.onConnect = regain
+	assert.Equal(t, calls(), int32(0), "regained while connecting")
+	targets.onConnect = nil
+	assert.Equal(t, calls(), int32(0), "regained before")
+}
+
+const testTerm = 5
+
+// newTestLeader returns a leader in testTerm without a group.
+func newTestLeader(t *testing.T) (*Leader, *countingTargets) {
+	targets := &countingTargets{}
+	role := func() replica.RoleChanged { return replica.RoleChanged{Role: replica.Leader, Term: testTerm} }
+	l := &Leader{role: role, targets: targets, clock: timer.NewManual(), log: log.New(io.Discard), ctx: t.Context()}
+	lp, stop := loop.New(t.Context(), NewModel(DefaultTiming()), l.runEffects)
+	t.Cleanup(stop)
+	l.loop = lp
+	return l, targets
+}
+
+// callCounter returns a function that makes a grant and a release and returns how many were sent.
+func callCounter(l *Leader, targets *countingTargets) func() int32 {
+	ref := deployment.RangeRef{Service: testService, To: deployment.MaxKey, Fence: 7}
+	return func() int32 {
+		before := targets.calls.Load()
+		l.grant(SendGrant{Term: testTerm, Range: ref})
+		l.release(SendRelease{Term: testTerm, Range: ref})
+		return targets.calls.Load() - before
+	}
+}
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -24,6 +24,7 @@
 	timing           Timing // for the ranges that there are
 	granter          granter
 	leading          bool
+	term             uint64
 	leadingSince     timer.Instant
 	startIndex       uint64 // last log index of earlier leaders
 	now              timer.Instant
@@ -146,10 +147,13 @@
 	case GrantEnded:
 		m.handleGrantEnded(e)
 	case ReleaseEnded:
+		if e.Term != m.term {
+			return m, nil
+		}
 		m.handleReleaseEnded(e)
 		m.now = max(m.now, e.At)
 	case ProposeEnded:
-		m.commandPending = false
+		m.commandPending = m.commandPending && e.Term != m.term
 	case KeyHeartbeatReceived:
 		return m, m.handleKeyHeartbeat(e)
 	case Ticked:
@@ -198,6 +202,7 @@
 		zoneCosts:      m.zoneCosts,
 		zoneLoads:      make(map[string]*serviceLoad),
 		leading:        true,
+		term:           e.Term,
 		leadingSince:   e.At,
 		now:            e.At,
 		startIndex:     e.Index,
@@ -261,32 +266,6 @@
 	return rs
 }
 
-// earlierExpiry returns the time by which all grants of earlier leaders have expired. One
-// that has handed over its leadership may send until its last confirmation is too old.
-func (m *Model) earlierExpiry() timer.Instant {
-	return m.timing.latestExpiry(m.leadingSince.Add(confirmationValidity))
-}
-
-func (rs *rangeState) inheritExpiry(other *rangeState) {
-	rs.expiry = max(rs.expiry, other.expiry)
-	rs.unansweredExpiry = max(rs.unansweredExpiry, other.unansweredExpiry)
-}
-
-// inheritFromEarlierFences extends the expiry of a range by grants under earlier fences that
-// its owner may still hold, because the keys went back to it without a proof that it stopped.
-func (m *Model) inheritFromEarlierFences(rs *rangeState, service string, r deployment.Range) {
-	for id, ranges := range m.rangeStates {
-		if id.service != service || id.fence >= r.Fence {
-			continue
-		}
-		for from, other := range ranges {
-			if other.owner == r.Target && from <= r.To && r.From <= other.to {
-				rs.inheritExpiry(other)
-			}
-		}
-	}
-}
-
 // plan returns the calls that are due, the log and advice effects, and at most one
 // command.
 func (m *Model) plan() []Effect {
--- a/internal/leader/proof.go
+++ b/internal/leader/proof.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
 // proof is why keys may be given to another owner: what makes it certain that the last one
@@ -47,3 +48,29 @@
 	}
 	return out
 }
+
+// earlierExpiry returns the time by which all grants of earlier leaders have expired. One
+// that has handed over its leadership may send until its last confirmation is too old.
+func (m *Model) earlierExpiry() timer.Instant {
+	return m.timing.latestExpiry(m.leadingSince.Add(confirmationValidity))
+}
+
+func (rs *rangeState) inheritExpiry(other *rangeState) {
+	rs.expiry = max(rs.expiry, other.expiry)
+	rs.unansweredExpiry = max(rs.unansweredExpiry, other.unansweredExpiry)
+}
+
+// inheritFromEarlierFences extends the expiry of a range by grants under earlier fences that
+// its owner may still hold, because the keys went back to it without a proof that it stopped.
+func (m *Model) inheritFromEarlierFences(rs *rangeState, service string, r deployment.Range) {
+	for id, ranges := range m.rangeStates {
+		if id.service != service || id.fence >= r.Fence {
+			continue
+		}
+		for from, other := range ranges {
+			if other.owner == r.Target && from <= r.To && r.From <= other.to {
+				rs.inheritExpiry(other)
+			}
+		}
+	}
+}
--- a/internal/leader/proof_test.go
+++ b/internal/leader/proof_test.go
@@ -220,3 +220,34 @@
 		assertExpiry(s, ref, s.now, 2*DefaultTiming().LeaseDuration)
 	})
 }
+
+// Guards against a call or command of an earlier term that ends one of this term.
+func TestResultsOfAnEarlierTerm(t *testing.T) {
+	s := newSim(t)
+	s.announce(1, nil)
+	s.announce(2, nil)
+	s.settle(1, 2)
+	r := s.ownedBy(1)
+	ref := deployment.RangeRef{Service: testService, From: r.From, To: r.To, Fence: r.Fence}
+	s.send(LeadershipTaken{At: s.now, Term: 7, Index: s.index, State: s.state})
+	s.tick(10 * time.Millisecond)
+	rs := s.model.lookupRangeState(testService, r.From, r.Fence)
+	t.Run("a release proves nothing", func(t *testing.T) {
+		s.send(ReleaseEnded{At: s.now, Term: 6, Range: ref, Handover: "warm"})
+		assert.Assert(t, !rs.released)
+	})
+	t.Run("a command leaves that of this term pending", func(t *testing.T) {
+		s.model.commandPending = true
+		s.send(ProposeEnded{Term: 6})
+		assert.Assert(t, s.model.commandPending)
+		s.send(ProposeEnded{Term: 7})
+		assert.Assert(t, !s.model.commandPending)
+	})
+	t.Run("a grant extends the lease and leaves that of this term in flight", func(t *testing.T) {
+		inFlight := rs.inFlight
+		s.send(GrantEnded{At: s.now.Add(time.Second), Term: 6, Range: ref, Sent: true, Err: errNoAnswer})
+		assert.Equal(t, rs.inFlight, inFlight)
+		assert.Equal(t, rs.expiry, DefaultTiming().latestExpiry(s.now.Add(time.Second)))
+		assert.Equal(t, rs.unansweredExpiry, rs.expiry)
+	})
+}
