--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -302,8 +302,8 @@
 }
 
 // confirmOnce records when the heartbeats were sent by which a quorum has confirmed that this
-// replica leads. One that takes longer than confirmationValidity does not confirm the leadership any more, but
-// still the newest configuration.
+// replica leads. One that takes longer than confirmationValidity does not confirm the
+// leadership any more, but still the newest configuration.
 func (l *Leader) confirmOnce(ctx context.Context) {
 	start := timer.BootTime()
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
--- a/internal/targethttp/pool.go
+++ b/internal/targethttp/pool.go
@@ -156,7 +156,8 @@
 
 // reserve removes a connection from the idle ones and returns it; for a
 // non-idempotent request it may have been idle for half of maxIdle at most. If there
-// is none, or the request wants a connection of its own, reserve counts a new connection, which the caller opens, and returns nil.
+// is none, or the request wants a connection of its own, reserve counts a new connection,
+// which the caller opens, and returns nil.
 // It returns ErrConnLimit if maxConns connections are open already.
 func (p *Pool) reserve(address string, maxConns int, r Request) (*conn, error) {
 	p.mu.Lock()
