Name the check of unconfigured services and the weight of old estimates plainly

The names of two functions were figurative. conflictsUnconfigured says that an announcement of a service that is not configured conflicts with a recorded target, and decay gives the weight of an estimate by its age. Behaviour is unchanged; build, vet and the tests of announcements pass.

--- a/internal/fleet/targets.go
+++ b/internal/fleet/targets.go
@@ -97,13 +97,13 @@
 			return nil, err
 		}
 		c.log.Info("target withdrew", "target", t.ID, "service", old.Service, "address", old.Address)
-	case unnamedIntruder(c.lastReplica().group.State().State, t):
+	case conflictsUnconfigured(c.lastReplica().group.State().State, t):
 		// A later configuration may have named the service, if this instance was replaced.
 		applied, err := c.lastReplica().group.Barrier(ctx)
 		if err != nil {
 			return nil, err
 		}
-		if !unnamedIntruder(applied.State, t) {
+		if !conflictsUnconfigured(applied.State, t) {
 			return c.AnnounceTarget(ctx, req)
 		}
 		c.log.Warn("announcement ignored: its service is not configured, and a target has its ID or address",
@@ -130,10 +130,10 @@
 	return &instance.AnnounceTargetResponse{}, nil
 }
 
-// unnamedIntruder reports whether an announcement of a service that is not configured would
+// conflictsUnconfigured reports whether an announcement of a service that is not configured would
 // end or change a target of another service, with its ID or its address. Heartbeats may come
 // from other writers, and these are not targets to use.
-func unnamedIntruder(s deployment.State, t deployment.Target) bool {
+func conflictsUnconfigured(s deployment.State, t deployment.Target) bool {
 	cfg, index := s.Config()
 	if _, named := cfg.Service(t.Service); named || index == 0 {
 		return false
--- a/internal/forward/estimate.go
+++ b/internal/forward/estimate.go
@@ -36,18 +36,18 @@
 	if a.samples == 0 {
 		return initialServiceTime.Seconds()
 	}
-	return a.value * fade(now.Sub(a.at))
+	return a.value * decay(now.Sub(a.at))
 }
 
-// fade returns the weight of an estimate of the given age.
-func fade(age time.Duration) float64 { return math.Exp(-age.Seconds() / estimateMemory.Seconds()) }
+// decay returns the weight of an estimate of the given age.
+func decay(age time.Duration) float64 { return math.Exp(-age.Seconds() / estimateMemory.Seconds()) }
 
 // maxStaleWeight is the weight of an answer in an old estimate: work takes up to several times
 // its mean, so that one answer alone does not replace what is known.
 const maxStaleWeight = 0.3
 
 // staleWeight returns the least weight of an answer in an estimate of the given age.
-func staleWeight(age time.Duration) float64 { return min(maxStaleWeight, 1-fade(age)) }
+func staleWeight(age time.Duration) float64 { return min(maxStaleWeight, 1-decay(age)) }
 
 // agedServiceTime returns the service time of a target in seconds. One that is longer than the
 // average of its service approaches it while the target does not answer. The caller holds ts.mu.
@@ -56,7 +56,7 @@
 	if s.serviceTime <= average {
 		return s.serviceTime
 	}
-	return average + (s.serviceTime-average)*fade(now.Sub(s.answeredAt))
+	return average + (s.serviceTime-average)*decay(now.Sub(s.answeredAt))
 }
 
 // queueAverage is the queue that the answers of a service's targets report, averaged over the
