Assign keys that the first assignment left without an owner

If a target drained, left or started again between the proposal of the first assignment of a service's keys and its commit, its part of the command was skipped. The planner assigns a table without owners only as a whole, and passes over ranges without an owner after that, so these keys had no owner until the end. Ranges without an owner in a table that is partly assigned are now placed like ranges whose owner has stopped. They need no proof: nobody was ever granted them.

TestKeysOfTargetThatLeavesDuringFirstAssignment fails before in both ways of granting keys, and passes now. The other tests of the package passed with the change.

--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -281,6 +281,7 @@
 	for _, table := range m.state.Tables() {
 		for _, r := range table.Ranges {
 			if r.Phase == deployment.Unowned {
+				free.reassignable = append(free.reassignable, m.leftUnassigned(table, r)...)
 				continue
 			}
 			step := m.planRange(table, r)
--- a/internal/leader/placement.go
+++ b/internal/leader/placement.go
@@ -19,6 +19,15 @@
 	return append(out, m.granter.place(m, free)...)
 }
 
+// leftUnassigned returns a range that the first assignment left without an owner, because its
+// target left before the command was committed.
+func (m *Model) leftUnassigned(table deployment.KeyTable, r deployment.Range) []deployment.Assignment {
+	if len(table.Ranges) == 1 {
+		return nil // see assignInitially
+	}
+	return []deployment.Assignment{{Range: deployment.RangeRef{Service: table.Service, From: r.From, To: r.To, Fence: r.Fence}}}
+}
+
 // placeRange assigns a range to its planned owner if that is live and may be given keys, or
 // else in parts to the least busy targets.
 func (m *Model) placeRange(a deployment.Assignment, planned map[string]float64) []deployment.Assignment {
