Count no lease as prolonged by a grant that was not sent

A renewal of a dead owner ends with a refused connection, or all connections to the owner are in use. Both counted as sent, so the keys were held back for a whole lease from that moment, and after a release too, although no byte had left. Keys of a dead owner had no other owner for up to a renewal interval longer. The client now reports a grant of which nothing was sent, and such a grant prolongs no lease. It counts as a failure of the owner as before. A grant that is repeated on a connection of its own was sent, whatever comes of the repetition.

TestRenewalThatWasNotSentProlongsNoLease and TestRefusedGrantIsNotSent fail before and pass now.

--- a/internal/leader/grants.go
+++ b/internal/leader/grants.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/pkg/replica"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
@@ -113,7 +114,7 @@
 		}
 	case errors.Is(e.Err, ErrFenced):
 		rs.fenced = true
-	case !e.Sent:
+	case errors.Is(e.Err, replica.ErrNotLeader):
 		// The failure is not the target's, and the grant stays due.
 	default:
 		rs.failures++
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -22,7 +22,7 @@
 // has already received the call may still apply it.
 type Targets interface {
 	// Grant grants or renews keys. It returns ErrFenced if the target has seen a
-	// higher fence.
+	// higher fence, and ErrNotSent if nothing of it can have reached the target.
 	Grant(ctx context.Context, address string, call KeyCall) error
 	// Release asks the target to give keys back. It returns what the target hands
 	// over to their next owner.
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -80,6 +80,38 @@
 	return l, targets
 }
 
+// refusingTargets accept no connections.
+type refusingTargets struct{}
+
+func (refusingTargets) Grant(context.Context, string, KeyCall) error { return ErrNotSent }
+
+func (refusingTargets) Release(context.Context, string, KeyCall) (string, error) {
+	return "", ErrNotSent
+}
+
+// eventRecorder records the events that are sent to a model's loop.
+type eventRecorder struct {
+	eventLoop
+	events []Event
+}
+
+func (r *eventRecorder) Send(e Event) error {
+	r.events = append(r.events, e)
+	return nil
+}
+
+// Guards against a grant that counts as sent although no connection was opened.
+func TestRefusedGrantIsNotSent(t *testing.T) {
+	l, _ := newTestLeader(t)
+	recorder := &eventRecorder{}
+	l.loop, l.targets = recorder, refusingTargets{}
+	l.confirmedAt.Store(int64(timer.BootTime()))
+	l.grant(SendGrant{Term: testTerm})
+	ended := recorder.events[0].(GrantEnded)
+	assert.ErrorIs(t, ended.Err, ErrNotSent)
+	assert.Assert(t, !ended.Sent)
+}
+
 // callCounter returns a function that makes a grant and a release and returns how many were sent.
 func callCounter(l *Leader, targets *countingTargets) func() int32 {
 	ref := deployment.RangeRef{Service: testService, To: deployment.MaxKey, Fence: 7}
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -17,6 +17,9 @@
 // higher fence for the keys.
 var ErrFenced = errors.New("target has seen a higher fence")
 
+// ErrNotSent is returned for a call of which no byte was sent.
+var ErrNotSent = errors.New("call was not sent")
+
 // Model decides what the leader does next. Only its loop may use it. Update changes
 // it in place: copying it for each heartbeat would cost more than all decisions.
 type Model struct {
--- a/internal/leader/proof_test.go
+++ b/internal/leader/proof_test.go
@@ -251,3 +251,27 @@
 		assert.Equal(t, rs.unansweredExpiry, rs.expiry)
 	})
 }
+
+// Guards against leases that count as prolonged by a renewal that a dead target's address refused.
+func TestRenewalThatWasNotSentProlongsNoLease(t *testing.T) {
+	s := newSim(t)
+	s.announce(1, nil)
+	s.announce(2, nil)
+	s.settle(1, 2)
+	granted := s.renewed(1, 1, 2)
+	key := s.ownedBy(1).From
+	for s.ownerOf(key) == incarnation(1).ID {
+		s.heartbeat(2)
+		for _, e := range s.tick(50 * time.Millisecond) {
+			c, ok := e.(SendGrant)
+			if ok && c.Target.ID == incarnation(1).ID {
+				s.send(GrantEnded{At: s.now, Range: c.Range, Err: ErrNotSent})
+				continue
+			}
+			s.answer([]Effect{e})
+		}
+		assert.Assert(t, s.now.Sub(granted) < 10*time.Second)
+	}
+	assert.Assert(t, s.now > mayHoldUntil(granted))
+	assert.Assert(t, s.now <= DefaultTiming().latestExpiry(granted).Add(100*time.Millisecond), "%v after the grant", s.now.Sub(granted))
+}
--- a/internal/leader/sending.go
+++ b/internal/leader/sending.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/google/uuid"
 
@@ -24,8 +25,8 @@
 	if maySend() {
 		ctx, cancel := context.WithTimeout(l.ctx, grantTimeout)
 		call := KeyCall{ID: id, Target: e.Target.ID, From: e.Range.From, To: e.Range.To, Fence: e.Range.Fence, LeaseDuration: e.LeaseDuration, Handover: e.Handover, Allowed: maySend}
-		done.Sent = true
 		done.Err = l.targets.Grant(ctx, e.Target.Address, call)
+		done.Sent = !errors.Is(done.Err, ErrNotSent)
 		cancel()
 	} else {
 		done.Err = replica.ErrNotLeader
