Trust no release that may be older than an earlier leader's grant

With grants by heartbeat, a heartbeat that lists released keys can be delayed past a change of the leader. The earlier leader may have answered a later heartbeat of the same target and granted the keys again; the new leader knows neither that answer nor its sequence, took the release as proof and gave the keys to another target during the first one's lease. Until the leases that earlier leaders may have granted have ended, a release of ranges that they assigned is now no proof, as it was already with grants by calls. Moves in the seconds after an election take longer for it.

--- a/internal/leader/granter.go
+++ b/internal/leader/granter.go
@@ -23,9 +23,6 @@
 	timing(base Timing, ranges int) Timing
 	// responsive reports whether the owner of a range still learns what to hold.
 	responsive(m *Model, t deployment.Target, rs *rangeState) bool
-	// lateGrants reports whether a grant may still take effect after its target has
-	// released the keys.
-	lateGrants() bool
 	// reachesLaterStart reports whether a grant to a target may take effect at a later start
 	// of it, whose announcement the leader has not heard of.
 	reachesLaterStart() bool
@@ -62,7 +59,5 @@
 
 func (callGranter) timing(base Timing, ranges int) Timing { return base.withRanges(ranges) }
 
-func (callGranter) lateGrants() bool { return true }
-
 // reachesLaterStart returns true: calls are addressed to an ID.
 func (callGranter) reachesLaterStart() bool { return true }
--- a/internal/leader/heartbeat_granter.go
+++ b/internal/leader/heartbeat_granter.go
@@ -110,10 +110,6 @@
 // timing returns the base: one answer renews all ranges of a target.
 func (*heartbeatGranter) timing(base Timing, _ int) Timing { return base }
 
-// lateGrants returns false: a target takes an answer only until it sends the next
-// heartbeat, so that one that reports a release has no other answer outstanding.
-func (*heartbeatGranter) lateGrants() bool { return false }
-
 // reachesLaterStart returns false: an answer goes to the process that sent the heartbeat.
 func (*heartbeatGranter) reachesLaterStart() bool { return false }
 
--- a/internal/leader/model.go
+++ b/internal/leader/model.go
@@ -89,7 +89,7 @@
 	nextGrant        timer.Instant // when the next grant is due
 	nextRelease      timer.Instant // earliest next release request
 	expiry           timer.Instant // by then every grant that may have arrived has expired
-	unansweredExpiry timer.Instant // the same for grants without an answer, which may be applied late
+	unansweredExpiry timer.Instant // the same for grants that may be applied, or were made, after a release that is reported
 	confirmedAt      timer.Instant // first successful grant
 	failures         int           // consecutive failed grants
 	failedAt         timer.Instant // last failure
@@ -254,9 +254,8 @@
 	if r.Fence <= m.startIndex {
 		rs.granted = true
 		rs.expiry = m.earlierExpiry()
-		if m.granter.lateGrants() {
-			rs.unansweredExpiry = rs.expiry
-		}
+		// A release may be older than the earlier leader's last grant, whichever way it is told.
+		rs.unansweredExpiry = rs.expiry
 	}
 	for _, other := range m.rangeStates[fenceID{service: service, fence: r.Fence}] {
 		rs.granted = rs.granted || other.granted
