--- a/review/standins/deployment.go
+++ b/review/standins/deployment.go
@@ -80,6 +80,7 @@
 	control   []*process
 	entries   []*process
 	version   int
+	later     bool // processes no longer start for the first time
 	workers   []*worker
 
 	mu        sync.Mutex
@@ -140,11 +141,12 @@
 // start starts a process with the command of the deploy file.
 func (d *deployment) start(name, ip, template string, extra map[string]string) (*process, error) {
 	bounds, _ := json.Marshal(boundTexts)
+	seeds := d.seedList()
 	values := map[string]string{
 		"node_name": name, "zone": "zarqa", "ip": ip, "internal_ports.0": fmt.Sprint(internalPort), "internal_ports.1": fmt.Sprint(dispatchPort),
 		"listen.front": fmt.Sprintf("%s:%d", ip, callerPort), "listen.ready": fmt.Sprintf("%s:%d", ip, readyPort),
-		"listen.control": fmt.Sprintf("%s:%d", ip, controlPort), "data_dir": filepath.Join(d.dir, name), "seeds": strings.Join(d.seeds, ","),
-		"bootstrap": "true", "bounds|json": string(bounds), "grants": "invocation", "heartbeat_ms": fmt.Sprint(heartbeatPeriod.Milliseconds()),
+		"listen.control": fmt.Sprintf("%s:%d", ip, controlPort), "data_dir": filepath.Join(d.dir, name), "seeds": strings.Join(seeds, ","),
+		"bootstrap": fmt.Sprint(!d.later), "bounds|json": string(bounds), "grants": "invocation", "heartbeat_ms": fmt.Sprint(heartbeatPeriod.Milliseconds()),
 		"contracts": "base,drain,config,cost,retry,recover,own", "limits.link_mbps": "1000.0", "limits.memory_mb": "280",
 	}
 	text, err := d.fill(template, values)
@@ -209,6 +211,34 @@
 	return nil
 }
 
+// seedList returns the addresses of the control instances that are there.
+func (d *deployment) seedList() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]string(nil), d.seeds...)
+}
+
+// seed returns the i-th of them.
+func (d *deployment) seed(i int) string {
+	list := d.seedList()
+	return list[i%len(list)]
+}
+
+// replace starts an empty control instance at a new address, in the place of one that is gone
+// for good.
+func (d *deployment) replace(gone *process) (*process, error) {
+	ip := d.nextIP()
+	d.mu.Lock()
+	d.later = true
+	for i, address := range d.seeds {
+		if address == fmt.Sprintf("%s:%d", gone.ip, controlPort) {
+			d.seeds[i] = fmt.Sprintf("%s:%d", ip, controlPort)
+		}
+	}
+	d.mu.Unlock()
+	return d.start("core-"+ip, ip, "deploy/control.ini", nil)
+}
+
 func (d *deployment) startEntries(n int) error {
 	for i := range n {
 		p, err := d.start(fmt.Sprintf("front-%d", i+1), d.nextIP(), "deploy/entry.ini", nil)
@@ -247,8 +277,8 @@
 		return time.Time{}, err
 	}
 	last := error(nil)
-	for begin, i := time.Now(), rand.IntN(len(d.seeds)); time.Since(begin) < limit; i++ {
-		address := d.seeds[i%len(d.seeds)]
+	for begin, i := time.Now(), rand.IntN(100); time.Since(begin) < limit; i++ {
+		address := d.seed(i)
 		status, response, err := call(method, "http://"+address+path, data)
 		switch {
 		case err == nil && status == http.StatusOK:
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -25,6 +25,7 @@
 	"silent-connections": silentConnections,
 	"pipelined-shutdown": pipelinedShutdown,
 	"seed-lost":          seedLost,
+	"replaced-in-turn":   replacedInTurn,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/standins/worker.go
+++ b/review/standins/worker.go
@@ -61,7 +61,7 @@
 // next control instance.
 func (w *worker) beat() {
 	for i := w.deployment.hosts; ; {
-		if _, err := w.sendBeat(w.deployment.seeds[i%len(w.deployment.seeds)]); err != nil {
+		if _, err := w.sendBeat(w.deployment.seed(i)); err != nil {
 			i++
 			time.Sleep(50 * time.Millisecond)
 			continue
@@ -93,7 +93,7 @@
 	w.state = "draining"
 	w.mu.Unlock()
 	for begin, i := time.Now(), 0; time.Since(begin) < limit; i++ {
-		address := w.deployment.seeds[i%len(w.deployment.seeds)]
+		address := w.deployment.seed(i)
 		if at, err := w.sendBeat(address); err == nil {
 			w.deployment.record.printf("control %s acknowledged that worker %s is draining", address, w.id)
 			return at, nil
