--- a/review/standins/worker.go
+++ b/review/_standins/worker.go
@@ -57,6 +57,16 @@
 	return w, nil
 }
 
+// startWorkers starts a worker of each of the services.
+func (d *deployment) startWorkers(services ...string) error {
+	for _, service := range services {
+		if _, err := d.startWorker(service); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // beat sends heartbeats until the process ends. One that is not acknowledged goes to the
 // next control instance.
 func (w *worker) beat() {
