review: a process that is restarted at the first start keeps the group from forming

A variant of case 4: the process of the first seed is killed 50 ms after its start and started again with settings that no longer say bootstrap. All three control instances run, and no group forms.

--- a/review/_standins/seed.go
+++ b/review/_standins/seed.go
@@ -3,22 +3,30 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
+	"strings"
 	"syscall"
 	"time"
 )
 
 // seedLost starts a deployment for the first time and loses one of its three control instances
-// for good at its start.
+// for good at its start. With VARIANT=restart the process of the first one is killed instead, and
+// started again half a second later; the whole system has been started then, so that the settings
+// no longer say that it starts for the first time.
 func seedLost(d *deployment, trouble bool) (string, error) {
 	const limit = 60 * time.Second
 	if err := d.startControl(d.planControl(3)); err != nil {
 		return "", err
 	}
-	if trouble {
-		lost := d.control[2]
-		time.Sleep(50 * time.Millisecond)
-		d.record.printf("SIGKILL to %s, which does not come back", lost.name)
-		lost.signal(syscall.SIGKILL)
+	time.Sleep(50 * time.Millisecond)
+	switch {
+	case trouble && os.Getenv("VARIANT") == "restart":
+		if err := d.restart(d.control[0], 500*time.Millisecond); err != nil {
+			return "", err
+		}
+	case trouble:
+		d.record.printf("SIGKILL to %s, which does not come back", d.control[2].name)
+		d.control[2].signal(syscall.SIGKILL)
 	}
 	if err := d.startEntries(2); err != nil {
 		return "", err
@@ -47,3 +55,20 @@
 	}
 	return "", nil
 }
+
+// restart kills a process and starts it again after a pause, not for the first time.
+func (d *deployment) restart(p *process, pause time.Duration) error {
+	d.record.printf("SIGKILL to %s", p.name)
+	p.signal(syscall.SIGKILL)
+	time.Sleep(pause)
+	data, err := os.ReadFile(p.settings)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errCannotRun, err)
+	}
+	text := strings.ReplaceAll(string(data), "bootstrap = true", "bootstrap = false")
+	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
+		return fmt.Errorf("%w: %w", errCannotRun, err)
+	}
+	d.record.printf("%s starts again", p.name)
+	return d.run(p)
+}
