--- a/review/_standins/main.go
+++ b/review/_standins/main.go
@@ -26,6 +26,8 @@
 	"pipelined-shutdown": pipelinedShutdown,
 	"seed-lost":          seedLost,
 	"replaced-in-turn":   replacedInTurn,
+	"crashing-download":  crashingDownload,
+	"withdrawn-early":    withdrawnEarly,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
