review: control instances end by their memory after some hundred whole configurations

review/5: the operator sends up to 280 whole configurations of 1,868 routes, one each 0.28 s. After 139 of them the first control instance uses more than the 280 MB of its machine; once it was killed it uses more than that while it reads its log, at each start. All three end up so, there is no leader any more, and the configuration can't be read back.

--- a/review/_standins/main.go
+++ b/review/_standins/main.go
@@ -28,6 +28,7 @@
 	"replaced-in-turn":   replacedInTurn,
 	"crashing-download":  crashingDownload,
 	"withdrawn-early":    withdrawnEarly,
+	"many-changes":       manyChanges,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
