--- a/review/_standins/withdrawn.go
+++ b/review/_standins/withdrawn.go
@@ -14,7 +14,7 @@
 	withdrawAfter = 400 * time.Millisecond
 	// workerLingers is for how long a worker that has withdrawn still serves.
 	workerLingers = 7 * time.Second
-	workerRestart = 1200 * time.Millisecond
+	workerRestart = 3 * time.Second
 	lateBeat      = 2500 * time.Millisecond
 	orderClients  = 12
 )
