--- a/review/_standins/main.go
+++ b/review/_standins/main.go
@@ -27,8 +27,8 @@
 	"seed-lost":          seedLost,
 	"replaced-in-turn":   replacedInTurn,
 	"crashing-download":  crashingDownload,
-	"withdrawn-early":    withdrawnEarly,
 	"many-changes":       manyChanges,
+	"withdrawn":          withdrawnInRestart,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/_standins/withdrawn.go
+++ b/review/_standins/withdrawn.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/http"
 	"os"
-	"sync"
 	"time"
 )
 
@@ -45,21 +44,7 @@
 		return "", err
 	}
 	time.Sleep(4 * time.Second)
-	stop := make(chan struct{})
-	var wg sync.WaitGroup
-	for i := range orderClients {
-		wg.Go(func() {
-			for {
-				select {
-				case <-stop:
-					return
-				default:
-				}
-				_, _ = d.request(d.entries[i%len(d.entries)], http.MethodPost, shopHost, "/orders/x", time.Second)
-				time.Sleep(20 * time.Millisecond)
-			}
-		})
-	}
+	stop := d.sendOrders()
 	time.Sleep(2 * time.Second)
 	leaving, gone, err := d.leaveEarly(workers[0], trouble)
 	if err == nil {
@@ -68,8 +53,7 @@
 		d.record.printf("worker %s exits", leaving.id)
 		time.Sleep(time.Second)
 	}
-	close(stop)
-	wg.Wait()
+	stop()
 	if err != nil {
 		return "", err
 	}
