--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 root=$(cd "$folder/../.." && pwd) || exit 2
 [[ -x $root/target/cranberrywind && -x $root/target/review/standins ]] || { echo "build the project and run review/build.sh first"; exit 2; }
-exec "$root/target/review/standins" replaced-in-turn "$root" "$folder"
+exec "$root/target/review/standins" many-changes "$root" "$folder"
