--- a/review/_standins/changes.go
+++ b/review/_standins/changes.go
@@ -86,10 +86,11 @@
 func (d *deployment) startAgain(p *process) error {
 	data, err := os.ReadFile(p.settings)
 	if err != nil {
-		return err
+		return fmt.Errorf("%w: %w", errCannotRun, err)
 	}
-	if err := os.WriteFile(p.settings, []byte(strings.ReplaceAll(string(data), "bootstrap = true", "bootstrap = false")), 0o600); err != nil {
-		return err
+	text := strings.ReplaceAll(string(data), "bootstrap = true", "bootstrap = false")
+	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
+		return fmt.Errorf("%w: %w", errCannotRun, err)
 	}
 	return d.run(p)
 }
@@ -108,7 +109,7 @@
 	for line := range strings.SplitSeq(string(data), "\n") {
 		if rest, ok := strings.CutPrefix(line, "RssAnon:"); ok {
 			kb, _ := strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(rest), "kB")))
-			return kb / 1000
+			return kb / 1024
 		}
 	}
 	return 0
@@ -125,7 +126,7 @@
 		}
 		return nil
 	})
-	return int(total / 1_000_000)
+	return int(total / (1 << 20))
 }
 
 func envInt(name string, n int) int {
@@ -142,7 +143,7 @@
 	manyRoutes    = 4 * 467
 	changePeriod  = 280 * time.Millisecond
 	changes       = 280
-	changesTime   = 85 * time.Second
+	changesTime   = 75 * time.Second
 	recoveryPause = 5 * time.Second
 )
 
--- a/review/_standins/restarted.go
+++ b/review/_standins/restarted.go
@@ -70,7 +70,7 @@
 		for _, p := range d.control {
 			<-p.exited
 			if err := d.startAgain(p); err != nil {
-				return "", fmt.Errorf("%w: %w", errCannotRun, err)
+				return "", err
 			}
 		}
 		d.record.printf("all control instances start again")
--- a/review/_standins/seed.go
+++ b/review/_standins/seed.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/http"
 	"os"
-	"strings"
 	"syscall"
 	"time"
 )
@@ -61,14 +60,6 @@
 	d.record.printf("SIGKILL to %s", p.name)
 	p.signal(syscall.SIGKILL)
 	time.Sleep(pause)
-	data, err := os.ReadFile(p.settings)
-	if err != nil {
-		return fmt.Errorf("%w: %w", errCannotRun, err)
-	}
-	text := strings.ReplaceAll(string(data), "bootstrap = true", "bootstrap = false")
-	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
-		return fmt.Errorf("%w: %w", errCannotRun, err)
-	}
 	d.record.printf("%s starts again", p.name)
-	return d.run(p)
+	return d.startAgain(p)
 }
