--- a/review/_standins/changes.go
+++ b/review/_standins/changes.go
@@ -141,7 +141,7 @@
 const (
 	// manyRoutes is what four entries of big_config with 467 routes each add.
 	manyRoutes    = 4 * 467
-	changePeriod  = 280 * time.Millisecond
+	changePeriod  = 330 * time.Millisecond
 	changes       = 280
 	changesTime   = 75 * time.Second
 	recoveryPause = 5 * time.Second
