group: bound the log by the size of its commands and the time they take

Callers saw: after some 140 to 210 changes sent as whole configurations of 1,868 routes, control instances ended by their memory, again at each start.

Earlier configurations and the messages that wait for a peer were bounded by their number alone as well.

--- a/cmd/cranberrywind/route.go
+++ b/cmd/cranberrywind/route.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -41,6 +42,7 @@
 	// would end the process.
 	sighup, stopSignals := reloadSignal()
 	defer stopSignals()
+	limitHeap(cfg.MemoryMB)
 	logWriter, closeLogWriter := logwriter.New(os.Stdout)
 	defer closeLogWriter()
 	logger := newLogger(logWriter.Important(), cfg.LogLevel)
@@ -64,6 +66,17 @@
 	return nil
 }
 
+// heapShare is the part of an instance's memory up to which the garbage collector lets the heap
+// grow at its usual pace.
+const heapShare = 0.7
+
+// limitHeap makes the garbage collector keep the process within its memory, if that is known.
+func limitHeap(memoryMB float64) {
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(heapShare * memoryMB * (1 << 20)))
+	}
+}
+
 // settingsPollInterval is how often the settings file is checked for a modification,
 // since it may change without a signal.
 const settingsPollInterval = 2 * time.Second
--- a/internal/deployment/state.go
+++ b/internal/deployment/state.go
@@ -64,16 +64,6 @@
 	earlierConfigs []indexedConfig
 }
 
-// indexedConfig is a configuration with the log index at which it was accepted.
-type indexedConfig struct {
-	index  uint64
-	config Config
-}
-
-// maxEarlierConfigs is the number of replaced configurations that are kept. An entry
-// that has one of them gets the changes since, and else the whole configuration.
-const maxEarlierConfigs = 16
-
 // Suspect is a kind of request that was in flight when targets crashed.
 type Suspect = suspect.Suspect[Incarnation]
 
@@ -104,10 +94,8 @@
 // withConfig returns the state after a configuration was accepted at the log index.
 func (s State) withConfig(index uint64, cfg Config) State {
 	if s.configIndex > 0 {
-		s.earlierConfigs = append(slices.Clone(s.earlierConfigs), indexedConfig{index: s.configIndex, config: s.config})
-	}
-	if len(s.earlierConfigs) > maxEarlierConfigs {
-		s.earlierConfigs = s.earlierConfigs[1:]
+		earlier := indexedConfig{index: s.configIndex, config: s.config, bytes: s.config.bytesBeside(cfg)}
+		s.earlierConfigs = withinBounds(append(slices.Clone(s.earlierConfigs), earlier))
 	}
 	s.config, s.configIndex, s.version = cfg, index, index
 	return s
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -24,8 +24,8 @@
 
 const groupName = "deployment"
 
-// compactEntries is the number of entries between two snapshots, and so about the most that a
-// restarted replica applies. The snapshot of a large deployment costs a tenth of the time that
+// compactEntries is the most entries between two snapshots, and so about the most that a
+// restarted replica applies. group.Compaction bounds their size and their time. The snapshot of a large deployment costs a tenth of the time that
 // it takes to apply so many assignments.
 const compactEntries = 512
 
@@ -121,7 +121,7 @@
 		FS:        c.fs,
 		Level:     deployment.FeatureLevel,
 
-		CompactEntries: cmp.Or(c.compactEntries, compactEntries),
+		Compaction: group.Compaction{Entries: cmp.Or(c.compactEntries, compactEntries)},
 	})
 	if err != nil {
 		cancel()
--- a/internal/group/applier.go
+++ b/internal/group/applier.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cranberrywind/cranberrywind/pkg/replica"
 )
@@ -119,8 +120,10 @@
 
 func (a *applier[S]) apply(ctx context.Context, entries []replica.Entry) error {
 	defer a.group.applies.start()()
-	state := a.group.latest.Load().State
+	latest := a.group.latest.Load()
+	state, cost := latest.State, latest.cost
 	for _, e := range entries {
+		begun := time.Now()
 		var value []byte
 		if e.Kind == replica.EntryCommand {
 			var err error
@@ -128,7 +131,8 @@
 				return fmt.Errorf("apply record %d: %w", e.Index, err)
 			}
 		}
-		if err := a.publish(ctx, &Applied[S]{Index: e.Index, State: state}); err != nil {
+		cost = cost.withEntry(e, time.Since(begun))
+		if err := a.publish(ctx, &latestState[S]{Applied: Applied[S]{Index: e.Index, State: state}, cost: cost}); err != nil {
 			return err
 		}
 		if p, ok := a.group.proposals.take(e.Index); ok {
@@ -140,7 +144,7 @@
 
 // publish shows the state to readers, unless the replica has not recovered yet. If the state
 // has a higher feature level, the log file is marked first.
-func (a *applier[S]) publish(ctx context.Context, next *Applied[S]) error {
+func (a *applier[S]) publish(ctx context.Context, next *latestState[S]) error {
 	g := a.group
 	g.latest.Store(next)
 	if err := a.awaitFileLevel(ctx, levelOf(&next.State)); err != nil {
@@ -149,7 +153,7 @@
 	if !a.recovered.Load() && (a.recoverAt == 0 || next.Index < a.recoverAt) {
 		return nil
 	}
-	g.applied.Store(next)
+	g.applied.Store(&next.Applied)
 	if a.recovered.Swap(true) {
 		return nil
 	}
@@ -194,7 +198,8 @@
 	if err != nil {
 		return fmt.Errorf("restore snapshot at %d: %w", s.Index, err)
 	}
-	if err := a.publish(ctx, &Applied[S]{Index: s.Index, State: state}); err != nil {
+	cost := a.group.latest.Load().cost
+	if err := a.publish(ctx, &latestState[S]{Applied: Applied[S]{Index: s.Index, State: state}, cost: cost}); err != nil {
 		return err
 	}
 	for _, p := range a.group.proposals.takeUpTo(s.Index) {
--- a/internal/group/effects.go
+++ b/internal/group/effects.go
@@ -124,7 +124,11 @@
 	}
 	defer g.syncs.start()()
 	if newSnapshot {
-		return g.store.Replace(g.frame(g.fullRecord()))
+		if err := g.store.Replace(g.frame(g.fullRecord())); err != nil {
+			return err
+		}
+		g.snapshotStored()
+		return nil
 	}
 	return g.store.Append(g.frame(record{Persist: batch}))
 }
@@ -159,16 +163,3 @@
 	defer g.mu.Unlock()
 	g.role = e
 }
-
-// compactIfLong takes a snapshot when Config.CompactEntries entries were applied since
-// the last one. It encodes the state in a goroutine, so as not to block the loop.
-func (g *Group[S]) compactIfLong() {
-	applied := *g.latest.Load()
-	if applied.Index < g.stored.Snapshot.Index+g.cfg.CompactEntries || !g.compacting.CompareAndSwap(false, true) {
-		return
-	}
-	go func() {
-		defer g.compacting.Store(false)
-		_ = g.loop.Send(replica.Compacted{Index: applied.Index, Data: applied.State.Encode()})
-	}()
-}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -65,9 +65,8 @@
 	Timing    Timing
 	FS        disk.FS // nil for the operating system's
 	// Level is the feature level that this build supports and announces; 0 for none.
-	Level uint64
-	// CompactEntries is the number of applied entries between two snapshots; 0 for 4096.
-	CompactEntries uint64
+	Level      uint64
+	Compaction Compaction
 }
 
 // Timing holds a replica's tick and its timeouts in ticks.
@@ -84,10 +83,7 @@
 	return Timing{Tick: 20 * time.Millisecond, ElectionTicks: 12, HeartbeatTicks: 2}
 }
 
-const (
-	maxAppendBytes = 1 << 20 // payload bytes of one append message
-	compactEntries = 4096    // default of Config.CompactEntries
-)
+const maxAppendBytes = 1 << 20 // payload bytes of one append message
 
 // Applied is a state and the index of the last entry applied to it.
 type Applied[S any] struct {
@@ -104,10 +100,11 @@
 	stored replica.Stored
 	// applied is the state that readers see, latest that after the last applied entry. They
 	// differ until the replica has recovered after its start.
-	applied, latest atomic.Pointer[Applied[S]]
-	applier         *applier[S]
-	waiters         *waiters
-	notifier        *notifier
+	applied  atomic.Pointer[Applied[S]]
+	latest   atomic.Pointer[latestState[S]]
+	applier  *applier[S]
+	waiters  *waiters
+	notifier *notifier
 
 	mu        sync.Mutex
 	members   replica.Members
@@ -115,15 +112,16 @@
 	role      replica.RoleChanged
 	levels    map[replica.ID]announcedLevel // from the last message of each replica
 
-	fileLevel  atomic.Uint64 // feature level of the log file's frames
-	compacting atomic.Bool
-	proposals  proposals
-	reads      pendingReads
+	fileLevel atomic.Uint64 // feature level of the log file's frames
+	compactor compactor
+	proposals proposals
+	reads     pendingReads
 	// roundsSentAt holds when the rounds of heartbeats that confirm reads were sent, on the boot
 	// clock. Rounds before the last confirmed one are dropped.
 	roundsSentAt map[uint64]time.Duration
 
-	syncs, applies durations
+	syncs, applies, snapshots durations
+	logBytes                  atomic.Int64
 }
 
 // confirmedRead is a barrier of a confirmed leader.
@@ -141,9 +139,6 @@
 // Open starts the replica with the log in cfg.Dir and returns it with a function
 // that stops it. Without a log, the replica gets a new ID.
 func Open[S Machine[S]](ctx context.Context, cfg Config[S]) (*Group[S], func(), error) {
-	if cfg.CompactEntries == 0 {
-		cfg.CompactEntries = compactEntries
-	}
 	g := &Group[S]{
 		cfg:       cfg,
 		waiters:   newWaiters(),
@@ -151,6 +146,7 @@
 		addresses: make(map[replica.ID]string),
 		levels:    make(map[replica.ID]announcedLevel),
 		proposals: proposals{byIndex: make(map[uint64]proposal)},
+		compactor: compactor{limits: cfg.Compaction.withDefaults()},
 
 		roundsSentAt: make(map[uint64]time.Duration),
 	}
@@ -237,9 +233,9 @@
 	if err != nil {
 		return err
 	}
-	restored := &Applied[S]{Index: g.stored.Snapshot.Index, State: state}
+	restored := &latestState[S]{Applied: Applied[S]{Index: g.stored.Snapshot.Index, State: state}}
 	g.latest.Store(restored)
-	g.applied.Store(restored)
+	g.applied.Store(&restored.Applied)
 	return nil
 }
 
--- a/internal/instance/client.go
+++ b/internal/instance/client.go
@@ -13,7 +13,6 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/keepalive"
 
-	"github.com/cranberrywind/cranberrywind/internal/group"
 	"github.com/cranberrywind/cranberrywind/internal/wire"
 )
 
@@ -22,7 +21,8 @@
 var ErrUnreachable = errors.New("no instance reachable")
 
 const (
-	sendQueueSize     = 4096 // messages queued for one peer
+	sendQueueSize     = 4096     // messages queued for one peer
+	sendQueueBytes    = 16 << 20 // payload of the messages queued for one peer
 	reconnectDelay    = 50 * time.Millisecond
 	maxReconnectDelay = 200 * time.Millisecond
 	// connectTimeout covers the round trips of a new connection over a link with a long
@@ -43,7 +43,7 @@
 	mu         sync.Mutex
 	conns      map[string]*grpc.ClientConn
 	received   map[string]*atomic.Int64 // bytes received, by address
-	sendQueues map[string]chan group.Envelope
+	sendQueues map[string]*sendQueue
 }
 
 // NewPool returns a pool that counts its bytes in traffic, and a function that
@@ -56,7 +56,7 @@
 		traffic:    traffic,
 		conns:      make(map[string]*grpc.ClientConn),
 		received:   make(map[string]*atomic.Int64),
-		sendQueues: make(map[string]chan group.Envelope),
+		sendQueues: make(map[string]*sendQueue),
 	}
 	return p, func() {
 		cancel()
