membership: replace a silent voter instead of adding one beside it

Cause: a successor became a voter beside the dead one. Three of four voters were needed then, and the second loss left two, both with all data.

Change: a learner that has caught up takes the place of a voter that was silent for 1.5 s, and is not promoted beside one that does not answer. A silent one of an even number of voters is removed after 1.5 s. Steps of a change follow each other at once.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -37,8 +37,8 @@
 	confirmation   configConfirmation
 	announcing     *announcing
 	openReplica    atomic.Pointer[openReplica]
-	fs             disk.FS // nil for the operating system's file system
-	compactEntries uint64  // see group.Config; 0 for the constant
+	fs             disk.FS          // nil for the operating system's file system
+	compaction     group.Compaction // the zero value for the usual bounds
 	seeds          atomic.Pointer[[]string]
 	refusals       refusals
 	found          atomic.Pointer[foundLeader] // nil while the replica follows the leader itself
--- a/internal/fleet/full_disks_test.go
+++ b/internal/fleet/full_disks_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/internal/group"
 	"github.com/cranberrywind/cranberrywind/internal/instance"
 	"github.com/cranberrywind/cranberrywind/internal/settings"
 	"github.com/cranberrywind/cranberrywind/internal/view"
@@ -45,7 +46,13 @@
 	t        *testing.T
 	controls []*Control
 	disks    []*faultyDisk
-	version  uint64 // of the last change that was acknowledged
+	stops    []func() // that end the instances
+	seeds    []string
+	handle   func(*Control) instance.DeploymentHandler
+	change   []func(*settings.Routed)
+
+	compaction group.Compaction
+	version    uint64 // of the last change that was acknowledged
 }
 
 // startTestGroup starts control instances, of which the first three form the group.
@@ -56,41 +63,56 @@
 
 // startTestGroupServing is startTestGroup with other handlers of the instances' calls.
 func startTestGroupServing(t *testing.T, instances int, handle func(*Control) instance.DeploymentHandler, change ...func(*settings.Routed)) *testGroup {
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	g := &testGroup{t: t}
+	g := &testGroup{t: t, handle: handle, change: change, compaction: group.Compaction{Entries: 100}}
 	var listeners []net.Listener
-	var seeds []string
 	for i := range instances {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
+		l := g.listen()
 		listeners = append(listeners, l)
 		if i < 3 {
-			seeds = append(seeds, l.Addr().String())
+			g.seeds = append(g.seeds, l.Addr().String())
 		}
 	}
 	for i, l := range listeners {
-		pool, closePool := instance.NewPool(ctx, instance.Security{}, &instance.Traffic{})
-		t.Cleanup(closePool)
-		address := l.Addr().String()
-		fs := &faultyDisk{}
-		c := &Control{
-			cfg: settings.Routed{Name: address, Address: address, Seeds: seeds, Bootstrap: i < 3, Control: true, DataDir: t.TempDir()}, targets: failingTargets{},
-			pool: pool, clock: timer.NewSystem(ctx), log: log.New(io.Discard), fs: fs, announcing: newAnnouncing(), compactEntries: 100,
-		}
-		for _, f := range change {
-			f(&c.cfg)
-		}
-		c.publisher = view.NewPublisher(c, c.clock)
-		stop, err := c.start(ctx)
-		assert.NilError(t, err)
-		t.Cleanup(stop)
-		t.Cleanup(instance.ServeDeployment(l, handle(c), instance.Security{}, &instance.Traffic{}))
-		g.controls, g.disks = append(g.controls, c), append(g.disks, fs)
+		g.start(l, i < 3, t.TempDir())
 	}
 	return g
 }
 
+func (g *testGroup) listen() net.Listener {
+	g.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(g.t, err)
+	return l
+}
+
+// start starts an instance with its data in a folder.
+func (g *testGroup) start(l net.Listener, bootstrap bool, dir string) {
+	g.t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	pool, closePool := instance.NewPool(ctx, instance.Security{}, &instance.Traffic{})
+	address := l.Addr().String()
+	fs := &faultyDisk{}
+	c := &Control{
+		cfg: settings.Routed{Name: address, Address: address, Seeds: slices.Clone(g.seeds), Bootstrap: bootstrap, Control: true, DataDir: dir}, targets: failingTargets{},
+		pool: pool, clock: timer.NewSystem(ctx), log: log.New(io.Discard), fs: fs, announcing: newAnnouncing(), compaction: g.compaction,
+	}
+	for _, f := range g.change {
+		f(&c.cfg)
+	}
+	c.publisher = view.NewPublisher(c, c.clock)
+	stopControl, err := c.start(ctx)
+	assert.NilError(g.t, err)
+	stopServing := instance.ServeDeployment(l, g.handle(c), instance.Security{}, &instance.Traffic{})
+	stop := sync.OnceFunc(func() {
+		stopServing()
+		stopControl()
+		closePool()
+		cancel()
+	})
+	g.t.Cleanup(stop)
+	g.controls, g.disks, g.stops = append(g.controls, c), append(g.disks, fs), append(g.stops, stop)
+}
+
 // awaitVoters waits until the group has the number of voters.
 func (g *testGroup) awaitVoters(voters int) {
 	g.t.Helper()
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -121,7 +121,7 @@
 		FS:        c.fs,
 		Level:     deployment.FeatureLevel,
 
-		Compaction: group.Compaction{Entries: cmp.Or(c.compactEntries, compactEntries)},
+		Compaction: cmp.Or(c.compaction, group.Compaction{Entries: compactEntries}),
 	})
 	if err != nil {
 		cancel()
--- a/internal/membership/manager.go
+++ b/internal/membership/manager.go
@@ -44,10 +44,10 @@
 	log       *log.Logger
 	listPeers func() []settings.Peer
 
-	level        uint64 // feature level to announce; 0 for none
-	seeds        *Seeds // nil if listPeers names the instances
-	silentSince  map[replica.ID]timer.Instant
-	leaderSeenAt timer.Instant // when the replica last had a leader
+	level        uint64                       // feature level to announce; 0 for none
+	seeds        *Seeds                       // nil if listPeers names the instances
+	silentSince  map[replica.ID]timer.Instant // members without contact; only the leader's are up to date
+	leaderSeenAt timer.Instant                // when the replica last had a leader
 
 	// When logRefusal last wrote a line. Only the goroutine of Run uses them.
 	refusalLogged   bool
@@ -143,24 +143,40 @@
 	return out
 }
 
-// advance takes the next step of a membership change as the leader.
+// maxSteps is the number of steps of a membership change that follow each other at once.
+const maxSteps = 4
+
+// advance takes the next steps of a membership change as the leader. Between two steps the group
+// may tolerate fewer losses than after the last one.
 func (m *Manager) advance(ctx context.Context) {
+	for range maxSteps {
+		if !m.step(ctx) {
+			return
+		}
+	}
+}
+
+// step takes the next step of a membership change, and reports whether the members changed.
+func (m *Manager) step(ctx context.Context) bool {
 	status, err := m.replica.Status(ctx)
 	if err != nil {
-		return
+		return false
 	}
+	m.noteSilence(status)
 	joining := m.joinRequests()
-	step, ok := NextStep(status, m.desiredInstances(status, joining), joining)
+	silent := m.silentFor(replaceAfter)
+	step, ok := NextStep(status, Wanted{Instances: m.desiredInstances(status, joining), Joining: joining, Silent: silent})
 	if !ok {
-		return
+		return false
 	}
 	if step.TransferTo != "" {
 		_ = m.replica.Transfer(step.TransferTo)
-		return
+		return false
 	}
 	err = m.replica.ProposeMembers(ctx, *step.Members)
 	m.log.Info("group membership proposed", "group", m.replica.Name(), "voters", ids(step.Members.Voters),
-		"learners", ids(step.Members.Learners), "error", err)
+		"learners", ids(step.Members.Learners), "silent", silent, "error", err)
+	return err == nil
 }
 
 func ids(members []replica.Member) []string {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -16,15 +16,24 @@
 	TransferTo replica.ID       // replica to transfer leadership to
 }
 
-// NextStep returns the next step towards one voter on each desired instance, or
-// false if there is none. joining lists the replicas that asked to join.
-func NextStep(s replica.Status, desired []string, joining []replica.Member) (Step, bool) {
+// Wanted is what the membership should become, and what is known of its members.
+type Wanted struct {
+	Instances []string         // that should have a voter
+	Joining   []replica.Member // replicas that asked to join
+	// Silent are the members without contact for longer than a pause or a restart takes, the one
+	// that has been silent longest first.
+	Silent []replica.ID
+}
+
+// NextStep returns the next step towards one voter on each wanted instance, or false if there is
+// none. No step makes the group tolerate fewer losses than before.
+func NextStep(s replica.Status, w Wanted) (Step, bool) {
 	if s.Role != replica.Leader {
 		return Step{}, false
 	}
-	steps := []func(replica.Status, []string, []replica.Member) (Step, bool){dropLearner, addLearner, promoteLearner, removeUndesired}
+	steps := []func(replica.Status, Wanted) (Step, bool){dropLearner, addLearner, promoteLearner, removeSilent, removeUndesired}
 	for _, step := range steps {
-		if out, ok := step(s, desired, joining); ok {
+		if out, ok := step(s, w); ok {
 			return out, true
 		}
 	}
@@ -33,14 +42,14 @@
 
 func propose(m replica.Members) (Step, bool) { return Step{Members: &m}, true }
 
-// dropLearner removes a learner whose instance is no longer desired, or whose disk
+// dropLearner removes a learner whose instance is no longer wanted, or whose disk
 // was lost before it was promoted, so that its instance joins with a new replica.
-func dropLearner(s replica.Status, desired []string, joining []replica.Member) (Step, bool) {
+func dropLearner(s replica.Status, w Wanted) (Step, bool) {
 	for _, x := range s.Members.Learners {
-		replaced := slices.ContainsFunc(joining, func(j replica.Member) bool {
+		replaced := slices.ContainsFunc(w.Joining, func(j replica.Member) bool {
 			return j.Instance == x.Instance && j.ID != x.ID
 		})
-		if replaced || !slices.Contains(desired, x.Instance) {
+		if replaced || !slices.Contains(w.Instances, x.Instance) {
 			return propose(s.Members.Without(x.ID))
 		}
 	}
@@ -48,9 +57,9 @@
 }
 
 // addLearner adds a replica as a learner: it catches up before it may vote.
-func addLearner(s replica.Status, desired []string, joining []replica.Member) (Step, bool) {
-	for _, j := range joining {
-		if _, known := s.Members.Find(j.ID); known || !slices.Contains(desired, j.Instance) {
+func addLearner(s replica.Status, w Wanted) (Step, bool) {
+	for _, j := range w.Joining {
+		if _, known := s.Members.Find(j.ID); known || !slices.Contains(w.Instances, j.Instance) {
 			continue
 		}
 		return propose(s.Members.WithLearner(j))
@@ -59,20 +68,50 @@
 }
 
 // promoteLearner makes a learner that has caught up a voter. If its instance has
-// another replica as a voter, that one is removed first: its disk was lost.
-func promoteLearner(s replica.Status, _ []string, _ []replica.Member) (Step, bool) {
+// another replica as a voter, that one is removed first: its disk was lost. Beside a voter that
+// does not answer, one more voter would raise the quorum and let the group tolerate no further
+// loss: a silent voter is removed first, and one that may be back at once is waited for.
+func promoteLearner(s replica.Status, w Wanted) (Step, bool) {
 	for _, x := range s.Members.Learners {
-		if !s.Peer(x.ID).CaughtUp {
+		if p := s.Peer(x.ID); !p.CaughtUp || !p.Alive {
 			continue
 		}
 		if old, ok := voterOn(s.Members, x.Instance); ok {
 			return removeVoter(s, old)
 		}
-		return propose(s.Members.WithVoter(x))
+		if old, ok := silentVoter(s, w); ok {
+			return removeVoter(s, old)
+		}
+		if len(aliveVoters(s, s.Members)) == len(s.Members.Voters) {
+			return propose(s.Members.WithVoter(x))
+		}
 	}
 	return Step{}, false
 }
 
+// removeSilent removes a silent voter where that lowers the quorum. With an odd number of voters
+// it does not, and the voter's disk may still be needed.
+func removeSilent(s replica.Status, w Wanted) (Step, bool) {
+	if old, ok := silentVoter(s, w); ok && len(s.Members.Voters)%2 == 0 {
+		return removeVoter(s, old)
+	}
+	return Step{}, false
+}
+
+// silentVoter returns the voter that has been silent longest.
+func silentVoter(s replica.Status, w Wanted) (replica.Member, bool) {
+	for _, id := range w.Silent {
+		if x, ok := s.Members.Find(id); ok && s.Members.IsVoter(id) && !s.Peer(id).Alive {
+			return x, true
+		}
+	}
+	return replica.Member{}, false
+}
+
+func aliveVoters(s replica.Status, m replica.Members) []replica.Member {
+	return slices.DeleteFunc(slices.Clone(m.Voters), func(x replica.Member) bool { return !s.Peer(x.ID).Alive })
+}
+
 func voterOn(m replica.Members, instance string) (replica.Member, bool) {
 	i := slices.IndexFunc(m.Voters, func(x replica.Member) bool { return x.Instance == instance })
 	if i < 0 {
@@ -81,16 +120,16 @@
 	return m.Voters[i], true
 }
 
-// removeUndesired removes a voter whose instance is no longer desired, once all
-// desired instances have a voter.
-func removeUndesired(s replica.Status, desired []string, _ []replica.Member) (Step, bool) {
-	for _, instance := range desired {
+// removeUndesired removes a voter whose instance is no longer wanted, once all
+// wanted instances have a voter.
+func removeUndesired(s replica.Status, w Wanted) (Step, bool) {
+	for _, instance := range w.Instances {
 		if _, ok := voterOn(s.Members, instance); !ok {
 			return Step{}, false
 		}
 	}
 	for _, x := range s.Members.Voters {
-		if !slices.Contains(desired, x.Instance) {
+		if !slices.Contains(w.Instances, x.Instance) {
 			return removeVoter(s, x)
 		}
 	}
@@ -101,7 +140,7 @@
 // to be removed transfers leadership first.
 func removeVoter(s replica.Status, x replica.Member) (Step, bool) {
 	rest := s.Members.Without(x.ID)
-	alive := slices.DeleteFunc(slices.Clone(rest.Voters), func(m replica.Member) bool { return !s.Peer(m.ID).Alive })
+	alive := aliveVoters(s, rest)
 	if len(rest.Voters) == 0 || 2*len(alive) <= len(rest.Voters) {
 		return Step{}, false
 	}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -61,7 +61,16 @@
 }
 
 func TestNextStep(t *testing.T) {
-	abc := []string{"a", "b", "c"}
+	abc, abcd := []string{"a", "b", "c"}, []string{"a", "b", "c", "d"}
+	fourVoters := func(down ...replica.ID) replica.Status {
+		return status(func(s *replica.Status) {
+			s.Members.Voters = append(s.Members.Voters, member("d1", "d"))
+			s.Peers = append(s.Peers, replica.PeerStatus{ID: "d1", Alive: true, CaughtUp: true})
+			for _, id := range down {
+				markDown(s, id)
+			}
+		})
+	}
 	replacement := []replica.Member{member("c2", "c")}
 	cases := []struct {
 		name    string
@@ -69,29 +78,38 @@
 		desired []string
 		joining []replica.Member
 		want    string
+		silent  []replica.ID
 	}{
-		{"nothing to do", status(nil), abc, nil, "none"},
-		{"only the leader takes steps", status(func(s *replica.Status) { s.Role = replica.Follower }), abc, replacement, "none"},
-		{"replica after a lost disk joins as a learner", status(func(s *replica.Status) { markDown(s, "c1") }), abc, replacement, "[a1 b1 c1] [c2]"},
-		{"learner that has not caught up is not promoted", status(func(s *replica.Status) { markDown(s, "c1"); addLearner(s, "c2", "c", false) }), abc, replacement, "none"},
-		{"lost replica is removed before its successor votes", status(func(s *replica.Status) { markDown(s, "c1"); addLearner(s, "c2", "c", true) }), abc, replacement, "[a1 b1] [c2]"},
+		{"nothing to do", status(nil), abc, nil, "none", nil},
+		{"only the leader takes steps", status(func(s *replica.Status) { s.Role = replica.Follower }), abc, replacement, "none", nil},
+		{"replica after a lost disk joins as a learner", status(func(s *replica.Status) { markDown(s, "c1") }), abc, replacement, "[a1 b1 c1] [c2]", nil},
+		{"learner that has not caught up is not promoted", status(func(s *replica.Status) { markDown(s, "c1"); addLearner(s, "c2", "c", false) }), abc, replacement, "none", nil},
+		{"lost replica is removed before its successor votes", status(func(s *replica.Status) { markDown(s, "c1"); addLearner(s, "c2", "c", true) }), abc, replacement, "[a1 b1] [c2]", nil},
 		{"successor of a removed replica is promoted", status(func(s *replica.Status) {
 			s.Members = s.Members.Without("c1")
 			addLearner(s, "c2", "c", true)
-		}), abc, nil, "[a1 b1 c2] []"},
-		{"learner whose disk was lost again is removed", status(func(s *replica.Status) { addLearner(s, "c2", "c", false) }), abc, []replica.Member{member("c3", "c")}, "[a1 b1 c1] []"},
-		{"replica of an undesired instance does not join", status(nil), abc, []replica.Member{member("x1", "x")}, "none"},
-		{"no voter is removed before the new instance has one", status(nil), []string{"a", "b", "d"}, nil, "none"},
+		}), abc, nil, "[a1 b1 c2] []", nil},
+		{"learner whose disk was lost again is removed", status(func(s *replica.Status) { addLearner(s, "c2", "c", false) }), abc, []replica.Member{member("c3", "c")}, "[a1 b1 c1] []", nil},
+		{"replica of an undesired instance does not join", status(nil), abc, []replica.Member{member("x1", "x")}, "none", nil},
+		{"no voter is removed before the new instance has one", status(nil), []string{"a", "b", "d"}, nil, "none", nil},
 		{"voter of an instance that left the configuration is removed last", status(func(s *replica.Status) {
 			s.Members.Voters = append(s.Members.Voters, member("d1", "d"))
 			s.Peers = append(s.Peers, replica.PeerStatus{ID: "d1", Alive: true, CaughtUp: true})
-		}), []string{"a", "b", "d"}, nil, "[a1 b1 d1] []"},
-		{"leader that left the configuration transfers leadership first", status(nil), []string{"b", "c"}, nil, "transfer to b1"},
-		{"no voter is removed without a live majority of the others", status(func(s *replica.Status) { markDown(s, "b1"); addLearner(s, "c2", "c", true) }), abc, replacement, "none"},
+		}), []string{"a", "b", "d"}, nil, "[a1 b1 d1] []", nil},
+		{"leader that left the configuration transfers leadership first", status(nil), []string{"b", "c"}, nil, "transfer to b1", nil},
+		{"no voter is removed without a live majority of the others", status(func(s *replica.Status) { markDown(s, "b1"); addLearner(s, "c2", "c", true) }), abc, replacement, "none", nil},
+		{"no voter is added beside one that does not answer", status(func(s *replica.Status) { markDown(s, "c1"); addLearner(s, "d1", "d", true) }), abcd, nil, "none", nil},
+		{"silent voter is removed before its successor votes", status(func(s *replica.Status) { markDown(s, "c1"); addLearner(s, "d1", "d", true) }), abcd, nil, "[a1 b1] [d1]", []replica.ID{"c1"}},
+		{"silent voter stays while its successor has not caught up", status(func(s *replica.Status) { markDown(s, "c1"); addLearner(s, "d1", "d", false) }), abcd, nil, "none", []replica.ID{"c1"}},
+		{"voter that answers again stays", status(func(s *replica.Status) { addLearner(s, "d1", "d", true) }), abcd, nil, "[a1 b1 c1 d1] []", []replica.ID{"c1"}},
+		{"silent one of four voters is removed", fourVoters("c1"), abcd, nil, "[a1 b1 d1] []", []replica.ID{"c1"}},
+		{"silent one of three voters stays", status(func(s *replica.Status) { markDown(s, "c1") }), abc, nil, "none", []replica.ID{"c1"}},
+		{"silent one of four voters is removed although another does not answer", fourVoters("c1", "b1"), abcd, nil, "[a1 b1 d1] []", []replica.ID{"c1"}},
+		{"no silent voter is removed without a live majority of the others", fourVoters("c1", "b1", "d1"), abcd, nil, "none", []replica.ID{"c1"}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			assert.Equal(t, formatStep(membership.NextStep(c.status, c.desired, c.joining)), c.want)
+			assert.Equal(t, formatStep(membership.NextStep(c.status, membership.Wanted{Instances: c.desired, Joining: c.joining, Silent: c.silent})), c.want)
 		})
 	}
 }
--- a/internal/membership/seeded.go
+++ b/internal/membership/seeded.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -18,6 +19,9 @@
 	// lostAfter is the time without contact after which a member is lost and may be
 	// replaced. A shorter partition does not change the group.
 	lostAfter = 6 * time.Second
+	// replaceAfter is the time without contact after which a voter gives its place to a replica
+	// that has caught up. A restart or a pause is shorter.
+	replaceAfter = 1500 * time.Millisecond
 	// rejoinAfter is the time without a leader after which a replica asks to join
 	// again: it may have been removed without receiving that change.
 	rejoinAfter = 2 * time.Second
@@ -33,7 +37,6 @@
 // WithSeeds makes the group a seeded one and returns the manager. Call it before Run.
 func (m *Manager) WithSeeds(s Seeds) *Manager {
 	m.seeds = &s
-	m.silentSince = make(map[replica.ID]timer.Instant)
 	m.listPeers = m.seedsAndMembers
 	return m
 }
@@ -94,27 +97,39 @@
 		}
 		return names
 	}
-	return DesiredInstances(s, joining, m.lost(s))
+	return DesiredInstances(s, joining, m.silentFor(lostAfter))
 }
 
-// lost returns the members without contact for longer than lostAfter.
-func (m *Manager) lost(s replica.Status) []replica.ID {
+// noteSilence records since when members have been without contact.
+func (m *Manager) noteSilence(s replica.Status) {
 	now := m.clock.Now()
-	var out []replica.ID
+	silent := make(map[replica.ID]timer.Instant)
 	for _, x := range s.Members.All() {
 		if x.ID == s.ID || s.Peer(x.ID).Alive {
-			delete(m.silentSince, x.ID)
 			continue
 		}
 		since, ok := m.silentSince[x.ID]
 		if !ok {
-			m.silentSince[x.ID] = now
-			continue
+			since = now
 		}
-		if now.Sub(since) > lostAfter {
-			out = append(out, x.ID)
+		silent[x.ID] = since
+	}
+	m.silentSince = silent
+}
+
+// silentFor returns the members without contact for longer than a time, the one that has been
+// silent longest first.
+func (m *Manager) silentFor(d time.Duration) []replica.ID {
+	now := m.clock.Now()
+	var out []replica.ID
+	for id, since := range m.silentSince {
+		if now.Sub(since) > d {
+			out = append(out, id)
 		}
 	}
+	slices.SortFunc(out, func(a, b replica.ID) int {
+		return cmp.Or(-cmp.Compare(now.Sub(m.silentSince[a]), now.Sub(m.silentSince[b])), cmp.Compare(a, b))
+	})
 	return out
 }
 
--- a/pkg/replica/election.go
+++ b/pkg/replica/election.go
@@ -46,7 +46,7 @@
 		if p.id == s.cfg.ID {
 			p.active = true
 		}
-		if p.active && s.Members().isVoter(p.id) {
+		if p.active && s.Members().IsVoter(p.id) {
 			responded++
 		}
 		p.wasActive = p.active
@@ -108,7 +108,7 @@
 func (s *step) countVotes(granted bool) int {
 	n := 0
 	for _, v := range s.votes {
-		if v.granted == granted && s.Members().isVoter(v.from) {
+		if v.granted == granted && s.Members().IsVoter(v.from) {
 			n++
 		}
 	}
@@ -179,7 +179,7 @@
 }
 
 func (s *step) startTransfer(to ID) {
-	if s.role != Leader || to == s.cfg.ID || !s.Members().isVoter(to) {
+	if s.role != Leader || to == s.cfg.ID || !s.Members().IsVoter(to) {
 		return
 	}
 	s.transferee = to
--- a/pkg/replica/read.go
+++ b/pkg/replica/read.go
@@ -77,7 +77,7 @@
 func (s *step) roundConfirmed(round uint64) bool {
 	n := 0
 	for _, p := range s.progress {
-		if s.Members().isVoter(p.id) && (p.id == s.cfg.ID || p.round >= round) {
+		if s.Members().IsVoter(p.id) && (p.id == s.cfg.ID || p.round >= round) {
 			n++
 		}
 	}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -169,7 +169,7 @@
 
 func (r Replica) latestMembership() membership { return r.memberships[len(r.memberships)-1] }
 
-func (r Replica) voter() bool { return r.Members().isVoter(r.cfg.ID) }
+func (r Replica) voter() bool { return r.Members().IsVoter(r.cfg.ID) }
 
 func (r Replica) quorum() int { return len(r.Members().Voters)/2 + 1 }
 
--- a/pkg/replica/types.go
+++ b/pkg/replica/types.go
@@ -74,7 +74,8 @@
 	}
 }
 
-func (m Members) isVoter(id ID) bool {
+// IsVoter reports whether the given replica is a voter.
+func (m Members) IsVoter(id ID) bool {
 	return slices.ContainsFunc(m.Voters, func(x Member) bool { return x.ID == id })
 }
 
@@ -82,12 +83,12 @@
 func (m Members) voterChanges(other Members) int {
 	n := 0
 	for _, x := range m.Voters {
-		if !other.isVoter(x.ID) {
+		if !other.IsVoter(x.ID) {
 			n++
 		}
 	}
 	for _, x := range other.Voters {
-		if !m.isVoter(x.ID) {
+		if !m.IsVoter(x.ID) {
 			n++
 		}
 	}
--- a/pkg/replica/update.go
+++ b/pkg/replica/update.go
@@ -188,7 +188,7 @@
 const formIndex = 1
 
 func (s *step) form(m Members) {
-	if s.log.lastIndex() > 0 || s.hard.Term > formIndex || !m.isVoter(s.cfg.ID) {
+	if s.log.lastIndex() > 0 || s.hard.Term > formIndex || !m.IsVoter(s.cfg.ID) {
 		return
 	}
 	s.hard.Term = formIndex
