fleet: acknowledge a withdrawal only once the state has it

Cause: a withdrawal of a target that the leader's state did not contain was acknowledged without a record.

Change: a withdrawal is proposed until the state shows that the start has left. One that is not known is recorded as left, by an announcement that earlier builds apply too. A withdrawal without a start waits for a barrier and is refused if the target is not known. A leader compares heartbeats with its records only after its recovery.

--- a/internal/deployment/commands.go
+++ b/internal/deployment/commands.go
@@ -222,6 +222,23 @@
 	return s.withTarget(index, t)
 }
 
+// Withdrawal returns the command that records the end of an incarnation, or false if the state has
+// it already. An incarnation that has left never returns, so that this holds for all later states.
+// One that is not known is recorded too: its announcement may come later.
+func (s State) Withdrawal(incarnation Incarnation) (Command, bool) {
+	t, known := s.Target(incarnation.ID)
+	switch {
+	case known && t.StartMillis > incarnation.StartMillis:
+		return Command{}, false
+	case known && t.StartMillis == incarnation.StartMillis:
+		return Command{Withdraw: &incarnation}, t.Status != Left
+	default:
+		// Earlier builds apply an announcement like this one, and ignore the withdrawal of an
+		// incarnation that they don't know.
+		return Command{Announce: &Target{ID: incarnation.ID, StartMillis: incarnation.StartMillis, Service: t.Service, Status: Left}}, true
+	}
+}
+
 // forget drops those of the incarnations that have left. The leader proposes only
 // incarnations that own no keys.
 func (s State) forget(index uint64, incarnations []Incarnation) State {
--- a/internal/fleet/targets.go
+++ b/internal/fleet/targets.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/internal/group"
 	"github.com/cranberrywind/cranberrywind/internal/instance"
 	"github.com/cranberrywind/cranberrywind/internal/settings"
 	"github.com/cranberrywind/cranberrywind/pkg/replica"
@@ -84,19 +86,14 @@
 	}
 	t := req.Target
 	incarnation := deployment.Incarnation{ID: t.ID, StartMillis: t.StartMillis}
+	if req.Withdraw {
+		return &instance.AnnounceTargetResponse{}, c.withdrawTarget(ctx, incarnation)
+	}
+	if err := c.awaitRecovery(ctx); err != nil {
+		return nil, err
+	}
 	old, known := c.lastReplica().group.State().State.Target(t.ID)
 	switch {
-	case req.Withdraw:
-		if !known || old.Status == deployment.Left {
-			break
-		}
-		if incarnation.StartMillis == 0 {
-			incarnation.StartMillis = old.StartMillis
-		}
-		if _, err := c.propose(ctx, deployment.Command{Withdraw: &incarnation}); err != nil {
-			return nil, err
-		}
-		c.log.Info("target withdrew", "target", t.ID, "service", old.Service, "address", old.Address)
 	case conflictsUnconfigured(c.lastReplica().group.State().State, t):
 		// A later configuration may have named the service, if this instance was replaced.
 		applied, err := c.lastReplica().group.Barrier(ctx)
@@ -130,6 +127,56 @@
 	return &instance.AnnounceTargetResponse{}, nil
 }
 
+// awaitRecovery waits until the state includes all that earlier leaders acknowledged. Before that
+// a change may look like a repetition.
+func (c *Control) awaitRecovery(ctx context.Context) error {
+	if c.Recovered() {
+		return nil
+	}
+	_, err := c.lastReplica().group.Barrier(ctx)
+	return err
+}
+
+// withdrawAttempts is how often a withdrawal is proposed if announcements of the same target are
+// committed meanwhile.
+const withdrawAttempts = 3
+
+// errTargetUnknown reports a withdrawal without a start of a target that is not known.
+var errTargetUnknown = errors.New("target is not known, and its withdrawal names no start")
+
+// withdrawTarget commits the withdrawal of a target, which need not have announced itself before:
+// its heartbeat may be late, or this replica may not have applied it yet. It returns once the
+// state shows that the incarnation has left.
+func (c *Control) withdrawTarget(ctx context.Context, incarnation deployment.Incarnation) error {
+	if incarnation.StartMillis == 0 {
+		applied, err := c.lastReplica().group.Barrier(ctx)
+		if err != nil {
+			return err
+		}
+		t, known := applied.State.Target(incarnation.ID)
+		if !known {
+			return fmt.Errorf("withdraw %s: %w", incarnation.ID, errTargetUnknown)
+		}
+		incarnation.StartMillis = t.StartMillis
+	}
+	for range withdrawAttempts {
+		command, needed := c.lastReplica().group.State().State.Withdrawal(incarnation)
+		if !needed {
+			return nil
+		}
+		if _, err := c.propose(ctx, command); err != nil {
+			return err
+		}
+		t, _ := c.lastReplica().group.State().State.Target(incarnation.ID)
+		c.log.Info("target withdrew", "target", t.ID, "born", incarnation.StartMillis, "service", t.Service, "address", t.Address,
+			"known", command.Withdraw != nil, "status", t.Status)
+	}
+	if _, needed := c.lastReplica().group.State().State.Withdrawal(incarnation); needed {
+		return fmt.Errorf("withdraw %s: %w", incarnation.ID, group.ErrNotCommitted)
+	}
+	return nil
+}
+
 // conflictsUnconfigured reports whether an announcement of a service that is not configured would
 // end or change a target of another service, with its ID or its address. Heartbeats may come
 // from other writers, and these are not targets to use.
