forward: record crashes that come while an answer is streamed

Callers saw: a download that crashes its targets while they stream its answer was never blocked.

Cause: a crash was recorded only where an attempt failed, and a streamed answer counted as an answer from its head on. Its head also cleared the request of the suspicion.

Change: the end of a streamed answer is watched where it is received. A body that the target breaks off is recorded like a failed attempt; only a whole answer clears a suspect. Crashes are recorded also after the caller of a booking left, and those of a report that was not delivered go into the next one.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -145,8 +145,11 @@
 // final response, or nil and true if another attempt may bring a better answer.
 func (s *Server) handleAnswer(c *call, t deployment.Target, res attemptResult, a *targethttp.Response) (*response, bool) {
 	res.ran, res.success = true, a.Status < http.StatusMultipleChoices
-	if suspected, _ := s.cfg.View.View().Suspected(c.fingerprint); suspected && res.success {
-		s.crashes.recordAnswered(c.fingerprint)
+	switch {
+	case a.Stream != nil:
+		go s.watchStream(t, c.fingerprint, a.Stream)
+	case res.success:
+		s.noteAnswered(c.fingerprint)
 	}
 	s.targets.requestEnded(t, res)
 	s.releaseSlot(c, answeredOutcome(res), res)
@@ -169,6 +172,25 @@
 	return out, false
 }
 
+// watchStream records how an answer ends that is passed on while it arrives, whether its caller
+// reads it to the end or not.
+func (s *Server) watchStream(t deployment.Target, fingerprint string, stream *targethttp.BodyStream) {
+	switch err := stream.Wait(s.ctx); {
+	case err == nil:
+		s.noteAnswered(fingerprint)
+	case errors.Is(err, targethttp.ErrIncompleteResponse) && !errors.Is(err, targethttp.ErrTimeout):
+		s.targets.recordBrokenAnswer(t)
+		s.crashes.recordIfCrashed(s.ctx, t, fingerprint, s.path.ReachesOthers)
+	}
+}
+
+// noteAnswered records that a target gave a whole answer to a request of the kind.
+func (s *Server) noteAnswered(fingerprint string) {
+	if suspected, _ := s.cfg.View.View().Suspected(fingerprint); suspected {
+		s.crashes.recordAnswered(fingerprint)
+	}
+}
+
 // mayRetry reports whether a request that may have run can be sent again.
 func (s *Server) mayRetry(c *call) bool {
 	return c.route.Kind.Idempotent() && c.sent < c.route.Attempts
@@ -221,7 +243,7 @@
 	}
 	c.sent++
 	c.mayHaveRun = true
-	if !disconnected && !errors.Is(err, targethttp.ErrTimeout) {
+	if !errors.Is(err, targethttp.ErrTimeout) {
 		go s.crashes.recordIfCrashed(s.ctx, t, c.fingerprint, s.path.ReachesOthers)
 	}
 	return nil, !disconnected && ctx.Err() == nil && s.mayRetry(c)
--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -67,9 +68,26 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	incarnation := deployment.Incarnation{ID: t.ID, StartMillis: t.StartMillis}
-	if len(r.reports[incarnation]) < maxFingerprints {
-		r.reports[incarnation] = append(r.reports[incarnation], fingerprint)
+	r.add(deployment.Incarnation{ID: t.ID, StartMillis: t.StartMillis}, fingerprint)
+}
+
+// add adds a fingerprint to the report of a crash. The caller holds the mutex.
+func (r *crashRecorder) add(incarnation deployment.Incarnation, fingerprint string) {
+	list := r.reports[incarnation]
+	if len(list) < maxFingerprints && !slices.Contains(list, fingerprint) {
+		r.reports[incarnation] = append(list, fingerprint)
+	}
+}
+
+// giveBack adds the crashes of a report that was not delivered to the next one. A crash that is
+// reported twice counts once.
+func (r *crashRecorder) giveBack(reports []deployment.CrashReport) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, report := range reports {
+		for _, f := range report.Fingerprints {
+			r.add(report.Incarnation, f)
+		}
 	}
 }
 
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -121,6 +121,7 @@
 	mu       sync.Mutex
 	received []string                 // IDs of the targets that received a request, in order
 	demand   []instance.ServiceDemand // reported
+	crashes  []deployment.CrashReport // reported
 }
 
 // startEntry starts an entry and a target for each handler. All targets serve the
@@ -220,6 +221,12 @@
 // returns its address.
 func (e *testEntry) startTarget(id string, h targetHandler) string {
 	l := listenLocal(e.t)
+	e.serveTarget(l, id, h)
+	return l.Addr().String()
+}
+
+// serveTarget serves the connections to a target until its listener is closed.
+func (e *testEntry) serveTarget(l net.Listener, id string, h targetHandler) {
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -241,7 +248,6 @@
 			}()
 		}
 	}()
-	return l.Addr().String()
 }
 
 // request sends a request on a new connection.
--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -11,7 +10,6 @@
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
 	"github.com/cranberrywind/cranberrywind/internal/dispatch"
-	"github.com/cranberrywind/cranberrywind/internal/targethttp"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
@@ -147,22 +145,17 @@
 		out.onWritten = func(err error) {
 			cancelBody()
 			out.stream.Close()
-			s.handleStreamEnd(c, err)
+			s.logStreamEnd(c, err)
 		}
 	}
 	return s.finish(r, c, out)
 }
 
-// handleStreamEnd logs a response that broke off while its body was streamed to the
-// caller, and counts the failure against the target if the target broke off.
-func (s *Server) handleStreamEnd(c *call, err error) {
-	if err == nil {
-		return
-	}
-	s.log.Info("response broke off while streamed to the caller", append(c.attemptFields(), "request_id", c.id, "caller_left", c.ctx.Err() != nil && s.ctx.Err() == nil,
-		"error", err)...)
-	if errors.Is(err, targethttp.ErrIncompleteResponse) && c.ctx.Err() == nil && c.target.ID != "" {
-		s.targets.recordBrokenAnswer(c.target)
+// logStreamEnd logs a response that broke off while its body was streamed to the caller.
+func (s *Server) logStreamEnd(c *call, err error) {
+	if err != nil {
+		s.log.Info("response broke off while streamed to the caller", append(c.attemptFields(), "request_id", c.id, "caller_left", c.ctx.Err() != nil && s.ctx.Err() == nil,
+			"error", err)...)
 	}
 }
 
--- a/internal/forward/report.go
+++ b/internal/forward/report.go
@@ -54,6 +54,9 @@
 			if a != nil {
 				s.cfg.View.ConfirmConfig(a.Config, sentAt)
 			}
+			if a == nil || a.Refused {
+				s.crashes.giveBack(req.CrashReports)
+			}
 			heldUp.Store(a == nil || s.cfg.Clock.Now().Sub(start) > heldUpReport)
 			if a != nil && !a.NoAdvice {
 				s.adopt(number, a)
--- a/internal/forward/zone_shares_test.go
+++ b/internal/forward/zone_shares_test.go
@@ -38,6 +38,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.demand = append(e.demand, r.Demand...)
+	e.crashes = append(e.crashes, r.CrashReports...)
 	if e.unconfirmed.Load() {
 		return nil
 	}
--- a/internal/targethttp/stream.go
+++ b/internal/targethttp/stream.go
@@ -55,6 +55,24 @@
 	}
 }
 
+// Wait waits until the body has ended and returns an ErrIncompleteResponse if it ended early, or
+// the context's error if ctx ends first.
+func (r *BodyStream) Wait(ctx context.Context) error {
+	for {
+		r.mu.Lock()
+		done, err, changed := r.done, r.err, r.changed
+		r.mu.Unlock()
+		if done {
+			return err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // ReadAll waits until the body is complete and returns it.
 func (r *BodyStream) ReadAll(ctx context.Context) ([]byte, error) {
 	for n := 0; n < len(r.data); {
@@ -79,14 +97,19 @@
 	r.changed = make(chan struct{})
 }
 
-// fill reads the response's body into the stream and closes it.
-func (r *BodyStream) fill(resp *http.Response) error {
+// fill reads the response's body into the stream and closes it. If ctx has ended by the time of
+// an error, the error is an ErrTimeout.
+func (r *BodyStream) fill(ctx context.Context, resp *http.Response) error {
 	defer func() { _ = resp.Body.Close() }()
 	for offset := 0; offset < len(r.data); {
 		n, err := resp.Body.Read(r.data[offset:])
 		offset += n
 		if err != nil && offset < len(r.data) {
-			err = fmt.Errorf("%w: %w", ErrIncompleteResponse, err)
+			kind := ErrIncompleteResponse
+			if ctx.Err() != nil {
+				kind = ErrTimeout
+			}
+			err = fmt.Errorf("%w: %w", kind, err)
 			r.update(n, true, err)
 			return err
 		}
@@ -99,6 +122,6 @@
 // returns the connection to the pool, or discards it if it can't be reused.
 func (p *Pool) fillStream(ctx context.Context, c *conn, resp *http.Response, stream *BodyStream, reusable bool) {
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	err := stream.fill(resp)
+	err := stream.fill(ctx, resp)
 	p.recycle(c, stop() && err == nil && reusable)
 }
