targethttp: count the bytes of an answer until it is written to its caller

Cause: the bytes of a body counted while it was read from the target, and not while it waited for its caller, in a queue that is bounded by the number of requests.

Change: a response is closed once its body was written or is not needed, and counts until then. Bodies of up to 64 KB have 4 MiB of their own. An answer that finds no room says nothing about its target, and is not asked for again.

TestBodyWithoutLength expected that nothing is held once Do has returned. It now checks that exactly the body is held until the response is closed, and nothing afterwards.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -81,18 +81,20 @@
 	}
 	if a.Stream != nil && (a.Status >= http.StatusMultipleChoices || s.isNotRun(a) || s.invalidReason(a) != "") {
 		a.Body, err = a.Stream.ReadAll(ctx)
-		a.Stream.Close()
 		if err != nil {
+			a.Close()
 			return s.handleFailure(ctx, c, t, err, took)
 		}
 		a.Stream = nil
 	}
 	c.sent++
 	if s.isNotRun(a) {
+		a.Close()
 		return nil, s.handleNotRun(c, t, res, a.Status)
 	}
 	c.mayHaveRun = true
 	if invalid := s.invalidReason(a); invalid != "" {
+		a.Close()
 		res.failed, res.broken = true, true
 		s.targets.requestEnded(t, res)
 		s.releaseSlot(c, answeredOutcome(res), res)
@@ -153,7 +155,7 @@
 	}
 	s.targets.requestEnded(t, res)
 	s.releaseSlot(c, answeredOutcome(res), res)
-	out := &response{status: a.Status, header: forwardedHeaders(a.Header), body: a.Body, stream: a.Stream}
+	out := &response{status: a.Status, header: forwardedHeaders(a.Header), body: a.Body, stream: a.Stream, answer: a}
 	if length := a.Header.Get("Content-Length"); c.method == http.MethodHead && length != "" {
 		out.header["Content-Length"] = []string{length}
 	}
@@ -200,9 +202,10 @@
 // response, and whether another attempt may help.
 func (s *Server) handleFailure(ctx context.Context, c *call, t deployment.Target, err error, took time.Duration) (*response, bool) {
 	disconnected := c.ctx.Err() != nil
+	noRoom := errors.Is(err, targethttp.ErrBodiesHeld)
 	res := attemptResult{
-		failed: !disconnected && !errors.Is(err, targethttp.ErrConnLimit) && !errors.Is(err, targethttp.ErrNotAllowed),
-		broken: errors.Is(err, targethttp.ErrIncompleteResponse) && !errors.Is(err, targethttp.ErrTimeout),
+		failed: !disconnected && !noRoom && !errors.Is(err, targethttp.ErrConnLimit) && !errors.Is(err, targethttp.ErrNotAllowed),
+		broken: !noRoom && errors.Is(err, targethttp.ErrIncompleteResponse) && !errors.Is(err, targethttp.ErrTimeout),
 		took:   took,
 		sentAt: c.sentAt,
 
@@ -243,10 +246,10 @@
 	}
 	c.sent++
 	c.mayHaveRun = true
-	if !errors.Is(err, targethttp.ErrTimeout) {
+	if !noRoom && !errors.Is(err, targethttp.ErrTimeout) {
 		go s.crashes.recordIfCrashed(s.ctx, t, c.fingerprint, s.path.ReachesOthers)
 	}
-	return nil, !disconnected && ctx.Err() == nil && s.mayRetry(c)
+	return nil, !disconnected && !noRoom && ctx.Err() == nil && s.mayRetry(c)
 }
 
 // cancelReason returns why the context of a caller's request has ended.
--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -139,12 +139,14 @@
 	var cancelBody context.CancelFunc
 	c.bodyCtx, cancelBody = context.WithDeadline(r.ctx, c.deadline.Add(bodyGrace))
 	out := s.sendWithRetries(ctx, c)
+	if c.errorAnswer != nil && c.errorAnswer.answer != out.answer {
+		c.errorAnswer.free()
+	}
 	if out.stream == nil {
 		cancelBody()
 	} else {
 		out.onWritten = func(err error) {
 			cancelBody()
-			out.stream.Close()
 			s.logStreamEnd(c, err)
 		}
 	}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -131,14 +131,16 @@
 		BodyContext:    c.bodyCtx,
 	})
 	if err == nil && a.Stream != nil && a.Status >= http.StatusMultipleChoices {
-		a.Body, err = a.Stream.ReadAll(ctx)
-		a.Stream.Close()
+		if a.Body, err = a.Stream.ReadAll(ctx); err != nil {
+			a.Close()
+		}
 		a.Stream = nil
 	}
 	if err != nil {
 		return s.handleRelayFailure(ctx, c, err)
 	}
 	if rejected := a.Header.Get(relayRejectedHeader); rejected != "" {
+		a.Close()
 		c.reason = fmt.Sprintf("instance %s rejected the request: status %d", address, a.Status)
 		s.logRelay(c)
 		if rejected == rejectedAll {
@@ -147,9 +149,7 @@
 		return nil, relayDeclined
 	}
 	if invalid := s.invalidReason(a); invalid != "" {
-		if a.Stream != nil {
-			a.Stream.Close()
-		}
+		a.Close()
 		return s.handleRelayFailure(ctx, c, fmt.Errorf("%s: %w", invalid, targethttp.ErrIncompleteResponse))
 	}
 	return s.handleRelayResponse(ctx, c, a), relayServed
@@ -162,11 +162,12 @@
 	c.reason = fmt.Sprintf("instance %s responded with status %d", c.relayedTo, a.Status)
 	c.target, c.result = deployment.Target{}, attemptResult{} // of an earlier attempt
 	if c.mayHaveRun && isRejection(a.Status) {
+		a.Close()
 		out := s.finalResponse(ctx, c)
 		return &out
 	}
 	c.mayHaveRun = c.mayHaveRun || a.Header.Get(s.cfg.Headers.Signature) != "" || !isRejection(a.Status)
-	out := &response{status: a.Status, header: forwardedHeaders(a.Header), body: a.Body, stream: a.Stream}
+	out := &response{status: a.Status, header: forwardedHeaders(a.Header), body: a.Body, stream: a.Stream, answer: a}
 	if length := a.Header.Get("Content-Length"); c.method == http.MethodHead && length != "" {
 		out.header["Content-Length"] = []string{length}
 	}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -20,6 +20,7 @@
 	body      []byte
 	stream    *targethttp.BodyStream // body that is still arriving; body is empty then
 	onWritten func(error)            // called after the response was written, or failed to be
+	answer    *targethttp.Response   // that holds the body; nil if the entry made the response
 	closeConn bool                   // the connection closes after it
 	isHead    bool                   // answers a HEAD request
 	// otherMayServe is set in the rejection of a request that this entry can't serve for a
@@ -35,11 +36,19 @@
 	return len(r.body)
 }
 
-// written calls onWritten, if set, with the result of writing the response.
+// written calls onWritten, if set, with the result of writing the response, and frees the body.
 func (r response) written(err error) {
 	if r.onWritten != nil {
 		r.onWritten(err)
 	}
+	r.free()
+}
+
+// free ends the use of the body.
+func (r response) free() {
+	if r.answer != nil {
+		r.answer.Close()
+	}
 }
 
 // errConnectionClosed reports a response that came after the caller's connection was
@@ -80,8 +89,8 @@
 // off.
 func (c *callerConn) readStream(r response) response {
 	body, err := r.stream.ReadAll(c.ctx)
-	r.written(err)
 	if err != nil {
+		r.written(err)
 		failed := errorResponse(http.StatusBadGateway, "the target broke its answer off")
 		failed.closeConn, failed.isHead = r.closeConn, r.isHead
 		if id, ok := r.header[c.server.cfg.Headers.RequestID]; ok {
@@ -89,7 +98,7 @@
 		}
 		return failed
 	}
-	r.body, r.stream, r.onWritten = body, nil, nil
+	r.body, r.stream = body, nil
 	return r
 }
 
--- a/internal/targethttp/bounds.go
+++ b/internal/targethttp/bounds.go
@@ -16,6 +16,9 @@
 	// that before it is collected. A single body may take all of it if its response
 	// says how long it is.
 	maxHeldBytes = 24 << 20
+	// maxHeldBytesSmall is the bound for bodies of up to bodyChunkBytes. They are still read
+	// while large ones wait for callers that read slowly.
+	maxHeldBytesSmall = maxHeldBytes + 4<<20
 	// maxUnknownLength bounds a body whose response does not say how long it is: the
 	// target may be sending bytes without end.
 	maxUnknownLength = 4 << 20
@@ -26,7 +29,9 @@
 var (
 	errHeadTooLarge = errors.New("response head is too large")
 	errBodyTooLarge = errors.New("response body is too large")
-	errBodiesHeld   = errors.New("too many bytes of response bodies are held in memory")
+	// ErrBodiesHeld reports a response that was not read for want of memory. It says nothing
+	// about the target.
+	ErrBodiesHeld = errors.New("too many bytes of response bodies are held in memory")
 )
 
 // headLimiter bounds the bytes that are read while limited is set. Past them it returns
@@ -56,11 +61,16 @@
 	held int
 }
 
-// reserve counts n more bytes, and reports false if there would be too many.
-func (b *bodyBudget) reserve(n int) bool {
+// reserve counts n more bytes of a body, and reports false if there would be too many. small
+// reports that it has no more than bodyChunkBytes so far.
+func (b *bodyBudget) reserve(n int, small bool) bool {
+	bound := maxHeldBytes
+	if small {
+		bound = maxHeldBytesSmall
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.held+n > maxHeldBytes {
+	if b.held+n > bound {
 		return false
 	}
 	b.held += n
@@ -73,54 +83,62 @@
 	b.held -= n
 }
 
-// readBody reads a response's body. Its bytes count as held until it has been read. It
-// does not close the body, which would read the rest of it, also one without end: after an
-// error the connection is closed instead.
-func (p *Pool) readBody(resp *http.Response) ([]byte, error) {
+// readBody reads a response's body. Its bytes count as held until the returned function is called,
+// which is nil after an error. It does not close the body, which would read the rest of it, also
+// one without end: after an error the connection is closed instead.
+func (p *Pool) readBody(resp *http.Response) (body []byte, release func(), err error) {
 	switch {
 	case resp.Request.Method == http.MethodHead:
-		return nil, nil
+		return nil, func() {}, nil
 	case resp.ContentLength < 0:
 		return p.readUnknownLength(resp.Body)
 	case resp.ContentLength > maxHeldBytes:
-		return nil, errBodyTooLarge
+		return nil, nil, errBodyTooLarge
 	}
 	n := int(resp.ContentLength)
-	if !p.bodies.reserve(n) {
-		return nil, errBodiesHeld
+	if !p.bodies.reserve(n, n <= bodyChunkBytes) {
+		return nil, nil, ErrBodiesHeld
+	}
+	body = make([]byte, n)
+	if _, err := io.ReadFull(resp.Body, body); err != nil {
+		p.bodies.release(n)
+		return nil, nil, err
 	}
-	defer p.bodies.release(n)
-	body := make([]byte, n)
-	_, err := io.ReadFull(resp.Body, body)
-	return body, err
+	return body, func() { p.bodies.release(n) }, nil
 }
 
 // readUnknownLength reads a body to its end, in chunks, so that one which is given up
 // leaves no copies of itself.
-func (p *Pool) readUnknownLength(r io.Reader) ([]byte, error) {
+func (p *Pool) readUnknownLength(r io.Reader) (body []byte, release func(), err error) {
 	var chunks [][]byte
-	total := 0
-	defer func() { p.bodies.release(len(chunks) * bodyChunkBytes) }()
+	reserved, total := 0, 0
+	defer func() {
+		if err != nil {
+			p.bodies.release(reserved)
+		}
+	}()
 	for {
 		if total >= maxUnknownLength {
-			return nil, errBodyTooLarge
+			return nil, nil, errBodyTooLarge
 		}
-		if !p.bodies.reserve(bodyChunkBytes) {
-			return nil, errBodiesHeld
+		if !p.bodies.reserve(bodyChunkBytes, total == 0) {
+			return nil, nil, ErrBodiesHeld
 		}
+		reserved += bodyChunkBytes
 		chunk, n := make([]byte, bodyChunkBytes), 0
-		var err error
-		for n < len(chunk) && err == nil {
+		var readErr error
+		for n < len(chunk) && readErr == nil {
 			var read int
-			read, err = r.Read(chunk[n:])
+			read, readErr = r.Read(chunk[n:])
 			n += read
 		}
 		chunks, total = append(chunks, chunk[:n]), total+n
 		switch {
-		case errors.Is(err, io.EOF):
-			return slices.Concat(chunks...), nil
-		case err != nil:
-			return nil, err
+		case errors.Is(readErr, io.EOF):
+			p.bodies.release(reserved - total)
+			return slices.Concat(chunks...), func() { p.bodies.release(total) }, nil
+		case readErr != nil:
+			return nil, nil, readErr
 		}
 	}
 }
--- a/internal/targethttp/exchange.go
+++ b/internal/targethttp/exchange.go
@@ -46,6 +46,17 @@
 	Body   []byte      // complete, unless Stream is set
 	Stream *BodyStream // a body that is still being read
 	Reused bool        // the connection had served an earlier request
+
+	release func() // ends counting the body as held; nil after Close
+}
+
+// Close ends the use of the body, whose bytes count as held until then. It must be called once
+// the body has been used, or is not needed.
+func (r *Response) Close() {
+	if r.release != nil {
+		r.release()
+		r.release = nil
+	}
 }
 
 const (
@@ -59,7 +70,8 @@
 
 // Do sends a request to the address and returns its response. It reads the whole
 // body, unless the request has a BodyContext and the body is longer than
-// StreamThresholdBytes: such a body is returned as a Stream. At most maxConns
+// StreamThresholdBytes: such a body is returned as a Stream. The response must be closed.
+// At most maxConns
 // connections to the address may be open. idHeader names the header in which the
 // target repeats the request's ID. If ctx ends first, the connection is closed.
 // Errors wrap ErrNotSent or ErrIncompleteResponse.
@@ -84,13 +96,14 @@
 		if r.BodyContext != nil && r.Method != http.MethodHead && p.reserveStream(resp.ContentLength) {
 			n := int(resp.ContentLength)
 			if stop() {
-				out.Stream = newBodyStream(n, func() { p.bodies.release(n) })
+				out.Stream = newBodyStream(n)
+				out.release = func() { p.bodies.release(n) }
 				go p.fillStream(r.BodyContext, c, resp, out.Stream, reusable)
 				return out, nil
 			}
 			p.bodies.release(n)
 		}
-		if out.Body, err = p.readBody(resp); err != nil {
+		if out.Body, out.release, err = p.readBody(resp); err != nil {
 			err = fmt.Errorf("%w: %w", ErrIncompleteResponse, err)
 		}
 	}
@@ -107,7 +120,7 @@
 // reserveStream reports whether a body of the length is read as a stream. Its bytes then
 // count as held.
 func (p *Pool) reserveStream(length int64) bool {
-	return length > StreamThresholdBytes && length <= maxHeldBytes && p.bodies.reserve(int(length))
+	return length > StreamThresholdBytes && length <= maxHeldBytes && p.bodies.reserve(int(length), false)
 }
 
 // exchange writes the request and reads the header of its response. It skips
--- a/internal/targethttp/exchange_test.go
+++ b/internal/targethttp/exchange_test.go
@@ -244,6 +244,12 @@
 	get := func(text string) (*Response, error) {
 		p := newTestPool(t)
 		resp, err := do(t, p, listen(t, func(_ int, c net.Conn, _ *http.Request) bool { write(c, text); return false }), "a")
+		if err == nil {
+			// The body stays in use until the response is closed.
+			assert.Equal(t, p.bodies.held, len(resp.Body))
+			resp.Close()
+			resp.Close()
+		}
 		assert.Equal(t, p.bodies.held, 0)
 		return resp, err
 	}
--- a/internal/targethttp/stream.go
+++ b/internal/targethttp/stream.go
@@ -11,8 +11,7 @@
 // BodyStream is a response body that can be read while it is still being received.
 // Its methods are safe for concurrent use.
 type BodyStream struct {
-	data    []byte
-	release func() // ends counting data as held; called once
+	data []byte
 
 	mu       sync.Mutex
 	received int
@@ -21,14 +20,10 @@
 	changed  chan struct{} // closed and replaced at each update
 }
 
-func newBodyStream(size int, release func()) *BodyStream {
-	return &BodyStream{data: make([]byte, size), release: sync.OnceFunc(release), changed: make(chan struct{})}
+func newBodyStream(size int) *BodyStream {
+	return &BodyStream{data: make([]byte, size), changed: make(chan struct{})}
 }
 
-// Close ends the use of the body. It must be called once the body has been used, or is
-// not needed.
-func (r *BodyStream) Close() { r.release() }
-
 // Size returns the length of the complete body in bytes.
 func (r *BodyStream) Size() int { return len(r.data) }
 
