deployment: apply a change of the configuration without touching the rest of it

Cause: each change copied all routes into a map, sorted and validated them, and a restart applies up to 512 of them. The applier kept the core for whole time slices, so that each write of the loop waited for it.

Change: a change is merged into the sorted routes, and what it can't have made invalid is not checked. The applier yields after each entry.

--- a/internal/deployment/commands.go
+++ b/internal/deployment/commands.go
@@ -159,7 +159,7 @@
 		return s, Result{Outcome: Conflict, Version: current, Reason: fmt.Sprintf("is based on version %d, but version %d is in force", change.Base, current)}
 	}
 	next := change.ApplyTo(s.config)
-	err := next.Validate()
+	err := change.ValidateChange(next)
 	if change.Version <= current {
 		err = errors.Join(&FieldError{Field: "version", Value: change.Version, Rule: fmt.Sprintf("must be above %d", current)}, err)
 	}
--- a/internal/deployment/config.go
+++ b/internal/deployment/config.go
@@ -10,6 +10,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -129,8 +130,10 @@
 const maxObjectiveExcess = time.Minute
 
 // Validate returns a FieldError for the first invalid field, or nil.
-func (cfg Config) Validate() error {
-	for _, r := range cfg.Routes {
+func (cfg Config) Validate() error { return cfg.validateRoutes(cfg.Routes) }
+
+func (cfg Config) validateRoutes(routes []Route) error {
+	for _, r := range routes {
 		if err := cfg.validateRoute(r); err != nil {
 			return err
 		}
@@ -204,10 +207,28 @@
 
 func (r Route) equal(x Route) bool { return bytes.Equal(r.Source, x.Source) }
 
+// same reports whether both routes are the same in all fields.
+func (r Route) same(x Route) bool {
+	if !r.equal(x) || !slices.Equal(r.Split, x.Split) {
+		return false
+	}
+	return r.Name == x.Name && r.Host == x.Host && r.Prefix == x.Prefix && r.Kind == x.Kind && r.Timeout == x.Timeout &&
+		r.Objective == x.Objective && r.Priority == x.Priority && r.Attempts == x.Attempts
+}
+
 func (s Service) name() string { return s.Name }
 
 func (s Service) equal(x Service) bool { return bytes.Equal(s.Source, x.Source) }
 
+// same reports whether both services are the same in all fields.
+func (s Service) same(x Service) bool {
+	if !s.equal(x) {
+		return false
+	}
+	s.Source, x.Source = nil, nil
+	return reflect.DeepEqual(s, x)
+}
+
 // changedItems returns the items that are new or differ from the old ones, and the
 // names of old items that are missing. All lists are sorted by name.
 func changedItems[T any](items, old []T, name func(T) string, equal func(a, b T) bool) (set []T, drop []string) {
@@ -232,37 +253,81 @@
 	return set, drop
 }
 
-// ApplyTo returns the configuration after the change.
+// ApplyTo returns the configuration after the change. It shares what did not change with cfg, so
+// that it costs little to keep both.
 func (c ConfigChange) ApplyTo(cfg Config) Config {
 	next := Config{Version: c.Version, Limits: cfg.Limits, LimitsSource: cfg.LimitsSource, Source: c.Source}
 	if !c.Whole {
-		next.Routes, next.Services, next.Source = cfg.Routes, cfg.Services, cfg.Source
+		next.Source = cfg.Source
 	}
 	if c.Limits != nil {
 		next.Limits, next.LimitsSource = *c.Limits, c.LimitsSource
 	}
-	next.Routes = withItems(next.Routes, c.Routes, c.DropRoutes, Route.name)
-	next.Services = withItems(next.Services, c.Services, c.DropServices, Service.name)
+	next.Routes = withItems(cfg.Routes, c.Routes, c.DropRoutes, c.Whole, Route.name, Route.same)
+	next.Services = withItems(cfg.Services, c.Services, c.DropServices, c.Whole, Service.name, Service.same)
 	return next
 }
 
-// withItems drops and then sets items by name. The result is sorted by name.
-func withItems[T any](items, set []T, drop []string, name func(T) string) []T {
-	byName := make(map[string]T, len(items)+len(set))
-	for _, x := range items {
-		byName[name(x)] = x
+// ValidateChange returns a FieldError for the first invalid field of the configuration that the
+// change makes of a valid one, or nil. It checks only what the change can have made invalid.
+func (c ConfigChange) ValidateChange(next Config) error {
+	if c.Whole || len(c.DropServices) > 0 {
+		return next.Validate()
 	}
-	for _, n := range drop {
-		delete(byName, n)
+	return next.validateRoutes(sortedByName(c.Routes, Route.name))
+}
+
+// sortedByName returns the items sorted by name. Of those with the same name it keeps the last.
+func sortedByName[T any](items []T, name func(T) string) []T {
+	out := slices.Clone(items)
+	slices.SortStableFunc(out, func(a, b T) int { return cmp.Compare(name(a), name(b)) })
+	kept := out[:0]
+	for i, x := range out {
+		if i+1 == len(out) || name(out[i+1]) != name(x) {
+			kept = append(kept, x)
+		}
 	}
-	for _, x := range set {
-		byName[name(x)] = x
+	return kept
+}
+
+// withItems sets items by name after it has dropped some, or all others if whole is true. The
+// given items must be sorted by name, as the result is. A set item that is the same as the given
+// one is not stored again.
+func withItems[T any](items, set []T, drop []string, whole bool, name func(T) string, same func(a, b T) bool) []T {
+	set, drop = sortedByName(set, name), slices.Sorted(slices.Values(drop))
+	out := make([]T, 0, len(items)+len(set))
+	for len(set) > 0 || len(drop) > 0 {
+		isSet := len(drop) == 0 || len(set) > 0 && name(set[0]) <= drop[0]
+		next := ""
+		if isSet {
+			next = name(set[0])
+		} else {
+			next = drop[0]
+		}
+		i, found := slices.BinarySearchFunc(items, next, func(x T, n string) int { return cmp.Compare(name(x), n) })
+		if !whole {
+			out = append(out, items[:i]...)
+		}
+		items = items[i:]
+		switch {
+		case isSet && found && same(items[0], set[0]):
+			out = append(out, items[0])
+		case isSet:
+			out = append(out, set[0])
+		}
+		if found {
+			items = items[1:]
+		}
+		if isSet {
+			set = set[1:]
+		}
+		for len(drop) > 0 && drop[0] == next {
+			drop = drop[1:]
+		}
 	}
-	out := make([]T, 0, len(byName))
-	for _, x := range byName {
-		out = append(out, x)
+	if !whole {
+		out = append(out, items...)
 	}
-	slices.SortFunc(out, func(a, b T) int { return cmp.Compare(name(a), name(b)) })
 	return out
 }
 
--- a/internal/group/applier.go
+++ b/internal/group/applier.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -138,6 +139,9 @@
 		if p, ok := a.group.proposals.take(e.Index); ok {
 			a.resolve(p.token, outcomeOf(p, e, value))
 		}
+		// On one core the loop would otherwise wait until a time slice ends after each write to
+		// the disk.
+		runtime.Gosched()
 	}
 	return nil
 }
