forward: take a connection that times out on a full link for no proof against its target

Callers saw: entries with narrow links rejected requests for owners of keys that answered others.

Cause: two connections that did not open in time opened the circuit breaker, although other targets answered over the same link.

An entry that no target has answered yet no longer counts as answered.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -211,6 +211,7 @@
 
 		// On a narrow link a connection that does not open in time mostly shows that the
 		// link is full.
+		linkFull:     s.cfg.Link != nil && isTimeout(err) && errors.Is(err, targethttp.ErrNoConnection) && s.path.AnsweredLately(),
 		noConnection: !disconnected && errors.Is(err, targethttp.ErrNoConnection) && (s.cfg.Link == nil || !isTimeout(err)),
 	}
 	s.targets.requestEnded(t, res)
--- a/internal/forward/path.go
+++ b/internal/forward/path.go
@@ -101,6 +101,12 @@
 // RecordAnswer records that a target has answered.
 func (p *pathMonitor) RecordAnswer() { p.answered.Store(int64(p.clock.Now())) }
 
+// AnsweredLately reports whether a target has answered within answerWindow.
+func (p *pathMonitor) AnsweredLately() bool {
+	at := timer.Instant(p.answered.Load())
+	return at > 0 && p.clock.Now().Sub(at) < answerWindow
+}
+
 // RecordFailure records that a target gave no answer. Failures of several targets start a
 // check.
 func (p *pathMonitor) RecordFailure(target string) {
@@ -149,7 +155,7 @@
 func (p *pathMonitor) check() bool {
 	sample := randomTargets(p.targets(), checkedTargets)
 	opened, timeouts, err := p.connect(sample)
-	linkFull := timeouts > 0 && p.clock.Now().Sub(timer.Instant(p.answered.Load())) < answerWindow
+	linkFull := timeouts > 0 && p.AnsweredLately()
 	p.mu.Lock()
 	wasLost := p.lost
 	switch {
--- a/internal/forward/target_state.go
+++ b/internal/forward/target_state.go
@@ -176,8 +176,11 @@
 func (s *targetState) recordFailure(res attemptResult, now timer.Instant) {
 	s.consecutiveFailures++
 	limit := failuresToOpen
-	if res.broken {
+	switch {
+	case res.broken:
 		limit = brokenAnswersToOpen
+	case res.linkFull:
+		limit = linkTimeoutsToOpen
 	}
 	if s.consecutiveFailures >= limit {
 		openTime := min(minOpenTime<<min(s.consecutiveFailures-limit, 8), maxOpenTime)
@@ -203,6 +206,7 @@
 	leaving        bool          // the answer said that the target is leaving
 	rest           time.Duration // for how long the target wants no requests; 0 if it did not say
 	noConnection   bool          // no connection could be opened
+	linkFull       bool          // it did not open in time while others answered over the same narrow link
 	answered       bool          // a complete answer came, also one that did not run the request
 }
 
--- a/internal/forward/targets.go
+++ b/internal/forward/targets.go
@@ -34,10 +34,12 @@
 	// A target's circuit breaker opens after failuresToOpen consecutive failures, or
 	// brokenAnswersToOpen if the last one was a broken or invalid answer: such a
 	// target still serves other requests, unlike one that refuses connections or
-	// doesn't answer. The breaker stays open for minOpenTime, doubled with each
+	// doesn't answer. It takes linkTimeoutsToOpen if the entry's own full link may have
+	// delayed the connection. The breaker stays open for minOpenTime, doubled with each
 	// further failure up to maxOpenTime.
 	failuresToOpen      = 2
 	brokenAnswersToOpen = 6
+	linkTimeoutsToOpen  = 8
 	minOpenTime         = 250 * time.Millisecond
 	maxOpenTime         = 2 * time.Second
 	// slowdownValidity is for how long a slowdown that a target reports counts. Slowdowns
