forward: answer the requests behind a response that closes the connection

Cause: a request that may not be sent again in a shutdown ends with a response that closes its connection, and the writer took that for the last response.

Change: such a response stops the connection. Requests behind it that were read are answered, no further one is begun, and the last answer closes.

--- a/internal/forward/conn_end_test.go
+++ b/internal/forward/conn_end_test.go
@@ -217,3 +217,48 @@
 	assert.Equal(t, resp.Header.Get(relayRejectedHeader), rejectedAll)
 	assert.Assert(t, resp.Close)
 }
+
+// learn sets what the entry has measured of the service time of targets.
+func (e *testEntry) learn(serviceTime time.Duration, ids ...string) {
+	e.t.Helper()
+	for _, id := range ids {
+		target, ok := e.server.cfg.View.View().Target(id)
+		assert.Assert(e.t, ok)
+		e.server.targets.mu.Lock()
+		e.server.targets.state(target).serviceTime = serviceTime.Seconds()
+		e.server.targets.mu.Unlock()
+	}
+}
+
+// Guards against an entry that stops and closes a connection behind one answer, while a target
+// works on the next request of the connection.
+func TestRequestsBehindARejectionAreAnsweredInShutdown(t *testing.T) {
+	const work, limit = 400 * time.Millisecond, 650 * time.Millisecond
+	var log requestLog
+	target := func(w io.Writer, r *http.Request) {
+		if r.URL.Path == "/look/fails" {
+			time.Sleep(work / 2)
+			respondStatus(http.StatusInternalServerError, "")(w, r)
+			return
+		}
+		log.add(r.Header.Get("Request-Id"))
+		time.Sleep(work)
+		respondOK("served")(w, r)
+	}
+	e := startEntry(t, nil, target, target)
+	e.learn(work, "t0", "t1")
+	c := dial(t, e.address)
+	c.send(getLine("/look/fails", "first") + getLine("/look/works", "second"))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !log.has("second") {
+			return poll.Continue("the second request was not passed on")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	stopped := e.shutDown(limit)
+	// No target may be sent the first request again: it would outlast the shutdown.
+	wantResponse(t, c, http.StatusInternalServerError, "")
+	wantResponse(t, c, http.StatusOK, "served")
+	assert.NilError(t, c.conn.Close())
+	assert.NilError(t, <-stopped)
+}
--- a/internal/forward/conn_state.go
+++ b/internal/forward/conn_state.go
@@ -166,13 +166,15 @@
 	}
 }
 
-// chooseLast reports whether a response that is about to be written is the last one: it
-// closes the connection, or is the only one due on a connection that is stopping. No
-// request is read behind the last response, which could not be answered.
+// chooseLast reports whether a response that is about to be written is the last one: the only one
+// due on a connection that is stopping. A response that closes the connection stops it: requests
+// behind it that were read already are still answered, and no further one is begun. No request is
+// read behind the last response, which could not be answered.
 func (c *callerConn) chooseLast(closes bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if closes || c.stopping && c.pending == 1 && !c.reading {
+	c.stopping = c.stopping || closes
+	if c.stopping && c.pending == 1 && !c.reading {
 		c.lastChosen = true
 		c.changed.Broadcast()
 	}
