instance: replace a connection that has gone silent

Cause: streams and calls to one instance share a connection. A stream that stalled ended alone, and the next one went over the same dead connection until gRPC's keepalive of 10 s ended it.

Change: a connection on which something is due and that has brought no byte for 1.5 s is replaced, at most once in 3 s.

Evidence: TestSilentConnectionsAreReplaced fails on the code before in both of its parts and passes.

--- a/internal/instance/client.go
+++ b/internal/instance/client.go
@@ -11,9 +11,12 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 
 	"github.com/cranberrywind/cranberrywind/internal/wire"
+	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
 // ErrUnreachable reports that no instance could be reached or that the connection
@@ -43,6 +46,7 @@
 	mu         sync.Mutex
 	conns      map[string]*grpc.ClientConn
 	received   map[string]*atomic.Int64 // bytes received, by address
+	silences   map[string]silence       // by address
 	sendQueues map[string]*sendQueue
 }
 
@@ -56,6 +60,7 @@
 		traffic:    traffic,
 		conns:      make(map[string]*grpc.ClientConn),
 		received:   make(map[string]*atomic.Int64),
+		silences:   make(map[string]silence),
 		sendQueues: make(map[string]*sendQueue),
 	}
 	return p, func() {
@@ -85,7 +90,10 @@
 	if c, ok := p.conns[address]; ok {
 		return c, nil
 	}
-	received := new(atomic.Int64)
+	received := p.received[address]
+	if received == nil {
+		received = new(atomic.Int64)
+	}
 	reconnect := backoff.Config{BaseDelay: reconnectDelay, Multiplier: 2, MaxDelay: maxReconnectDelay}
 	usual := append(tellZone(p.zone),
 		grpc.WithTransportCredentials(p.security.clientCredentials()),
@@ -129,8 +137,11 @@
 	if err != nil {
 		return nil, err
 	}
-	res := new(Res)
+	res, sent, before := new(Res), timer.BootTime(), p.BytesReceived(address)
 	if err := c.Invoke(ctx, "/"+serviceName+"/"+method, req, res); err != nil {
+		if status.Code(err) == codes.DeadlineExceeded {
+			p.noteSilence(address, c, before, sent)
+		}
 		return nil, fromStatus(err)
 	}
 	return res, nil
@@ -146,6 +157,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	go p.watchSilence(ctx, address, c)
 	s, err := c.NewStream(ctx, &grpc.StreamDesc{StreamName: "Watch", ServerStreams: true}, "/"+serviceName+"/Watch")
 	if err != nil {
 		return fromStatus(err)
