membership: form the group without a seed that is missing at the first start

Cause: all seeds had to answer before the first by name formed the group. One that was started again may form none.

Change: after 2 s a majority of the seeds without state forms the group, the next one by name 1.5 s later if the first does not. A seed that was formed with other members refuses to be formed again. The missing one joins later.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -386,9 +387,16 @@
 	}, nil
 }
 
+// errFormed reports that the group was formed with other members.
+var errFormed = errors.New("group was formed with other members")
+
 // Form sets the group's first membership on the replica.
 func (c *Control) Form(_ context.Context, req *instance.FormRequest) (*instance.Empty, error) {
-	return &instance.Empty{}, c.lastReplica().group.Form(req.Members)
+	g := c.lastReplica().group
+	if m := g.Members(); g.Formed() && !slices.Equal(m.Voters, req.Members.Voters) {
+		return nil, errFormed
+	}
+	return &instance.Empty{}, g.Form(req.Members)
 }
 
 // Join records the request of a replica to join the group.
--- a/internal/membership/manager.go
+++ b/internal/membership/manager.go
@@ -48,6 +48,7 @@
 	seeds        *Seeds                       // nil if listPeers names the instances
 	silentSince  map[replica.ID]timer.Instant // members without contact; only the leader's are up to date
 	leaderSeenAt timer.Instant                // when the replica last had a leader
+	startedAt    timer.Instant
 
 	// When logRefusal last wrote a line. Only the goroutine of Run uses them.
 	refusalLogged   bool
@@ -97,6 +98,7 @@
 
 // Run manages the group until ctx ends.
 func (m *Manager) Run(ctx context.Context) {
+	m.startedAt = m.clock.Now()
 	timer.Every(ctx, m.clock, tickPeriod, func() { m.tick(ctx) })
 }
 
@@ -188,8 +190,9 @@
 }
 
 // joinOrForm asks to join the group if any peer has formed it. The first peer by
-// name forms the group, but only if all peers answer that they have no state: an
-// instance that lost its disk never forms a second group.
+// name forms the group if all peers answer that they have no state: an
+// instance that lost its disk never forms a second group. Without some of the seeds a majority
+// of them forms the group later.
 func (m *Manager) joinOrForm(ctx context.Context) {
 	peers := m.listPeers()
 	var unformed []replica.Member
@@ -204,10 +207,13 @@
 		}
 		unformed = append(unformed, res.Self)
 	}
-	if len(unformed) != len(peers) || len(peers) == 0 || !m.mayForm() || !m.isFirst(peers) {
+	if !m.mayForm() {
 		return
 	}
-	m.form(ctx, unformed)
+	all := len(unformed) == len(peers) && len(peers) > 0 && m.isFirst(peers)
+	if all || m.seeds != nil && m.mayFormWithout(peers, unformed) {
+		m.form(ctx, unformed)
+	}
 }
 
 func (m *Manager) probe(ctx context.Context, address string) (*instance.ProbeResponse, error) {
--- a/internal/membership/seeded.go
+++ b/internal/membership/seeded.go
@@ -22,6 +22,12 @@
 	// replaceAfter is the time without contact after which a voter gives its place to a replica
 	// that has caught up. A restart or a pause is shorter.
 	replaceAfter = 1500 * time.Millisecond
+	// formAfter is the time after which a majority of the seeds forms the group without the
+	// others. All seeds start within a fraction of it.
+	formAfter = 2 * time.Second
+	// formStagger is the further time for each seed before this one in the order of names that
+	// answers and may be about to form the group. It is longer than forming takes.
+	formStagger = 1500 * time.Millisecond
 	// rejoinAfter is the time without a leader after which a replica asks to join
 	// again: it may have been removed without receiving that change.
 	rejoinAfter = 2 * time.Second
@@ -74,6 +80,23 @@
 	return m.seeds.Bootstrap && slices.ContainsFunc(m.seedPeers(), func(p settings.Peer) bool { return p.Name == self })
 }
 
+// mayFormWithout reports whether this seed may form the group with the seeds that answer that they
+// have no state. They are a majority, so that the others can't form a second group; those join the
+// group when they are back. The seed that would form the group usually may be lost, or be back
+// after it was started again, which may form none.
+func (m *Manager) mayFormWithout(seeds []settings.Peer, unformed []replica.Member) bool {
+	self := m.replica.Self()
+	before, answers := 0, false
+	for _, x := range unformed {
+		answers = answers || x.ID == self.ID
+		if x.Instance < self.Instance {
+			before++
+		}
+	}
+	waited := m.clock.Now().Sub(m.startedAt)
+	return answers && 2*len(unformed) > len(seeds) && waited >= formAfter+time.Duration(before)*formStagger
+}
+
 // leaderless reports whether this replica of a seeded group has had no leader for
 // longer than rejoinAfter.
 func (m *Manager) leaderless() bool {
