membership: count silence of members within one term

A replica that leads again does not take a member's silence of an earlier term of its own for one that lasted. Found by reading; no failure was seen.

--- a/internal/membership/manager.go
+++ b/internal/membership/manager.go
@@ -46,7 +46,7 @@
 
 	level        uint64                       // feature level to announce; 0 for none
 	seeds        *Seeds                       // nil if listPeers names the instances
-	silentSince  map[replica.ID]timer.Instant // members without contact; only the leader's are up to date
+	silentSince  map[replica.ID]timer.Instant // members without contact, while this replica leads
 	leaderSeenAt timer.Instant                // when the replica last had a leader
 	startedAt    timer.Instant
 
@@ -105,6 +105,9 @@
 func (m *Manager) tick(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, 4*callTimeout)
 	defer cancel()
+	if m.replica.Role().Role != replica.Leader {
+		m.silentSince = nil // a later term begins anew
+	}
 	switch {
 	case !m.replica.Formed():
 		m.joinOrForm(ctx)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -26,7 +26,8 @@
 }
 
 // NextStep returns the next step towards one voter on each wanted instance, or false if there is
-// none. No step makes the group tolerate fewer losses than before.
+// none. No step towards that leaves the group unable to bear a loss that it could bear before, but
+// for the removal of a voter that is no longer wanted.
 func NextStep(s replica.Status, w Wanted) (Step, bool) {
 	if s.Role != replica.Leader {
 		return Step{}, false
