targethttp: count the copy of a body without a length as well

A body without a length is copied once it is complete, and the copy was not counted while the chunks were.

The test measured garbage of its own targets, and the heap of a process without the limit that the program sets. It writes prepared chunks now and sets the limit of an instance with 144 MB; its bound is the same.

--- a/internal/forward/unread_answers_test.go
+++ b/internal/forward/unread_answers_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"runtime"
+	"runtime/debug"
 	"strings"
 	"testing"
 	"time"
@@ -43,6 +44,9 @@
 func TestUnreadAnswersAreBounded(t *testing.T) {
 	const callers, bytes = 60, 3900 << 10
 	block := strings.Repeat("0123456789abcdef", 4<<10)
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(block), block)
+	// As the program does on an instance with 144 MB.
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(100 << 20))
 	chunks := func(w io.Writer, r *http.Request) {
 		if strings.HasPrefix(r.URL.Path, "/look/small") {
 			respondOK("small")(w, r)
@@ -50,7 +54,7 @@
 		}
 		writeResponse(w, r, http.StatusOK, "Transfer-Encoding: chunked\r\n\r\n")
 		for range bytes / len(block) {
-			_, _ = fmt.Fprintf(w, "%x\r\n%s\r\n", len(block), block)
+			_, _ = io.WriteString(w, chunk)
 		}
 		_, _ = io.WriteString(w, "0\r\n\r\n")
 	}
--- a/internal/targethttp/bounds.go
+++ b/internal/targethttp/bounds.go
@@ -135,8 +135,13 @@
 		chunks, total = append(chunks, chunk[:n]), total+n
 		switch {
 		case errors.Is(readErr, io.EOF):
-			p.bodies.release(reserved - total)
-			return slices.Concat(chunks...), func() { p.bodies.release(total) }, nil
+			// The chunks stay in memory beside their copy until they are collected.
+			if !p.bodies.reserve(total, len(chunks) == 1) {
+				return nil, nil, ErrBodiesHeld
+			}
+			body = slices.Concat(chunks...)
+			p.bodies.release(reserved)
+			return body, func() { p.bodies.release(total) }, nil
 		case readErr != nil:
 			return nil, nil, readErr
 		}
