--- a/internal/fleet/full_disks_test.go
+++ b/internal/fleet/full_disks_test.go
@@ -210,9 +210,17 @@
 	}
 }
 
-// Guards against entries that go on following a replica that was removed from the group.
+// withoutJoin is a control instance at which no replica can join the group.
+type withoutJoin struct{ *Control }
+
+func (withoutJoin) Join(context.Context, *instance.JoinRequest) (*instance.Empty, error) {
+	return nil, errInjected
+}
+
+// Guards against entries that go on following a replica that was removed from the group. The
+// replica asks to join again at once, and is refused, so that it stays removed.
 func TestRemovedReplicaIsNotCurrent(t *testing.T) {
-	g := startTestGroup(t, 3)
+	g := startTestGroupServing(t, 3, func(c *Control) instance.DeploymentHandler { return withoutJoin{c} })
 	g.awaitVoters(3)
 	g.changeAt(0)
 	leads := slices.IndexFunc(g.controls, (*Control).isLeader)
@@ -220,7 +228,7 @@
 	id := removed.lastReplica().group.Self().ID
 	lead := g.controls[leads].lastReplica().group
 	assert.NilError(t, lead.ProposeMembers(context.Background(), lead.Members().Without(id)))
-	eventually(t, func() error { // it joins again soon
+	eventually(t, func() error {
 		if _, member := removed.lastReplica().group.Members().Find(id); member {
 			return errors.New("the replica does not know yet that it was removed")
 		}
