Tests of a missing seed and of pipelined requests don't depend on other processes

TestGroupFormsWithoutASeed: the port of the missing seed had been taken by another process when the seed came back; the seeds have loopback addresses of their own now. TestRequestsBehindARejectionAreAnsweredInShutdown waited for the second request alone to be at its target, and stopped the entry before the first one was sent; it waits for both.

--- a/internal/fleet/seed_lost_test.go
+++ b/internal/fleet/seed_lost_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"testing"
 	"time"
@@ -21,7 +23,9 @@
 	g := &testGroup{t: t, handle: func(c *Control) instance.DeploymentHandler { return c }, compaction: group.Compaction{Entries: 100}}
 	var listeners []net.Listener
 	for range 3 {
-		l := g.listen()
+		// No other process takes the port of an instance that is missing at such an address.
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(200), rand.IntN(250), 1+rand.IntN(250)))
+		assert.NilError(t, err)
 		listeners = append(listeners, l)
 		g.seeds = append(g.seeds, l.Addr().String())
 	}
--- a/internal/forward/conn_end_test.go
+++ b/internal/forward/conn_end_test.go
@@ -236,12 +236,12 @@
 	const work, limit = 400 * time.Millisecond, 650 * time.Millisecond
 	var log requestLog
 	target := func(w io.Writer, r *http.Request) {
+		log.add(r.Header.Get("Request-Id"))
 		if r.URL.Path == "/look/fails" {
 			time.Sleep(work / 2)
 			respondStatus(http.StatusInternalServerError, "")(w, r)
 			return
 		}
-		log.add(r.Header.Get("Request-Id"))
 		time.Sleep(work)
 		respondOK("served")(w, r)
 	}
@@ -250,8 +250,8 @@
 	c := dial(t, e.address)
 	c.send(getLine("/look/fails", "first") + getLine("/look/works", "second"))
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if !log.has("second") {
-			return poll.Continue("the second request was not passed on")
+		if !log.has("first") || !log.has("second") {
+			return poll.Continue("a request was not passed on")
 		}
 		return poll.Success()
 	}, poll.WithDelay(time.Millisecond))
