--- a/internal/fleet/withdrawn_test.go
+++ b/internal/fleet/withdrawn_test.go
@@ -130,7 +130,6 @@
 		return nil
 	})
 	assert.Assert(t, !leader.Recovered(), "the log was applied before the withdrawal")
-	// How long that takes depends on the log, which has no bound here.
-	eventually(t, func() error { return leader.Withdraw(context.Background(), "t", 20) })
+	within(t, ackBound, func() error { return leader.Withdraw(context.Background(), "t", 20) })
 	g.assertUnusable()
 }
