review: an order runs twice after additional bytes of a worker

Shows that the beginning of a refusal, sent late after a whole answer, and the answer to the next order are read as one head that says "not run", so that the entry sends that order to a second worker.

--- a/review/_standins2/main.go
+++ b/review/_standins2/main.go
@@ -23,6 +23,7 @@
 var cases = map[string]func(rec *recorder, trouble bool) error{
 	"framing": playFraming,
 	"refused": playRefused,
+	"extra":   playExtra,
 }
 
 func main() {
--- a/review/_standins2/refused.go
+++ b/review/_standins2/refused.go
@@ -38,25 +38,7 @@
 		return err
 	}
 	defer stop()
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	answers := make(map[string]int)
-	for n := range orders {
-		time.Sleep(orderEvery)
-		id := fmt.Sprintf("9c41d07b%08x", n)
-		rec.note("client", "orders %s", id)
-		text := fmt.Sprintf("POST /book/%d HTTP/1.1\r\nHost: jepu9.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 1000\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbook", n, id)
-		wg.Go(func() {
-			got, err := exchange(d.entries[n%len(d.entries)].caller(), text)
-			rec.note("client", "gets %v for %s (%v)", got, id, err)
-			mu.Lock()
-			defer mu.Unlock()
-			if len(got) == 1 {
-				answers[id] = got[0]
-			}
-		})
-	}
-	wg.Wait()
+	answers := d.order(orders, orderEvery)
 	broken := 0
 	for _, r := range d.allRuns() {
 		switch answers[r.id] {
@@ -73,3 +55,28 @@
 	}
 	return nil
 }
+
+// order sends orders at the given pace, each on a connection of its own, and returns the status of
+// each answer by the order's ID.
+func (d *deployment) order(n int, every time.Duration) map[string]int {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	answers := make(map[string]int)
+	for i := range n {
+		time.Sleep(every)
+		id := fmt.Sprintf("9c41d07b%08x", i)
+		d.rec.note("client", "orders %s", id)
+		text := fmt.Sprintf("POST /book/%d HTTP/1.1\r\nHost: jepu9.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 1000\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbook", i, id)
+		wg.Go(func() {
+			got, err := exchange(d.entries[i%len(d.entries)].caller(), text)
+			d.rec.note("client", "gets %v for %s (%v)", got, id, err)
+			mu.Lock()
+			defer mu.Unlock()
+			if len(got) == 1 {
+				answers[id] = got[0]
+			}
+		})
+	}
+	wg.Wait()
+	return answers
+}
