review: a stray heartbeat without a field makes two holders of the same keys

Shows that a heartbeat of another writer, in which the field version is missing, ends the worker whose address it names, and that the leader gives that worker's keys away while it holds them.

--- a/review/_standins2/main.go
+++ b/review/_standins2/main.go
@@ -24,6 +24,7 @@
 	"framing": playFraming,
 	"refused": playRefused,
 	"extra":   playExtra,
+	"foreign": playForeign,
 }
 
 func main() {
--- a/review/_standins2/worker.go
+++ b/review/_standins2/worker.go
@@ -248,6 +248,7 @@
 	}
 	w.holds = append(cut(w.holds, call.From, call.To), held{from: call.From, to: call.To, fence: call.Fence, until: time.Now().Add(time.Duration(call.HoldMs) * time.Millisecond)})
 	w.mu.Unlock()
+	w.d.rec.note(w.id, "is granted keys %d to %d, fence %d, for %d ms", call.From, call.To, call.Fence, call.HoldMs)
 	return respond(c, http.StatusOK, id, "", nil)
 }
 
