review: a body limit of the largest number ends entries at each chunked order

Shows that after a change which sets max_body_bytes to every request with a body in chunks ends the entry that reads it. Run with review/9/run.sh, after the build of the deploy file and review/build-2.sh.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -2,4 +2,4 @@
 # Plays the case; see claim.txt. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [[ -x target/review-2 && -x target/cranberrywind ]] || { echo 'not built' >&2; exit 2; }
-exec target/review-2 framing review/9/record.txt
+exec target/review-2 unlimited review/9/record.txt
--- a/review/_standins2/main.go
+++ b/review/_standins2/main.go
@@ -21,10 +21,11 @@
 
 // cases holds the cases by name. The flag tells whether the disruption is on.
 var cases = map[string]func(rec *recorder, trouble bool) error{
-	"framing": playFraming,
-	"refused": playRefused,
-	"extra":   playExtra,
-	"foreign": playForeign,
+	"framing":   playFraming,
+	"refused":   playRefused,
+	"extra":     playExtra,
+	"foreign":   playForeign,
+	"unlimited": playUnlimited,
 }
 
 func main() {
