--- a/review/_standins2/extra.go
+++ b/review/_standins2/extra.go
@@ -13,11 +13,11 @@
 const (
 	extraWorkers = 10
 	extraFaulty  = 6 // of the workers
-	extraShare   = 5 // percent of the answers of a faulty worker
-	extraOrders  = 3500
+	extraShare   = 3 // percent of the answers of a faulty worker
+	extraOrders  = 6000
 	extraEvery   = 4 * time.Millisecond
 	// The workers are faulty for extraSpell in each extraPeriod.
-	extraSpell  = 5500 * time.Millisecond
+	extraSpell  = 5 * time.Second
 	extraPeriod = 8 * time.Second
 	extraWork   = 78 * time.Millisecond
 	// extraDelay is how much later than a whole answer the additional bytes come.
