--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -55,11 +55,11 @@
 	})
 }
 
-// InvalidKeys records that a target reported keys that can't be read. It is logged once
-// for each target.
+// InvalidKeys records a heartbeat that was rejected because of keys that can't be read. It is
+// logged once for each target.
 func (c *Control) InvalidKeys(target string, err error) {
 	c.invalidKeyReports.Add(1)
 	if _, logged := c.invalidKeysOf.LoadOrStore(target, true); !logged {
-		c.log.Warn("keys of a target can't be read and are not renewed", "target", target, "error", err)
+		c.log.Warn("heartbeat rejected: keys of the target can't be read", "target", target, "error", err)
 	}
 }
