forward: a target's own 408, 429 or 503 promises nothing to callers

Cause: from a target a status describes what happened there, from this system it promises that the request has not run. Only the path between entries asked whether the request may have run.

Change: such an answer counts as run, as before, and reaches its caller as 502 without the target's signature; requests that may be repeated are sent again first. A signed rejection of another entry, of an earlier build, counts as run.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -155,11 +155,8 @@
 	}
 	s.targets.requestEnded(t, res)
 	s.releaseSlot(c, answeredOutcome(res), res)
-	out := &response{status: a.Status, header: forwardedHeaders(a.Header), body: a.Body, stream: a.Stream, answer: a}
-	if length := a.Header.Get("Content-Length"); c.method == http.MethodHead && length != "" {
-		out.header["Content-Length"] = []string{length}
-	}
-	if a.Status < http.StatusInternalServerError {
+	out := s.passOn(c, a)
+	if out.status < http.StatusInternalServerError {
 		s.logAttempt(c, t, res, "")
 		return out, false
 	}
@@ -174,6 +171,27 @@
 	return out, false
 }
 
+// passOn returns the response that passes an answer on to the caller. The status of a rejection
+// promises the caller that its request has not run. The target did not say so, or the caller would
+// not get this answer, so that such a status is replaced by one that promises nothing.
+func (s *Server) passOn(c *call, a *targethttp.Response) *response {
+	if isRejection(a.Status) {
+		a.Close()
+		out := errorResponse(http.StatusBadGateway, fmt.Sprintf("the target answered with status %d and may have run the request", a.Status))
+		return &out
+	}
+	return answerResponse(c, a)
+}
+
+// answerResponse returns the response that consists of an answer.
+func answerResponse(c *call, a *targethttp.Response) *response {
+	out := &response{status: a.Status, header: forwardedHeaders(a.Header), body: a.Body, stream: a.Stream, answer: a}
+	if length := a.Header.Get("Content-Length"); c.method == http.MethodHead && length != "" {
+		out.header["Content-Length"] = []string{length}
+	}
+	return out
+}
+
 // watchStream records how an answer ends that is passed on while it arrives, whether its caller
 // reads it to the end or not.
 func (s *Server) watchStream(t deployment.Target, fingerprint string, stream *targethttp.BodyStream) {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -77,9 +77,12 @@
 	_, _ = fmt.Fprintf(w, "HTTP/1.1 %d X\r\nSignature: s\r\nRequest-Id: %s\r\n%s", code, r.Header.Get("Request-Id"), rest)
 }
 
-func respondOK(body string) targetHandler {
+func respondOK(body string) targetHandler { return respondWith(http.StatusOK, body) }
+
+// respondWith answers with a status and a body.
+func respondWith(code int, body string) targetHandler {
 	return func(w io.Writer, r *http.Request) {
-		writeResponse(w, r, http.StatusOK, "Content-Length: %d\r\n\r\n%s", len(body), body)
+		writeResponse(w, r, code, "Content-Length: %d\r\n\r\n%s", len(body), body)
 	}
 }
 
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -161,17 +161,16 @@
 	s.raisePeerConfig(a.Header.Get(relayConfigHeader))
 	c.reason = fmt.Sprintf("instance %s responded with status %d", c.relayedTo, a.Status)
 	c.target, c.result = deployment.Target{}, attemptResult{} // of an earlier attempt
+	signed := a.Header.Get(s.cfg.Headers.Signature) != ""
+	c.mayHaveRun = c.mayHaveRun || signed || !isRejection(a.Status)
 	if c.mayHaveRun && isRejection(a.Status) {
+		// An earlier attempt may have run, or the target signed this answer and an instance of an
+		// earlier build passed it on.
 		a.Close()
 		out := s.finalResponse(ctx, c)
 		return &out
 	}
-	c.mayHaveRun = c.mayHaveRun || a.Header.Get(s.cfg.Headers.Signature) != "" || !isRejection(a.Status)
-	out := &response{status: a.Status, header: forwardedHeaders(a.Header), body: a.Body, stream: a.Stream, answer: a}
-	if length := a.Header.Get("Content-Length"); c.method == http.MethodHead && length != "" {
-		out.header["Content-Length"] = []string{length}
-	}
-	return out
+	return answerResponse(c, a)
 }
 
 // handleRelayFailure handles a request that brought no complete response of a peer.
