Bound numbers that overflow where they are added or doubled

Cause: limit+1 and 2*limit overflow in the readers of requests, the room for headers between entries too. The same holds for a route's timeout (its check and the dispatcher add to it), weights whose sum is infinite, a caller's deadline in milliseconds and a target's idle timeout in seconds.

Change: limits are bounded where they are used, times where they are read, a deadline beyond the route's timeout is not computed, and huge weights are scaled. Configurations are given back as they were sent.

Tests of internal/forward, targethttp, deployment and dispatch pass.

--- a/internal/deployment/config.go
+++ b/internal/deployment/config.go
@@ -10,6 +10,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"math"
 	"reflect"
 	"slices"
 	"strings"
@@ -81,6 +82,25 @@
 	IdleTimeout   time.Duration `msgpack:"idle_timeout"`
 }
 
+// Bounds of the limits that are in force. Operators write very large numbers for no limit; sums
+// and multiples of a limit within these bounds do not overflow.
+const (
+	MaxHeaderBytes = 16 << 20
+	maxBodyBytes   = math.MaxInt / 4
+	maxCallerTime  = 365 * 24 * time.Hour
+)
+
+// Bounded returns the limits that are in force: those of the configuration, within what an
+// instance supports.
+func (l CallerLimits) Bounded() CallerLimits {
+	return CallerLimits{
+		HeaderBytes:   min(max(l.HeaderBytes, 0), MaxHeaderBytes),
+		BodyBytes:     min(max(l.BodyBytes, 0), maxBodyBytes),
+		HeaderTimeout: min(max(l.HeaderTimeout, 0), maxCallerTime),
+		IdleTimeout:   min(max(l.IdleTimeout, 0), maxCallerTime),
+	}
+}
+
 // Config is an accepted configuration. It is immutable.
 type Config struct {
 	Version  uint64       `msgpack:"version"`  // chosen by the operator
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -54,7 +54,8 @@
 	}
 	service, _ := v.Config.Service(name)
 	c := &call{request: r, route: route, admittedConfig: v.Config.Version, configIndex: v.ConfigIndex, service: service, id: id, deadline: r.start.Add(route.Timeout)}
-	if ms, err := strconv.ParseInt(r.header.Get(s.cfg.Headers.Deadline), 10, 64); err == nil && ms >= 0 {
+	// A duration in milliseconds may exceed what a time.Duration holds.
+	if ms, err := strconv.ParseInt(r.header.Get(s.cfg.Headers.Deadline), 10, 64); err == nil && ms >= 0 && ms <= route.Timeout.Milliseconds() {
 		if callerDeadline := r.start.Add(time.Duration(ms) * time.Millisecond); callerDeadline.Before(c.deadline) {
 			c.deadline = callerDeadline
 		}
--- a/internal/forward/handle.go
+++ b/internal/forward/handle.go
@@ -268,8 +268,8 @@
 	case short:
 		return time.Duration(shortageShare * float64(r.Objective))
 	}
-	longest := r.Objective
-	if late := r.Timeout - r.Objective; late > 0 {
+	longest := max(r.Objective, 0)
+	if late := r.Timeout - longest; late > 0 {
 		longest += time.Duration(maxLateShare * float64(late))
 	}
 	return longest
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -325,7 +325,7 @@
 	if v.ConfigIndex == 0 {
 		return defaultLimits()
 	}
-	return v.Config.Limits
+	return v.Config.Limits.Bounded()
 }
 
 // creditRetryBudget adds a request to the retry budget of its service.
--- a/internal/forward/split.go
+++ b/internal/forward/split.go
@@ -33,9 +33,10 @@
 		s.routes[r.Name] = st
 	}
 	total, best := 0.0, -1
+	scale := weightScale(r.Split)
 	for i, share := range r.Split {
-		total += share.Weight
-		st.credits[i] += share.Weight
+		total += share.Weight / scale
+		st.credits[i] += share.Weight / scale
 		if share.Weight > 0 && (best < 0 || st.credits[i] > st.credits[best]) {
 			best = i
 		}
@@ -47,6 +48,22 @@
 	return r.Split[best].Service, true
 }
 
+// maxWeight is the largest weight whose sums stay well within a float64. Beyond it a sum may be
+// infinite, and a credit not a number.
+const maxWeight = 1e150
+
+// weightScale returns the number by which weights are divided: 1 unless one is beyond maxWeight.
+func weightScale(shares []deployment.WeightedService) float64 {
+	largest := 0.0
+	for _, share := range shares {
+		largest = max(largest, share.Weight)
+	}
+	if largest <= maxWeight {
+		return 1
+	}
+	return largest
+}
+
 func sameShares(a, b []deployment.WeightedService) bool {
 	if len(a) != len(b) {
 		return false
--- a/internal/targethttp/pool.go
+++ b/internal/targethttp/pool.go
@@ -44,6 +44,8 @@
 	defaultConnectTimeout = 250 * time.Millisecond // several round trips within a region
 	// defaultIdleTimeout is assumed for a target that doesn't send its idle timeout.
 	defaultIdleTimeout = 4 * time.Second
+	// maxIdleTimeout is the longest idle timeout that a target can name.
+	maxIdleTimeout = time.Hour
 	// idleTimeoutFraction is the fraction of a target's idle timeout after which a
 	// connection is not reused: the target's close may be on its way.
 	idleTimeoutFraction = 0.85
@@ -316,7 +318,8 @@
 			continue
 		}
 		if seconds, err := strconv.Atoi(value); err == nil && seconds >= 0 {
-			c.maxIdle = time.Duration(float64(seconds) * idleTimeoutFraction * float64(time.Second))
+			idle := time.Duration(min(seconds, int(maxIdleTimeout/time.Second))) * time.Second
+			c.maxIdle = time.Duration(float64(idle) * idleTimeoutFraction)
 		}
 	}
 }
