--- a/internal/targethttp/pool.go
+++ b/internal/targethttp/pool.go
@@ -20,6 +20,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cranberrywind/cranberrywind/internal/http1"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
 )
 
@@ -75,7 +76,7 @@
 
 // conn is one connection to a target.
 type conn struct {
-	net.Conn
+	*http1.Conn
 	address  string
 	reader   *bufio.Reader // reads through limiter
 	limiter  *headLimiter
@@ -213,8 +214,9 @@
 		p.releaseSlot(address)
 		return nil, errors.Join(fmt.Errorf("%w: %w", ErrNoConnection, err), raw.Close())
 	}
-	limiter := &headLimiter{reader: raw}
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, maxIdle: time.Duration(float64(defaultIdleTimeout) * idleTimeoutFraction)}, nil
+	c := http1.NewConn(raw)
+	limiter := &headLimiter{reader: c}
+	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, maxIdle: time.Duration(float64(defaultIdleTimeout) * idleTimeoutFraction)}, nil
 }
 
 // setSocketOptions applies the pool's options to a new connection.
@@ -295,7 +297,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	raw, err := c.Conn.Conn.(*net.TCPConn).SyscallConn()
 	if err != nil {
 		return false
 	}
