http1: read answers by the grammar of HTTP/1.1 alone

Cause: http.ReadResponse is lenient and leaves checks to net/http's client, which is not used here.

Change: internal/http1 reads heads, lengths, chunks and trailers strictly, with the checks of names and values of httpguts; all else is malformed, and no answer. An answer has one ID, and no status line stands within its lines.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -1,5 +1,3 @@
-// Package http1 reads HTTP/1.1 messages (RFC 9110, RFC 9112) from connections on which anything may
-// arrive.
 package http1
 
 import (
--- a/internal/targethttp/bounds.go
+++ b/internal/targethttp/bounds.go
@@ -3,9 +3,10 @@
 import (
 	"errors"
 	"io"
-	"net/http"
 	"slices"
 	"sync"
+
+	"github.com/cranberrywind/cranberrywind/internal/http1"
 )
 
 const (
@@ -27,34 +28,12 @@
 )
 
 var (
-	errHeadTooLarge = errors.New("response head is too large")
 	errBodyTooLarge = errors.New("response body is too large")
 	// ErrBodiesHeld reports a response that was not read for want of memory. It says nothing
 	// about the target.
 	ErrBodiesHeld = errors.New("too many bytes of response bodies are held in memory")
 )
 
-// headLimiter bounds the bytes that are read while limited is set. Past them it returns
-// errHeadTooLarge.
-type headLimiter struct {
-	reader    io.Reader
-	limited   bool
-	remaining int
-}
-
-// Read reads from the connection.
-func (l *headLimiter) Read(p []byte) (int, error) {
-	if !l.limited {
-		return l.reader.Read(p)
-	}
-	if l.remaining <= 0 {
-		return 0, errHeadTooLarge
-	}
-	n, err := l.reader.Read(p[:min(len(p), l.remaining)])
-	l.remaining -= n
-	return n, err
-}
-
 // bodyBudget counts the bytes of response bodies that a pool holds.
 type bodyBudget struct {
 	mu   sync.Mutex
@@ -84,12 +63,9 @@
 }
 
 // readBody reads a response's body. Its bytes count as held until the returned function is called,
-// which is nil after an error. It does not close the body, which would read the rest of it, also
-// one without end: after an error the connection is closed instead.
-func (p *Pool) readBody(resp *http.Response) (body []byte, release func(), err error) {
+// which is nil after an error.
+func (p *Pool) readBody(resp *http1.Response) (body []byte, release func(), err error) {
 	switch {
-	case resp.Request.Method == http.MethodHead:
-		return nil, func() {}, nil
 	case resp.ContentLength < 0:
 		return p.readUnknownLength(resp.Body)
 	case resp.ContentLength > maxHeldBytes:
@@ -148,9 +124,8 @@
 	}
 }
 
-// discardBody reads the body of a response that belongs to another request. Like
-// readBody, it does not close the body.
-func discardBody(resp *http.Response) error {
+// discardBody reads the body of a response that belongs to another request.
+func discardBody(resp *http1.Response) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxUnknownLength))
 	if err == nil && n == maxUnknownLength {
 		return errBodyTooLarge
--- a/internal/targethttp/exchange.go
+++ b/internal/targethttp/exchange.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"github.com/cranberrywind/cranberrywind/internal/http1"
 )
 
 // Request is one request in the form in which it is sent to a target.
@@ -92,8 +94,8 @@
 	resp, reusable, err := c.exchange(idHeader, r)
 	out := &Response{Reused: c.reused}
 	if err == nil {
-		out.Status, out.Header = resp.StatusCode, resp.Header
-		if r.BodyContext != nil && r.Method != http.MethodHead && p.reserveStream(resp.ContentLength) {
+		out.Status, out.Header = resp.Status, resp.Header
+		if r.BodyContext != nil && p.reserveStream(resp.ContentLength) {
 			n := int(resp.ContentLength)
 			if stop() {
 				out.Stream = newBodyStream(n)
@@ -127,7 +129,7 @@
 // responses with another ID. Only an error response may lack the ID, as the first one of its
 // connection: on a kept connection it may be about an earlier request. exchange reports
 // whether the connection may be reused once the body has been read.
-func (c *conn) exchange(idHeader string, r Request) (*http.Response, bool, error) {
+func (c *conn) exchange(idHeader string, r Request) (*http1.Response, bool, error) {
 	c.sending = c.write(r)
 	if c.sending.Ended() {
 		if err := c.sending.notSent(); err != nil {
@@ -138,8 +140,7 @@
 	// because a target may respond before it has read the body, and then close the
 	// connection or not.
 	for n := range maxResponsesRead {
-		c.limiter.limited, c.limiter.remaining = true, maxHeadBytes
-		resp, err := c.readHeader(r.Method)
+		resp, err := http1.ReadResponse(c.reader, r.Method, maxHeadBytes)
 		if err != nil {
 			_ = c.SetWriteDeadline(time.Unix(1, 0))
 			<-c.sending.done
@@ -148,17 +149,17 @@
 			}
 			return nil, false, fmt.Errorf("%w: %w", ErrIncompleteResponse, err)
 		}
-		c.limiter.limited = false
-		// A body without a length ends when the connection is closed without a reset.
-		closeDelimited := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-		keepAlive := !resp.Close && !closeDelimited
-		failed := resp.StatusCode >= http.StatusBadRequest
+		c.applyKeepAlive(resp.Header)
+		failed := resp.Status >= http.StatusBadRequest
+		if ids := resp.Header[idHeader]; len(ids) > 1 {
+			return nil, false, fmt.Errorf("%w: response has %d IDs", ErrIncompleteResponse, len(ids))
+		}
 		got := resp.Header.Get(idHeader)
 		if got == r.ID || got == "" && (r.IDOptional || failed && !c.reused && n == 0) {
 			if failed && r.ID != "" {
 				c.failed = append(c.failed, r.ID)
 			}
-			return resp, keepAlive && !r.OwnConn && len(c.failed) < maxFailed, nil
+			return resp, !resp.Close && !r.OwnConn && len(c.failed) < maxFailed, nil
 		}
 		if got == "" && failed {
 			return nil, false, fmt.Errorf("%w: an error without an ID on a kept connection", ErrIncompleteResponse)
@@ -166,24 +167,9 @@
 		if err := discardBody(resp); err != nil {
 			return nil, false, fmt.Errorf("%w: %w", ErrIncompleteResponse, err)
 		}
-		if !keepAlive {
+		if resp.Close {
 			break
 		}
 	}
 	return nil, false, fmt.Errorf("%w: responses belong to other requests", ErrIncompleteResponse)
 }
-
-// readHeader reads the header of the next response, skipping interim ones.
-func (c *conn) readHeader(method string) (*http.Response, error) {
-	for {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
-			continue // interim response
-		}
-		c.applyKeepAlive(resp.Header)
-		return resp, nil
-	}
-}
--- a/internal/targethttp/pool.go
+++ b/internal/targethttp/pool.go
@@ -78,8 +78,7 @@
 type conn struct {
 	*http1.Conn
 	address  string
-	reader   *bufio.Reader // reads through limiter
-	limiter  *headLimiter
+	reader   *bufio.Reader
 	lastUsed timer.Instant
 	maxIdle  time.Duration // longest idle time after which it is reused
 	reused   bool
@@ -215,8 +214,7 @@
 		return nil, errors.Join(fmt.Errorf("%w: %w", ErrNoConnection, err), raw.Close())
 	}
 	c := http1.NewConn(raw)
-	limiter := &headLimiter{reader: c}
-	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, maxIdle: time.Duration(float64(defaultIdleTimeout) * idleTimeoutFraction)}, nil
+	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(c, readBufferBytes), maxIdle: time.Duration(float64(defaultIdleTimeout) * idleTimeoutFraction)}, nil
 }
 
 // setSocketOptions applies the pool's options to a new connection.
--- a/internal/targethttp/stream.go
+++ b/internal/targethttp/stream.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"sync"
 	"time"
+
+	"github.com/cranberrywind/cranberrywind/internal/http1"
 )
 
 // BodyStream is a response body that can be read while it is still being received.
@@ -94,8 +95,7 @@
 
 // fill reads the response's body into the stream and closes it. If ctx has ended by the time of
 // an error, the error is an ErrTimeout.
-func (r *BodyStream) fill(ctx context.Context, resp *http.Response) error {
-	defer func() { _ = resp.Body.Close() }()
+func (r *BodyStream) fill(ctx context.Context, resp *http1.Response) error {
 	for offset := 0; offset < len(r.data); {
 		n, err := resp.Body.Read(r.data[offset:])
 		offset += n
@@ -115,7 +115,7 @@
 
 // fillStream reads the body of a response that Do has returned already. Then it
 // returns the connection to the pool, or discards it if it can't be reused.
-func (p *Pool) fillStream(ctx context.Context, c *conn, resp *http.Response, stream *BodyStream, reusable bool) {
+func (p *Pool) fillStream(ctx context.Context, c *conn, resp *http1.Response, stream *BodyStream, reusable bool) {
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	err := stream.fill(ctx, resp)
 	p.recycle(c, stop() && err == nil && reusable)
