forward: read requests of callers and other entries by the grammar

A line feed or a carriage return within the fields reached targets in their heads, and a length beside chunks was not noticed.

Cause: http.ReadRequest leaves the checks to net/http's server, and drops the length before framingError could compare it.

Change: http1.ReadRequest reads callers' and other entries' requests; what is not valid gets 400 (505 for another version) and ends the connection. A target may name its host. Requests with two IDs or two keys get 400, and the name of a service is escaped between entries, where a line end added a field.

--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"net/url"
 	"slices"
 	"strconv"
 	"time"
@@ -44,6 +45,12 @@
 	if !ok {
 		return reject(errorResponse(http.StatusNotFound, "no route for this host and path"))
 	}
+	// Of two values the target may take the other one.
+	for _, name := range []string{s.cfg.Headers.RequestID, s.cfg.Headers.Key} {
+		if len(r.header[name]) > 1 {
+			return reject(errorResponse(http.StatusBadRequest, name+" header is given more than once"))
+		}
+	}
 	id := r.header.Get(s.cfg.Headers.RequestID)
 	if id == "" {
 		return reject(errorResponse(http.StatusBadRequest, s.cfg.Headers.RequestID+" header is missing"))
@@ -94,7 +101,8 @@
 // passed it on has chosen, if the route still has it, or else the next one.
 func (s *Server) chooseService(r *request, route *deployment.Route) (string, bool) {
 	if r.relayed {
-		name := r.header.Get(relayServiceHeader)
+		// A name that can't be read is that of no service.
+		name, _ := url.PathUnescape(r.header.Get(relayServiceHeader))
 		if slices.ContainsFunc(route.Split, func(w deployment.WeightedService) bool { return w.Service == name && w.Weight > 0 }) {
 			return name, true
 		}
--- a/internal/forward/bodies.go
+++ b/internal/forward/bodies.go
@@ -5,11 +5,11 @@
 	"errors"
 	"io"
 	"math"
-	"net/http"
 	"sync"
 	"time"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/internal/http1"
 	"github.com/cranberrywind/cranberrywind/internal/targethttp"
 	"github.com/cranberrywind/cranberrywind/pkg/limit"
 )
@@ -89,7 +89,7 @@
 // readWithinBudget reads a request's body of at most limit bytes, or one byte more of a
 // longer one. It returns errBodyBudget if the body does not fit the budget: at once if its
 // length is declared.
-func (s *Server) readWithinBudget(hr *http.Request, r *request, limit int) ([]byte, error) {
+func (s *Server) readWithinBudget(hr *http1.Request, r *request, limit int) ([]byte, error) {
 	if n := int(hr.ContentLength); n >= 0 {
 		if err := s.reserveBody(r, n); err != nil {
 			return nil, err
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
+	"github.com/cranberrywind/cranberrywind/internal/http1"
 )
 
 const (
@@ -68,13 +69,12 @@
 // callerConn is one connection of a caller. Pipelined requests run concurrently;
 // responses are written in the order of the requests.
 type callerConn struct {
-	server  *Server
-	conn    net.Conn
-	reader  *bufio.Reader
-	limiter *byteLimiter
-	ctx     context.Context
-	cancel  context.CancelFunc
-	queue   chan chan response
+	server *Server
+	conn   net.Conn
+	reader *bufio.Reader
+	ctx    context.Context
+	cancel context.CancelFunc
+	queue  chan chan response
 
 	opened   time.Time
 	fromPeer bool // it is another entry's
@@ -95,39 +95,16 @@
 	changed    *sync.Cond // of pending, streaming and lastChosen
 }
 
-// byteLimiter bounds the bytes that may be read of a request's header or body. Past
-// the limit it returns errTooLarge.
-type byteLimiter struct {
-	reader    io.Reader
-	remaining int
-}
-
-var errTooLarge = errors.New("request is too large")
-
-func (l *byteLimiter) Read(p []byte) (int, error) {
-	if l.remaining <= 0 {
-		return 0, errTooLarge
-	}
-	if len(p) > l.remaining {
-		p = p[:l.remaining]
-	}
-	n, err := l.reader.Read(p)
-	l.remaining -= n
-	return n, err
-}
-
 func (s *Server) newConn(nc net.Conn, fromPeer bool) *callerConn {
 	ctx, cancel := context.WithCancel(s.ctx)
-	limiter := &byteLimiter{reader: nc}
 	c := &callerConn{
-		server:  s,
-		conn:    nc,
-		reader:  bufio.NewReaderSize(limiter, readBufferBytes),
-		limiter: limiter,
-		ctx:     ctx,
-		cancel:  cancel,
-		queue:   make(chan chan response, pipelineDepth),
-		opened:  time.Now(),
+		server: s,
+		conn:   nc,
+		reader: bufio.NewReaderSize(nc, readBufferBytes),
+		ctx:    ctx,
+		cancel: cancel,
+		queue:  make(chan chan response, pipelineDepth),
+		opened: time.Now(),
 
 		fromPeer: fromPeer,
 	}
@@ -208,8 +185,7 @@
 		return nil, nil, err
 	}
 	start := time.Now()
-	c.limiter.remaining = limits.HeaderBytes + readBufferBytes
-	hr, err := http.ReadRequest(c.reader)
+	hr, err := http1.ReadRequest(c.reader, limits.HeaderBytes)
 	if err != nil {
 		return nil, c.rejectHeader(err), c.headerError(err)
 	}
@@ -217,19 +193,13 @@
 		ctx:       c.ctx,
 		start:     start,
 		method:    hr.Method,
-		uri:       hr.RequestURI,
-		path:      rawPath(hr.RequestURI),
+		uri:       hr.Target,
+		path:      rawPath(hr.Target),
 		host:      hr.Host,
 		header:    hr.Header,
 		closeConn: hr.Close,
 		relayed:   c.fromPeer,
 	}
-	if reason := framingError(hr); reason != "" {
-		return nil, c.reject(http.StatusBadRequest, reason), nil
-	}
-	if headerBytes(hr) > limits.HeaderBytes {
-		return nil, c.reject(http.StatusRequestHeaderFieldsTooLarge, "request header is too large"), nil
-	}
 	if hr.ContentLength > int64(limits.BodyBytes) {
 		return nil, c.reject(http.StatusRequestEntityTooLarge, "request body is too large"), nil
 	}
@@ -240,35 +210,10 @@
 	return r, rejection, err
 }
 
-// headerBytes returns the approximate size of a request's header.
-func headerBytes(hr *http.Request) int {
-	n := len(hr.Method) + len(hr.RequestURI) + len(hr.Host) + 24
-	for name, values := range hr.Header {
-		for _, v := range values {
-			n += len(name) + len(v) + 4
-		}
-	}
-	return n
-}
-
-// framingError returns why the request's length is ambiguous or not supported, or an
-// empty string. Another server might see the end of an ambiguous request elsewhere
-// (request smuggling).
-func framingError(hr *http.Request) string {
-	if len(hr.TransferEncoding) > 0 && hr.Header.Get("Content-Length") != "" {
-		return "request has both a Content-Length and a Transfer-Encoding"
-	}
-	if len(hr.TransferEncoding) > 1 || len(hr.TransferEncoding) == 1 && hr.TransferEncoding[0] != "chunked" {
-		return "transfer encoding is not supported"
-	}
-	return ""
-}
-
 // awaitFirstByte waits for the next request. It returns errNoMoreRequests in a
 // graceful shutdown, and after the idle timeout if no responses are due. If the
 // caller disconnects, it returns another error.
 func (c *callerConn) awaitFirstByte(limits deployment.CallerLimits) error {
-	c.limiter.remaining = limits.HeaderBytes + readBufferBytes
 	for {
 		if c.isStopping() {
 			return errNoMoreRequests
@@ -295,14 +240,13 @@
 	}
 }
 
-func (c *callerConn) readBody(hr *http.Request, r *request, limits deployment.CallerLimits) (*response, error) {
-	if hr.Body == nil || hr.Body == http.NoBody {
+func (c *callerConn) readBody(hr *http1.Request, r *request, limits deployment.CallerLimits) (*response, error) {
+	if hr.ContentLength == 0 {
 		return nil, nil
 	}
 	if out := c.server.rejectEarly(r, hr.ContentLength); out != nil {
 		return c.rejectBody(r, *out), nil
 	}
-	c.limiter.remaining = 2*limits.BodyBytes + readBufferBytes
 	if hr.Header.Get("Expect") == "100-continue" {
 		if !c.awaitAnswers() {
 			return nil, errNoMoreRequests
@@ -312,14 +256,17 @@
 		}
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
+	hr.LimitBody(2*int64(limits.BodyBytes) + readBufferBytes)
 	body, err := c.server.readWithinBudget(hr, r, limits.BodyBytes)
 	if err != nil {
 		var timeout net.Error
 		switch {
 		case errors.Is(err, errBodyBudget):
 			return c.rejectForBudget(r, int(max(hr.ContentLength, int64(r.heldBytes)))), nil
-		case errors.Is(err, errTooLarge):
+		case errors.Is(err, http1.ErrBodyTooLarge):
 			return c.reject(http.StatusRequestEntityTooLarge, "request body is too large"), nil
+		case errors.Is(err, http1.ErrMalformed):
+			return c.reject(http.StatusBadRequest, "invalid request body: "+err.Error()), nil
 		case errors.As(err, &timeout) && timeout.Timeout():
 			return c.reject(http.StatusRequestTimeout, "timeout reading the request body"), nil
 		}
@@ -337,7 +284,7 @@
 func (c *callerConn) rejectHeader(err error) *response {
 	var timeout net.Error
 	switch {
-	case errors.Is(err, errTooLarge):
+	case errors.Is(err, http1.ErrHeadTooLarge):
 		return c.reject(http.StatusRequestHeaderFieldsTooLarge, "request header is too large")
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return c.reject(http.StatusRequestTimeout, "timeout reading the request header")
@@ -346,6 +293,9 @@
 	case errors.As(err, &timeout):
 		return nil
 	}
+	if errors.Is(err, http1.ErrVersion) {
+		return c.reject(http.StatusHTTPVersionNotSupported, "invalid request: "+err.Error())
+	}
 	return c.reject(http.StatusBadRequest, "invalid request: "+err.Error())
 }
 
--- a/internal/forward/conn_state.go
+++ b/internal/forward/conn_state.go
@@ -78,7 +78,6 @@
 	}
 	_ = c.conn.SetReadDeadline(time.Time{})
 	c.mu.Unlock()
-	c.limiter.remaining = readBufferBytes
 	if _, err := c.reader.Peek(1); err != nil && c.ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
 		c.cancel()
 	}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -28,7 +29,8 @@
 	// relayAttemptsHeader holds the number of targets to which the request may still be
 	// sent.
 	relayAttemptsHeader = relayHeaderPrefix + "Attempts"
-	// relayServiceHeader holds the name of the service that the sender chose.
+	// relayServiceHeader holds the name of the service that the sender chose, with escapes as in
+	// a path: operators choose names freely.
 	relayServiceHeader = relayHeaderPrefix + "Service"
 	// relayRejectedHeader is set in a response to a request that has not run and that
 	// another entry may serve.
@@ -214,7 +216,7 @@
 	out = appendHeader(out, relayConfigHeader, strconv.FormatUint(max(s.cfg.View.View().ConfigIndex, s.peerConfig.Load()), 10))
 	out = appendHeader(out, relayZonesHeader, strconv.FormatUint(s.cfg.View.View().EvacuatedVersion, 10))
 	out = appendHeader(out, relayAttemptsHeader, strconv.Itoa(max(c.route.Attempts-c.sent, 1)))
-	out = appendHeader(out, relayServiceHeader, c.service.Name)
+	out = appendHeader(out, relayServiceHeader, url.PathEscape(c.service.Name))
 	return append(out, "\r\n"...)
 }
 
--- a/internal/targethttp/exchange_test.go
+++ b/internal/targethttp/exchange_test.go
@@ -275,7 +275,7 @@
 func TestLargestIdleTimeout(t *testing.T) {
 	for _, seconds := range []string{"9223372036854775807", "10000000000", "9223372036"} {
 		t.Run(seconds, func(t *testing.T) {
-			address := listen(t, func(_ int, c net.Conn, r *http.Request) bool {
+			address := listen(t, func(_ int, c net.Conn, _ *http.Request) bool {
 				return write(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: a\r\nKeep-Alive: timeout=%s\r\nContent-Length: 0\r\n\r\n", seconds))
 			})
 			p := newTestPool(t)
