forward: a refusal that is signed or a success proves nothing for a booking

Cause: the header that says "not run" decided alone.

Change: for a request that must not run twice a refusal counts only without a signature and with a status of 400 or more; other answers with the header are invalid, and the caller gets 502. The stand-in of the tests signed its refusals and no longer does; what the tests check is unchanged.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -79,7 +79,7 @@
 	if s.cfg.Headers.ParseRateLimit != nil {
 		res.rateLimit, res.rateLimitKnown = s.cfg.Headers.ParseRateLimit(a.Header.Get(s.cfg.Headers.RateLimit))
 	}
-	if a.Stream != nil && (a.Status >= http.StatusMultipleChoices || s.isNotRun(a) || s.invalidReason(a) != "") {
+	if a.Stream != nil && (a.Status >= http.StatusMultipleChoices || s.isNotRun(c, a) || s.invalidReason(a) != "") {
 		a.Body, err = a.Stream.ReadAll(ctx)
 		if err != nil {
 			a.Close()
@@ -88,7 +88,7 @@
 		a.Stream = nil
 	}
 	c.sent++
-	if s.isNotRun(a) {
+	if s.isNotRun(c, a) {
 		a.Close()
 		return nil, s.handleNotRun(c, t, res, a.Status)
 	}
@@ -279,15 +279,20 @@
 	return "caller disconnected"
 }
 
-// isNotRun reports whether an answer says that the target did not run the request.
-func (s *Server) isNotRun(a *targethttp.Response) bool {
-	return a.Header.Get(s.cfg.Headers.NotRun) != "" || a.Status == http.StatusMisdirectedRequest
+// isNotRun reports whether an answer says that the target did not run the request. One that is
+// signed or a success contradicts itself, since targets sign what they have run: it proves nothing
+// for a request that must not run twice.
+func (s *Server) isNotRun(c *call, a *targethttp.Response) bool {
+	stated := a.Header.Get(s.cfg.Headers.NotRun) != "" || a.Status == http.StatusMisdirectedRequest
+	return stated && (c.route.Kind.Idempotent() || a.Status >= http.StatusBadRequest && a.Header.Get(s.cfg.Headers.Signature) == "")
 }
 
 // invalidReason returns why an answer can't be the target's complete answer, or an
 // empty string for a valid one.
 func (s *Server) invalidReason(a *targethttp.Response) string {
 	switch {
+	case a.Header.Get(s.cfg.Headers.NotRun) != "":
+		return "answer says both that the request has run and that it has not"
 	case a.Header.Get("Content-Encoding") != "":
 		return "answer has an unexpected Content-Encoding"
 	case a.Status < http.StatusMultipleChoices && a.Header.Get(s.cfg.Headers.Signature) == "":
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -70,9 +70,13 @@
 type targetHandler func(w io.Writer, r *http.Request)
 
 // writeResponse writes the status line, the headers common to all answers, and the
-// formatted rest.
+// formatted rest. A refusal is not signed.
 func writeResponse(w io.Writer, r *http.Request, code int, format string, args ...any) {
 	rest := fmt.Sprintf(format, args...)
+	if code >= http.StatusBadRequest && strings.Contains(rest, "Not-Run: ") {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 %d X\r\nRequest-Id: %s\r\n%s", code, r.Header.Get("Request-Id"), rest)
+		return
+	}
 	// A disconnected caller shows in the test's own checks.
 	_, _ = fmt.Fprintf(w, "HTTP/1.1 %d X\r\nSignature: s\r\nRequest-Id: %s\r\n%s", code, r.Header.Get("Request-Id"), rest)
 }
--- a/internal/forward/promise_test.go
+++ b/internal/forward/promise_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"testing"
 
@@ -54,3 +55,34 @@
 		wantResponse(t, e.request("GET", "/keyed/x"), http.StatusOK, "hello")
 	})
 }
+
+// Guards against the answer of a run that is mixed with a refusal: the booking would run twice.
+func TestContradictoryAnswerProvesNothing(t *testing.T) {
+	refusal := func(status int, header string) targetHandler {
+		return func(w io.Writer, r *http.Request) {
+			_, _ = fmt.Fprintf(w, "HTTP/1.1 %d X\r\nRequest-Id: %s\r\nNot-Run: yes\r\n%sContent-Length: 0\r\n\r\n", status, r.Header.Get("Request-Id"), header)
+		}
+	}
+	t.Run("refusal", func(t *testing.T) {
+		first := sequence(refusal(http.StatusServiceUnavailable, ""), respondOK("hello"))
+		e := startEntry(t, nil, first, first)
+		wantResponse(t, e.request("GET", "/book/x"), http.StatusOK, "hello")
+		assert.Equal(t, e.receivedCount(), 2)
+	})
+	for name, h := range map[string]targetHandler{
+		"signed refusal": refusal(http.StatusServiceUnavailable, "Signature: s\r\n"),
+		"signed 421":     refusal(http.StatusMisdirectedRequest, "Signature: s\r\n"),
+		"signed success": refusal(http.StatusOK, "Signature: s\r\n"),
+		"success":        refusal(http.StatusOK, ""),
+		"redirect":       refusal(http.StatusFound, ""),
+		"large success": func(w io.Writer, r *http.Request) {
+			writeResponse(w, r, http.StatusOK, "Not-Run: yes\r\nContent-Length: %d\r\n\r\n%s", len(largeBody), largeBody)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := startEntry(t, nil, h, h)
+			wantNoPromise(t, e.request("GET", "/book/x"))
+			assert.Equal(t, e.receivedCount(), 1)
+		})
+	}
+}
