http1: check what servers and clients of net/http read

Operators' and targets' calls, and answers of targets in deployments with a voted configuration, are read by net/http, which takes line feeds alone, folded fields and lengths beside chunks, and waits for the end of bytes that no request has asked for. A grant on a kept connection also used the guard of the request before it, which may have expired.

Change: http1.Listener and http1.ClientConn read messages by the grammar and pass on what is valid, with chunks written anew, so that net/http sees the same end of a body. Bytes between two requests end the connection.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/cranberrywind/cranberrywind/internal/control"
 	"github.com/cranberrywind/cranberrywind/internal/entry"
 	"github.com/cranberrywind/cranberrywind/internal/group"
+	"github.com/cranberrywind/cranberrywind/internal/http1"
 	"github.com/cranberrywind/cranberrywind/internal/instance"
 	"github.com/cranberrywind/cranberrywind/internal/operator"
 	"github.com/cranberrywind/cranberrywind/internal/router"
@@ -212,7 +213,7 @@
 	d.mu.Unlock()
 	d.cleanups.Add(func() { _ = s.Close() })
 	go func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(http1.Listener(l)); !errors.Is(err, http.ErrServerClosed) {
 			d.fail(fmt.Errorf("serve %s: %w", address, err))
 		}
 	}()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,6 +20,7 @@
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
 	"github.com/cranberrywind/cranberrywind/internal/dispatcher"
 	"github.com/cranberrywind/cranberrywind/internal/forward"
+	"github.com/cranberrywind/cranberrywind/internal/http1"
 	"github.com/cranberrywind/cranberrywind/internal/instance"
 	"github.com/cranberrywind/cranberrywind/internal/leader"
 	"github.com/cranberrywind/cranberrywind/internal/settings"
@@ -360,7 +361,7 @@
 	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	i.cleanups.Add(func() { _ = s.Close() })
 	go func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(http1.Listener(l)); !errors.Is(err, http.ErrServerClosed) {
 			i.fail(fmt.Errorf("serve %s: %w", address, err))
 		}
 	}()
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cranberrywind/cranberrywind/internal/http1"
 	"github.com/cranberrywind/cranberrywind/internal/instance"
 	"github.com/cranberrywind/cranberrywind/internal/router"
 	"github.com/cranberrywind/cranberrywind/pkg/timer"
@@ -81,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &guardedConn{Conn: conn}, nil
+	return &guardedConn{ClientConn: http1.NewClientConn(conn)}, nil
 }
 
 // Request is a request to a target.
@@ -118,8 +119,8 @@
 	wroteEarlier bool // on an earlier connection
 }
 
-// set records the connection that the request uses from now on and sets its guard.
-func (t *connTracker) set(conn net.Conn, guard func() error) {
+// set records the connection that the request uses from now on, and sets its method and guard.
+func (t *connTracker) set(conn net.Conn, method string, guard func() error) {
 	g, ok := conn.(*guardedConn)
 	if !ok {
 		return
@@ -127,7 +128,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.wroteEarlier = t.wroteEarlier || (t.conn != nil && t.conn.written.Load() > 0)
-	g.startRequest(guard)
+	g.startRequest(method, guard)
 	t.conn = g
 }
 
@@ -161,7 +162,7 @@
 		}
 		return ctx.Err()
 	}
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { tracker.set(info.Conn, guard) }}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { tracker.set(info.Conn, req.Method, guard) }}
 	ctx = httptrace.WithClientTrace(ctx, trace)
 	out, err := http.NewRequestWithContext(ctx, req.Method, "http://"+dest.Target.Address+req.URI, onceBody{bytes.NewReader(req.Body)})
 	if err != nil {
@@ -198,7 +199,9 @@
 	if err != nil {
 		return fmt.Errorf("encode grants: %w", err)
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+GrantPath, bytes.NewReader(body))
+	tracker := &connTracker{}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { tracker.set(info.Conn, http.MethodPost, nil) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, "http://"+address+GrantPath, bytes.NewReader(body))
 	if err != nil {
 		return fmt.Errorf("send grants to %s: %w", address, err)
 	}
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -2,9 +2,10 @@
 
 import (
 	"errors"
-	"net"
 	"sync"
 	"sync/atomic"
+
+	"github.com/cranberrywind/cranberrywind/internal/http1"
 )
 
 // ErrExpired reports that a request's destination expired before the request was
@@ -15,14 +16,15 @@
 // right before each write, so that a request is not sent too late if the process
 // pauses after routing it, and it counts the bytes written for that request.
 type guardedConn struct {
-	net.Conn
+	*http1.ClientConn
 	mu      sync.Mutex
 	guard   func() error
 	written atomic.Int64
 }
 
-// startRequest sets the guard of the next request and resets the count.
-func (c *guardedConn) startRequest(guard func() error) {
+// startRequest sets the method and the guard of the next request and resets the count.
+func (c *guardedConn) startRequest(method string, guard func() error) {
+	c.Expect(method)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.guard = guard
@@ -41,5 +43,5 @@
 	}
 	// Counted before the write, since a failed write may have sent some bytes.
 	c.written.Add(int64(len(data)))
-	return c.Conn.Write(data)
+	return c.ClientConn.Write(data)
 }
