forward: TestOwnersInShortage sums up 16 random worlds

Change: it sums up 16 worlds, with the same checks and bounds; a loss of a hundredth after a shortage now shows in each run.

--- a/internal/forward/owner_shortage_test.go
+++ b/internal/forward/owner_shortage_test.go
@@ -68,6 +68,11 @@
 	owed, inTime, late int
 }
 
+// with returns the sum of both.
+func (s ownerSecond) with(x ownerSecond) ownerSecond {
+	return ownerSecond{owed: s.owed + x.owed, inTime: s.inTime + x.inTime, late: s.late + x.late}
+}
+
 // earned returns the worth of the answers as a share of what is owed.
 func (s ownerSecond) earned() float64 {
 	return (float64(s.inTime) + 0.5*float64(s.late)) / float64(s.owed)
@@ -282,20 +287,27 @@
 // between returns the sum over the seconds from, included, to to.
 func (w *ownerWorld) between(from, to int) (sum ownerSecond) {
 	for _, s := range w.seconds[from:to] {
-		sum.owed, sum.inTime, sum.late = sum.owed+s.owed, sum.inTime+s.inTime, sum.late+s.late
+		sum = sum.with(s)
 	}
 	return sum
 }
 
+// ownerWorlds is the number of random worlds that TestOwnersInShortage sums up: what one of them
+// earns before and after a shortage differs by about as much as it changes by chance.
+const ownerWorlds = 16
+
 // Guards against owners of keys whose queues fill up in a shortage and make almost all answers late, also after it.
 func TestOwnersInShortage(t *testing.T) {
 	const demand = 1.6
-	w := newOwnerWorld(1)
-	w.run(0, 4*time.Second)
-	w.run(0.55, 10*time.Second)
-	w.run(demand, 14*time.Second)
-	w.run(0.55, 8*time.Second)
-	before, shortage, after := w.between(9, 14), w.between(18, 28), w.between(31, 34)
+	var before, shortage, after ownerSecond
+	for seed := range ownerWorlds {
+		w := newOwnerWorld(uint64(seed + 1))
+		w.run(0, 4*time.Second)
+		w.run(0.55, 10*time.Second)
+		w.run(demand, 14*time.Second)
+		w.run(0.55, 8*time.Second)
+		before, shortage, after = before.with(w.between(9, 14)), shortage.with(w.between(18, 28)), after.with(w.between(31, 34))
+	}
 	t.Logf("earned %.3f before, %.3f in the shortage (%d in time, %d late), %.3f after", before.earned(), shortage.earned(), shortage.inTime, shortage.late, after.earned())
 	t.Run("most answers come within the objective", func(t *testing.T) {
 		assert.Assert(t, shortage.inTime > shortage.late, "%d in time, %d late", shortage.inTime, shortage.late)
