fleet: log and count heartbeats that name no target

An operator could not see why a target counts as lost whose heartbeats are rejected: only those with unreadable keys were logged, once for each ID for good, which another writer can fill memory with.

Change: each rejected heartbeat and withdrawal counts in the metric rejected_heartbeats (invalid_key_reports before) and is logged with its reason, at most once a second.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,8 +43,7 @@
 	refusals       refusals
 	found          atomic.Pointer[foundLeader] // nil while the replica follows the leader itself
 
-	invalidKeyReports atomic.Uint64
-	invalidKeysOf     sync.Map // targets whose invalid reports were logged
+	rejectedHeartbeats rejectedHeartbeats
 }
 
 // openReplica is an open replica with the leader and the membership manager that use
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -146,7 +146,7 @@
 		i.metrics.addGauge("replica_term", func() any { return c.lastReplica().group.Role().Term })
 		i.metrics.addGauge("applied_index", func() any { return c.lastReplica().group.State().Index })
 		i.metrics.addGauge("config_version", func() any { cfg, _ := c.State().Config(); return cfg.Version })
-		i.metrics.addGauge("invalid_key_reports", func() any { return c.invalidKeyReports.Load() })
+		i.metrics.addGauge("rejected_heartbeats", func() any { return c.rejectedHeartbeats.count.Load() })
 		i.metrics.addGauge("feature_level", c.featureGauge)
 		i.metrics.addGauge("targets", func() any { return countTargets(c.State().Targets()) })
 		i.metrics.addGauge("evacuated_zones", func() any { return len(c.State().Evacuated()) })
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cranberrywind/cranberrywind/internal/deployment"
@@ -55,11 +56,30 @@
 	})
 }
 
-// InvalidKeys records a heartbeat that was rejected because of keys that can't be read. It is
-// logged once for each target.
-func (c *Control) InvalidKeys(target string, err error) {
-	c.invalidKeyReports.Add(1)
-	if _, logged := c.invalidKeysOf.LoadOrStore(target, true); !logged {
-		c.log.Warn("heartbeat rejected: keys of the target can't be read", "target", target, "error", err)
+// rejectedLogPeriod is the least time between two log lines about rejected heartbeats, of which
+// another writer may send many.
+const rejectedLogPeriod = time.Second
+
+// rejectedHeartbeats counts heartbeats that name no target.
+type rejectedHeartbeats struct {
+	count atomic.Uint64
+
+	mu       sync.Mutex
+	nextLog  timer.Instant // earliest time of the next line
+	unlogged int           // since the last line
+}
+
+// HeartbeatRejected records a heartbeat, or a withdrawal, that names no target because of err.
+func (c *Control) HeartbeatRejected(target string, err error) {
+	r := &c.rejectedHeartbeats
+	r.count.Add(1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := c.clock.Now()
+	if now < r.nextLog {
+		r.unlogged++
+		return
 	}
+	c.log.Warn("heartbeat rejected", "target", target, "error", err, "others", r.unlogged)
+	r.nextLog, r.unlogged = now.Add(rejectedLogPeriod), 0
 }
