--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -29,7 +29,11 @@
 	ErrVersion = fmt.Errorf("version is not supported: %w", ErrMalformed)
 )
 
-const lineEnd = "\r\n"
+const (
+	lineEnd = "\r\n"
+	// usualHeadBytes is the size of a head that takes one buffer.
+	usualHeadBytes = 512
+)
 
 // head collects the lines of a message's start line and fields. A read that ends early, with a
 // timeout, can be continued.
@@ -41,6 +45,9 @@
 // read reads up to and including the empty line, and returns the lines before it, each with its
 // line end. If the connection ends before the first byte it returns io.EOF.
 func (h *head) read(r *bufio.Reader, maxBytes int) (string, error) {
+	if h.data == nil {
+		h.data = make([]byte, 0, usualHeadBytes)
+	}
 	for {
 		part, err := r.ReadSlice('\n')
 		if len(h.data)+len(part) > maxBytes {
@@ -77,7 +84,9 @@
 
 // parseFields parses lines of fields, each with its line end.
 func parseFields(lines string) (http.Header, error) {
-	h := make(http.Header, strings.Count(lines, lineEnd))
+	n := strings.Count(lines, lineEnd)
+	h := make(http.Header, n)
+	all := make([]string, 0, n) // holds the values of all fields, in one allocation
 	for lines != "" {
 		var line string
 		line, lines, _ = strings.Cut(lines, lineEnd)
@@ -91,7 +100,12 @@
 			return nil, malformed("value of field %.40q", name)
 		}
 		name = http.CanonicalHeaderKey(name)
-		h[name] = append(h[name], value)
+		if earlier, given := h[name]; given {
+			h[name] = append(earlier, value)
+			continue
+		}
+		all = append(all, value)
+		h[name] = all[len(all)-1 : len(all) : len(all)]
 	}
 	return h, nil
 }
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -68,8 +68,10 @@
 	if resp.Header, err = parseFields(fields); err != nil {
 		return nil, err
 	}
-	if err := checkSpliced(reason, resp.Header); err != nil {
-		return nil, err
+	// A sender whose response broke off within a line, and which went on with the next one, makes
+	// one head of both: it follows the grammar, and its fields are those of two responses.
+	if containsStatusLine(text[len(version):]) {
+		return nil, malformed("status line within another line")
 	}
 	if resp.ContentLength, err = responseLength(p, resp, method); err != nil {
 		return nil, err
@@ -111,23 +113,6 @@
 	return n
 }
 
-// checkSpliced returns an error if a status line stands within the reason or the value of a field.
-// A sender whose response broke off within a line, and which went on with the next one, makes one
-// head of both: it follows the grammar, and its fields are those of two responses.
-func checkSpliced(reason string, h http.Header) error {
-	if containsStatusLine(reason) {
-		return malformed("status line within a reason")
-	}
-	for name, values := range h {
-		for _, v := range values {
-			if containsStatusLine(v) {
-				return malformed("status line within the field %.40q", name)
-			}
-		}
-	}
-	return nil
-}
-
 // containsStatusLine reports whether a version of HTTP and a status stand in the text.
 func containsStatusLine(text string) bool {
 	for {
