http1: a read of no bytes returns at once

A verifier asked to read into an empty slice would have read from an empty body without end. Nothing does so today; found by reading.

Measured: tests of internal/http1 and internal/target pass.

--- a/internal/http1/verify.go
+++ b/internal/http1/verify.go
@@ -34,6 +34,9 @@
 
 // Read reads the checked bytes. After a timeout it may be called again.
 func (v *verifier) Read(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
 	for len(v.out) == 0 {
 		if v.err != nil {
 			return 0, v.err
@@ -52,7 +55,7 @@
 	return n, nil
 }
 
-// advance reads the next part of a message, into p or into out.
+// advance reads the next part of a message: a head and chunks into out, another body into p.
 func (v *verifier) advance(p []byte) (int, error) {
 	if v.body == nil {
 		return 0, v.readHead()
