--- a/internal/deployment/config.go
+++ b/internal/deployment/config.go
@@ -85,7 +85,7 @@
 // Bounds of the limits that are in force. Operators write very large numbers for no limit; sums
 // and multiples of a limit within these bounds do not overflow.
 const (
-	MaxHeaderBytes = 16 << 20
+	maxHeaderBytes = 16 << 20
 	maxBodyBytes   = math.MaxInt / 4
 	maxCallerTime  = 365 * 24 * time.Hour
 )
@@ -94,7 +94,7 @@
 // instance supports.
 func (l CallerLimits) Bounded() CallerLimits {
 	return CallerLimits{
-		HeaderBytes:   min(max(l.HeaderBytes, 0), MaxHeaderBytes),
+		HeaderBytes:   min(max(l.HeaderBytes, 0), maxHeaderBytes),
 		BodyBytes:     min(max(l.BodyBytes, 0), maxBodyBytes),
 		HeaderTimeout: min(max(l.HeaderTimeout, 0), maxCallerTime),
 		IdleTimeout:   min(max(l.IdleTimeout, 0), maxCallerTime),
