--- a/review/kit-3/poison.go
+++ b/review/kit-3/poison.go
@@ -160,5 +160,5 @@
 		w.end()
 	}
 	p.logf("crashes %d; other requests at work on the servers that crashed %d; later than %v after the third crash %d of the caller's requests reached servers %d times, retries allowed %d", crashes, lost, stabilityWindow, late, arrivals, maxRetries)
-	return late > maxRetries, nil
+	return arrivals > maxRetries, nil
 }
