--- a/review/kit-3/cluster.go
+++ b/review/_standins3/cluster.go
@@ -58,7 +58,7 @@
 		c.subnet = fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))
 		base := 20000 + rand.IntN(9000)
 		c.ports = ports{base, base + 15, base + 20, base + 21, base + 22, base + 23}
-		if c.portsFree(controls + fronts) {
+		if c.portsFree() {
 			break
 		}
 	}
@@ -83,7 +83,7 @@
 
 func (c *cluster) ip(n int) string { return fmt.Sprintf("%s.%d", c.subnet, n) }
 
-func (c *cluster) portsFree(machines int) bool {
+func (c *cluster) portsFree() bool {
 	for _, port := range []int{c.ports.internal0, c.ports.internal1, c.ports.front, c.ports.ready, c.ports.control, c.ports.metrics} {
 		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", c.ip(1), port))
 		if err != nil {
--- a/review/kit-3/worker.go
+++ b/review/_standins3/worker.go
@@ -234,11 +234,11 @@
 			return keep
 		}
 	}
-	return w.run(c, r, body)
+	return w.run(c, r)
 }
 
 // run works on a request once a slot is free.
-func (w *worker) run(c net.Conn, r *http.Request, body []byte) bool {
+func (w *worker) run(c net.Conn, r *http.Request) bool {
 	notRun := map[string]string{"X-Not-Executed": "1"}
 	id := r.Header.Get("X-Request-Id")
 	if id == "" {
